--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Targets: build, test, lint, format, demo, bench, measure, clean.
+
+MODULES := . controld entryd loadtool pierctl standin
+PROGRAMS := controld entryd loadtool pierctl standin
+PACKAGES := $(foreach m,$(MODULES),./$(if $(filter .,$(m)),,$(m)/)...)
+TOOL := GOWORK=off go -C tools tool
+
+export CGO_ENABLED = 1
+
+.PHONY: build test lint format demo bench measure clean
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -o bin/$$p ./$$p || exit 1; done
+
+test:
+	go test -race -count=1 $(PACKAGES)
+
+lint:
+	@unformatted=$$($(TOOL) gofumpt -l $(addprefix ../,$(MODULES))); \
+	if [ -n "$$unformatted" ]; then echo "not formatted (run make format):"; echo "$$unformatted"; exit 1; fi
+	go vet $(PACKAGES)
+	@GOWORK=off go -C tools build -o ../bin/staticcheck honnef.co/go/tools/cmd/staticcheck
+	bin/staticcheck $(PACKAGES)
+
+format:
+	$(TOOL) gofumpt -w $(addprefix ../,$(MODULES))
+
+demo: build
+	scripts/demo
+
+bench:
+	go test -run '^$$' -bench . -benchmem $(PACKAGES)
+
+measure: build
+	scripts/measure
+
+clean:
+	rm -rf bin run results
--- a/internal/dispatch/wire.go
+++ b/internal/dispatch/wire.go
@@ -82,7 +82,8 @@
 type GrantMember struct {
 	Endpoint string
 	Address  string
-	// Holding is the id of the memory reservation at the engine; empty for a plain service.
+	// Holding is the id of the memory reservation at the engine. It is set for groups only: a single
+	// engine reserves under the attempt's id when the request arrives.
 	Holding string
 	Tokens  int
 }
@@ -140,6 +141,15 @@
 	OutputTokens int
 	// Elapsed is the time since the grant was used.
 	Elapsed time.Duration
+	// Members, Workspace and Priority let a new dispatcher adopt a grant that another one gave, or
+	// that an entry gave itself while no dispatcher answered.
+	Members   []GrantMember
+	Workspace string
+	Priority  int
+	// Fingerprint is the hash of workspace, path and body.
+	Fingerprint uint64
+	// Prefilled says that the first token has arrived.
+	Prefilled bool
 }
 
 // ReportRequest carries the events of one entry.
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,63 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dandelionpier/dandelionpier/internal/settings"
+)
+
+type inner struct {
+	Listen string `yaml:"listen" validate:"required,hostname_port"`
+}
+
+type sample struct {
+	Name    string        `yaml:"name" validate:"required"`
+	Limit   int           `yaml:"limit" validate:"min=1,max=10"`
+	Timeout time.Duration `yaml:"timeout" validate:"gt=0"`
+	HTTP    inner         `yaml:"http"`
+}
+
+func defaults() *sample {
+	return &sample{Limit: 5, Timeout: time.Second, HTTP: inner{Listen: "127.0.0.1:1"}}
+}
+
+// Guards against settings that are wrong and start a program all the same, or stop it without
+// saying where.
+func TestParseErrors(t *testing.T) {
+	for name, test := range map[string]struct {
+		yaml string
+		want []string
+	}{
+		"unknown key":   {"name: a\nlimmit: 3\n", []string{"f.yaml:2:1", "limmit", "limit"}},
+		"wrong type":    {"name: a\nlimit: many\n", []string{"f.yaml:2:"}},
+		"out of range":  {"name: a\nlimit: 11\n", []string{"f.yaml:2:1", "limit is 11", "at most 10"}},
+		"missing value": {"limit: 3\n", []string{"name", "required"}},
+		"nested value":  {"name: a\nhttp:\n  listen: nowhere\n", []string{"f.yaml:3:3", "http.listen", "127.0.0.1:8080"}},
+		"not yaml":      {"name: [a\n", []string{"f.yaml:"}},
+		"zero duration": {"name: a\ntimeout: 0s\n", []string{"f.yaml:2:1", "more than 0"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			err := settings.Parse("f.yaml", []byte(test.yaml), defaults())
+			is.True(err != nil)
+			for _, part := range test.want {
+				if !strings.Contains(err.Error(), part) {
+					t.Errorf("error %q lacks %q", err, part)
+				}
+			}
+		})
+	}
+}
+
+// Guards against defaults that are lost when the file does not name an option.
+func TestParseKeepsDefaults(t *testing.T) {
+	is := is.New(t)
+	s := defaults()
+	is.NoErr(settings.Parse("f.yaml", []byte("name: a\n"), s))
+	is.Equal(s.Limit, 5)
+	is.Equal(s.Timeout, time.Second)
+}
