--- /dev/null
+++ b/internal/claim/book.go
@@ -0,0 +1,169 @@
+package claim
+
+import "time"
+
+const (
+	// Retention is how long a key is remembered after its claim was opened.
+	Retention = 24 * time.Hour
+	// LongestRequest is the largest time limit of a request; an open claim that is older has lost its
+	// holder, so its outcome is unknown.
+	LongestRequest = 15 * time.Minute
+	// MaxClaims bounds the keys remembered. A full book refuses new claims: forgetting a key early
+	// would let its request run twice.
+	MaxClaims = 200_000
+	// MaxBodyBytes bounds the outcome bodies kept. Past it the oldest bodies are dropped; their status
+	// is kept.
+	MaxBodyBytes = 32 << 20
+)
+
+// Record is one claim.
+type Record struct {
+	Key         Key    `cbor:"1,keyasint"`
+	Fingerprint uint64 `cbor:"2,keyasint"`
+	RequestID   string `cbor:"3,keyasint"`
+	Entry       string `cbor:"4,keyasint"`
+	// Opened is in Unix milliseconds.
+	Opened  int64   `cbor:"5,keyasint"`
+	Status  Status  `cbor:"6,keyasint"`
+	Outcome Outcome `cbor:"7,keyasint"`
+}
+
+// Book holds all claims. It is deterministic: time comes from the replicated log. It is not safe for
+// concurrent use.
+type Book struct {
+	records map[Key]*Record
+	// order holds the records by time of opening; released ones stay until they are dropped.
+	order []*Record
+	// bodies holds the records with a body, oldest first.
+	bodies    []*Record
+	bodyBytes int
+}
+
+// NewBook returns a book with the given records, in order of opening.
+func NewBook(records []Record) *Book {
+	b := &Book{records: make(map[Key]*Record, len(records))}
+	for i := range records {
+		r := records[i]
+		b.records[r.Key] = &r
+		b.order = append(b.order, &r)
+		b.keepBody(&r)
+	}
+	return b
+}
+
+// Records returns all claims in order of opening.
+func (b *Book) Records() []Record {
+	records := make([]Record, 0, len(b.records))
+	for _, r := range b.order {
+		if b.records[r.Key] == r {
+			records = append(records, *r)
+		}
+	}
+	return records
+}
+
+// Len returns the number of claims.
+func (b *Book) Len() int {
+	return len(b.records)
+}
+
+// Open claims the key for the request, or says why not. The same request may ask again when the
+// answer was lost. now is in Unix milliseconds.
+func (b *Book) Open(request OpenRequest, now int64) OpenReply {
+	b.expire(now)
+	r := b.records[request.Key]
+	switch {
+	case r == nil && len(b.records) >= MaxClaims:
+		return OpenReply{Status: Full}
+	case r == nil:
+		b.add(request, now)
+		return OpenReply{Status: Granted}
+	case r.Fingerprint != request.Fingerprint:
+		return OpenReply{Status: Mismatch}
+	case r.Status != InProgress:
+		return OpenReply{Status: r.Status, Outcome: r.Outcome}
+	case r.RequestID == request.RequestID && r.Entry == request.Entry:
+		return OpenReply{Status: Granted}
+	case now-r.Opened > LongestRequest.Milliseconds():
+		return OpenReply{Status: Unknown, Holder: r.Entry}
+	default:
+		return OpenReply{Status: InProgress, Holder: r.Entry}
+	}
+}
+
+func (b *Book) add(request OpenRequest, now int64) {
+	r := &Record{
+		Key:         request.Key,
+		Fingerprint: request.Fingerprint,
+		RequestID:   request.RequestID,
+		Entry:       request.Entry,
+		Opened:      now,
+		Status:      InProgress,
+	}
+	b.records[r.Key] = r
+	b.order = append(b.order, r)
+}
+
+// Settle ends the claim of the request that holds it. A repeated settlement is accepted again.
+func (b *Book) Settle(request SettleRequest, now int64) SettleReply {
+	b.expire(now)
+	r := b.records[request.Key]
+	if r == nil {
+		return SettleReply{Accepted: request.Release}
+	}
+	if r.RequestID != request.RequestID {
+		return SettleReply{}
+	}
+	switch {
+	case r.Status == Done:
+		return SettleReply{Accepted: request.Outcome != nil}
+	case request.Release:
+		// A claim whose outcome is unknown may have run and stays.
+		if r.Status != InProgress {
+			return SettleReply{}
+		}
+		delete(b.records, r.Key)
+	case request.Outcome != nil:
+		r.Status = Done
+		r.Outcome = *request.Outcome
+		b.keepBody(r)
+	default:
+		r.Status = Unknown
+	}
+	return SettleReply{Accepted: true}
+}
+
+func (b *Book) keepBody(r *Record) {
+	if len(r.Outcome.Body) > MaxOutcomeBytes {
+		r.Outcome.Body = nil
+		r.Outcome.Truncated = true
+	}
+	if len(r.Outcome.Body) == 0 {
+		return
+	}
+	b.bodies = append(b.bodies, r)
+	b.bodyBytes += len(r.Outcome.Body)
+	for b.bodyBytes > MaxBodyBytes {
+		oldest := b.bodies[0]
+		b.bodies = b.bodies[1:]
+		b.bodyBytes -= len(oldest.Outcome.Body)
+		oldest.Outcome.Body = nil
+		oldest.Outcome.Truncated = true
+	}
+}
+
+func (b *Book) expire(now int64) {
+	limit := now - Retention.Milliseconds()
+	for len(b.order) > 0 && b.order[0].Opened < limit {
+		r := b.order[0]
+		b.order = b.order[1:]
+		if b.records[r.Key] != r {
+			continue
+		}
+		delete(b.records, r.Key)
+	}
+	for len(b.bodies) > 0 && b.bodies[0].Opened < limit {
+		b.bodyBytes -= len(b.bodies[0].Outcome.Body)
+		b.bodies = b.bodies[1:]
+	}
+}
--- a/internal/claim/wire.go
+++ b/internal/claim/wire.go
@@ -15,6 +15,8 @@
 	Unknown Status = "unknown"
 	// Mismatch means that the key was used before for another request.
 	Mismatch Status = "mismatch"
+	// Full means that no more keys can be remembered; nothing ran.
+	Full Status = "full"
 )
 
 // Key identifies a claim.
@@ -41,7 +43,7 @@
 	Key Key `cbor:"1,keyasint"`
 	// Fingerprint is the hash of method, path and body.
 	Fingerprint uint64 `cbor:"2,keyasint"`
-	// RequestID and Entry identify the holder.
+	// RequestID and Entry (instance/incarnation) identify the holder.
 	RequestID string `cbor:"3,keyasint"`
 	Entry     string `cbor:"4,keyasint"`
 }
@@ -53,6 +55,8 @@
 	Leader    string
 	Status    Status
 	Outcome   Outcome
+	// Holder is the entry that holds an open claim, as instance/incarnation.
+	Holder string
 }
 
 // SettleRequest ends a claim: with an outcome, as Unknown, or by release when no byte was sent.
--- /dev/null
+++ b/internal/control/machine.go
@@ -0,0 +1,388 @@
+package control
+
+import (
+	"bytes"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dandelionpier/dandelionpier/internal/claim"
+	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/ledger"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// Corrupt means that a command or snapshot cannot be decoded.
+	Corrupt Kind = "corrupt"
+	// NoLeader means that no control instance answered as leader in time.
+	NoLeader Kind = "no-leader"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+const (
+	// maxHistory is how many revisions are kept for entries and operators that lag behind.
+	maxHistory = 1024
+	// maxResults is how many results of operator commands are kept for a resend: two days at 8,000
+	// commands a day.
+	maxResults = 16_384
+	// maxSince bounds the revisions that a conflict lists.
+	maxSince = 16
+	// QuarantineTime is how long a request that crashed endpoints is refused.
+	QuarantineTime = 10 * time.Minute
+)
+
+// Command is one entry of the replicated log. Exactly one field besides Time is set.
+type Command struct {
+	// Time is the proposing leader's clock in Unix milliseconds.
+	Time         int64                 `cbor:"1,keyasint"`
+	Submit       *SubmitRequest        `cbor:"2,keyasint,omitempty"`
+	OpenClaim    *claim.OpenRequest    `cbor:"3,keyasint,omitempty"`
+	SettleClaim  *claim.SettleRequest  `cbor:"4,keyasint,omitempty"`
+	LeaseBudget  *ledger.LeaseRequest  `cbor:"5,keyasint,omitempty"`
+	SettleBudget *ledger.SettleRequest `cbor:"6,keyasint,omitempty"`
+	Quarantine   *QuarantineRequest    `cbor:"7,keyasint,omitempty"`
+}
+
+// Result is the recorded result of an operator's command.
+type Result struct {
+	CommandID string      `cbor:"1,keyasint"`
+	Digest    []byte      `cbor:"2,keyasint"`
+	Reply     SubmitReply `cbor:"3,keyasint"`
+}
+
+type snapshot struct {
+	Time          int64                       `cbor:"1,keyasint"`
+	Configuration configuration.Configuration `cbor:"2,keyasint"`
+	History       []configuration.Revision    `cbor:"3,keyasint"`
+	Results       []Result                    `cbor:"4,keyasint"`
+	Claims        []claim.Record              `cbor:"5,keyasint"`
+	Ledger        ledger.State                `cbor:"6,keyasint"`
+	Quarantine    map[uint64]int64            `cbor:"7,keyasint"`
+}
+
+// Machine is the replicated state machine. Apply, Snapshot and Restore are called by the log, in
+// order; the other methods may be called at any time.
+type Machine struct {
+	mu            sync.RWMutex
+	now           int64
+	configuration configuration.Configuration
+	history       []configuration.Revision
+	results       map[string]Result
+	resultOrder   []string
+	claims        *claim.Book
+	ledger        *ledger.Book
+	// quarantine maps fingerprints to the end of their quarantine in Unix milliseconds.
+	quarantine map[uint64]int64
+	changed    chan struct{}
+}
+
+// NewMachine returns an empty state machine.
+func NewMachine() *Machine {
+	m := &Machine{changed: make(chan struct{})}
+	m.load(snapshot{})
+	return m
+}
+
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
+// Encode returns the bytes of a command.
+func (c Command) Encode() ([]byte, error) {
+	data, err := encoding.Marshal(c)
+	return data, fault.Wrap(err, "encode command", Corrupt, "control command")
+}
+
+// Apply executes a command and returns its reply: a SubmitReply, claim.OpenReply and so on, or an
+// error of kind Corrupt.
+func (m *Machine) Apply(_ uint64, data []byte) any {
+	var command Command
+	if err := cbor.Unmarshal(data, &command); err != nil {
+		return fault.Wrap(err, "apply command", Corrupt, "decode")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// The clock of the log never goes back, whichever leader proposed.
+	m.now = max(m.now, command.Time)
+	switch {
+	case command.Submit != nil:
+		return m.submit(*command.Submit)
+	case command.OpenClaim != nil:
+		return m.claims.Open(*command.OpenClaim, m.now)
+	case command.SettleClaim != nil:
+		return m.claims.Settle(*command.SettleClaim, m.now)
+	case command.LeaseBudget != nil:
+		return m.ledger.Lease(*command.LeaseBudget, m.limit(command.LeaseBudget.Workspace), m.now)
+	case command.SettleBudget != nil:
+		return m.ledger.Settle(*command.SettleBudget, m.now)
+	case command.Quarantine != nil:
+		return m.addQuarantine(command.Quarantine.Fingerprint)
+	default:
+		return fault.New("apply command", Corrupt, "the command is empty")
+	}
+}
+
+func (m *Machine) limit(workspace string) int64 {
+	return m.configuration.Workspaces[workspace].SpendLimit
+}
+
+func (m *Machine) submit(request SubmitRequest) SubmitReply {
+	digest := digest(request)
+	if first, ok := m.results[request.CommandID]; ok {
+		if !bytes.Equal(first.Digest, digest) {
+			return SubmitReply{
+				Status:   Rejected,
+				Revision: m.configuration.Revision,
+				Message:  "the command id was used before for another command",
+			}
+		}
+		return first.Reply
+	}
+	reply := m.transact(request)
+	m.record(Result{CommandID: request.CommandID, Digest: digest, Reply: reply})
+	return reply
+}
+
+func digest(request SubmitRequest) []byte {
+	request.CommandID = ""
+	data, err := encoding.Marshal(request)
+	if err != nil {
+		return nil
+	}
+	return hash(data)
+}
+
+func (m *Machine) transact(request SubmitRequest) SubmitReply {
+	if reply, ok := m.refuse(request); ok {
+		return reply
+	}
+	r := configuration.Revision{
+		Number:  m.configuration.Revision + 1,
+		Author:  request.Author,
+		Time:    m.now,
+		Changes: request.Changes,
+	}
+	next, err := m.configuration.WithRevision(r)
+	if err != nil {
+		return SubmitReply{Status: Rejected, Revision: m.configuration.Revision, Message: err.Error()}
+	}
+	m.configuration = next
+	m.history = append(m.history, r)
+	if len(m.history) > maxHistory {
+		m.history = slices.Clone(m.history[len(m.history)-maxHistory:])
+	}
+	m.notify()
+	return SubmitReply{Status: Accepted, Revision: r.Number}
+}
+
+func (m *Machine) refuse(request SubmitRequest) (SubmitReply, bool) {
+	revision := m.configuration.Revision
+	switch {
+	case request.CommandID == "":
+		return SubmitReply{Status: Rejected, Revision: revision, Message: "the command has no id"}, true
+	case len(request.Changes) == 0:
+		return SubmitReply{Status: Rejected, Revision: revision, Message: "the command changes nothing"}, true
+	case request.Expected == revision:
+		return SubmitReply{}, false
+	}
+	since := m.since(request.Expected)
+	if len(since) > maxSince {
+		since = since[len(since)-maxSince:]
+	}
+	return SubmitReply{
+		Status:   Conflict,
+		Revision: revision,
+		Message:  "the configuration has changed since the expected revision",
+		Since:    slices.Clone(since),
+	}, true
+}
+
+// Check says what would come of a transaction without recording it.
+func (m *Machine) Check(request SubmitRequest) SubmitReply {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if reply, ok := m.refuse(request); ok {
+		return reply
+	}
+	if _, err := m.configuration.With(request.Changes); err != nil {
+		return SubmitReply{Status: Rejected, Revision: m.configuration.Revision, Message: err.Error()}
+	}
+	return SubmitReply{Status: Valid, Revision: m.configuration.Revision}
+}
+
+func (m *Machine) record(result Result) {
+	if result.CommandID == "" {
+		return
+	}
+	m.results[result.CommandID] = result
+	m.resultOrder = append(m.resultOrder, result.CommandID)
+	for len(m.resultOrder) > maxResults {
+		delete(m.results, m.resultOrder[0])
+		m.resultOrder = m.resultOrder[1:]
+	}
+}
+
+func (m *Machine) addQuarantine(fingerprint uint64) QuarantineReply {
+	for f, end := range m.quarantine {
+		if end <= m.now {
+			delete(m.quarantine, f)
+		}
+	}
+	m.quarantine[fingerprint] = m.now + QuarantineTime.Milliseconds()
+	m.notify()
+	return QuarantineReply{}
+}
+
+// Quarantined returns the fingerprints in quarantine at a time in Unix milliseconds.
+func (m *Machine) Quarantined(now int64) []uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	fingerprints := make([]uint64, 0, len(m.quarantine))
+	for f, end := range m.quarantine {
+		if end > now {
+			fingerprints = append(fingerprints, f)
+		}
+	}
+	return fingerprints
+}
+
+// Configuration returns the newest accepted configuration.
+func (m *Machine) Configuration() configuration.Configuration {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.configuration
+}
+
+// Since returns the revisions after the given one, and false when they are no longer all kept.
+func (m *Machine) Since(revision uint64) ([]configuration.Revision, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	missing := m.configuration.Revision - min(revision, m.configuration.Revision)
+	since := m.since(revision)
+	return slices.Clone(since), uint64(len(since)) == missing
+}
+
+func (m *Machine) since(revision uint64) []configuration.Revision {
+	for i, r := range m.history {
+		if r.Number > revision {
+			return m.history[i:]
+		}
+	}
+	return nil
+}
+
+// History returns the last n revisions, oldest first.
+func (m *Machine) History(n int) []configuration.Revision {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Clone(m.history[max(0, len(m.history)-n):])
+}
+
+// Accounts returns the spending of all workspaces with their limits, for the current period.
+func (m *Machine) Accounts() []Account {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	period := ledger.PeriodOf(m.now)
+	var accounts []Account
+	for _, a := range m.ledger.Accounts() {
+		if a.Period != period {
+			continue
+		}
+		account := Account{
+			Workspace: a.Workspace,
+			Period:    a.Period,
+			Limit:     m.limit(a.Workspace),
+			Leased:    a.Outstanding(),
+			Spent:     a.Spent,
+		}
+		for _, s := range a.Detail {
+			account.Detail = append(account.Detail, s)
+		}
+		accounts = append(accounts, account)
+	}
+	return accounts
+}
+
+// Changed returns a channel that is closed at the next change of configuration or quarantine.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.changed
+}
+
+// notify wakes the waiters. The caller holds m.mu.
+func (m *Machine) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Snapshot returns the whole state, encoded deterministically.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	s := snapshot{
+		Time:          m.now,
+		Configuration: m.configuration,
+		History:       m.history,
+		Claims:        m.claims.Records(),
+		Ledger:        m.ledger.State(),
+		Quarantine:    m.quarantine,
+	}
+	for _, id := range m.resultOrder {
+		s.Results = append(s.Results, m.results[id])
+	}
+	data, err := encoding.Marshal(s)
+	return data, fault.Wrap(err, "take snapshot", Corrupt, "encode")
+}
+
+// Restore replaces the state by that of a snapshot. An error of kind Corrupt changes nothing.
+func (m *Machine) Restore(data []byte) error {
+	var s snapshot
+	if err := decoding.Unmarshal(data, &s); err != nil {
+		return fault.Wrap(err, "restore snapshot", Corrupt, "decode")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.load(s)
+	m.notify()
+	return nil
+}
+
+// maxElements allows maps and arrays of the size of the claim book.
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 24, MaxMapPairs: 1 << 24}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
+func (m *Machine) load(s snapshot) {
+	m.now = s.Time
+	m.configuration = s.Configuration
+	m.history = s.History
+	m.results = make(map[string]Result, len(s.Results))
+	m.resultOrder = nil
+	for _, result := range s.Results {
+		m.results[result.CommandID] = result
+		m.resultOrder = append(m.resultOrder, result.CommandID)
+	}
+	m.claims = claim.NewBook(s.Claims)
+	m.ledger = ledger.NewBook(s.Ledger)
+	m.quarantine = s.Quarantine
+	if m.quarantine == nil {
+		m.quarantine = make(map[uint64]int64)
+	}
+}
--- /dev/null
+++ b/internal/control/service.go
@@ -0,0 +1,360 @@
+package control
+
+import (
+	"context"
+	"crypto/sha256"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/claim"
+	"github.com/dandelionpier/dandelionpier/internal/ledger"
+	"github.com/dandelionpier/dandelionpier/internal/session"
+)
+
+func hash(data []byte) []byte {
+	sum := sha256.Sum256(data)
+	return sum[:]
+}
+
+// Log is the replicated log.
+type Log interface {
+	Propose(ctx context.Context, command []byte) (any, error)
+	// Read returns once the state machine reflects every command committed before the call.
+	Read(ctx context.Context) error
+	// LeaderLease is 0 on an instance that does not lead.
+	LeaderLease() (remaining time.Duration, term uint64)
+	Leader() (id, address string, term uint64)
+}
+
+// Registrar takes net/rpc services.
+type Registrar interface {
+	Register(name string, receiver any) error
+}
+
+// ServiceConfig sets up a Service.
+type ServiceConfig struct {
+	Machine *Machine
+	Log     Log
+	// Voters describes the quorum for queries.
+	Voters func() []Voter
+	Logger *zap.Logger
+}
+
+// Service answers entries and operators on behalf of the control quorum. Only the leader answers;
+// the others name it.
+type Service struct {
+	config   ServiceConfig
+	registry *session.Registry
+}
+
+const (
+	// proposeTimeout bounds a commit; a healthy quorum needs milliseconds.
+	proposeTimeout = 2 * time.Second
+	readTimeout    = time.Second
+	// inForceTimeout bounds the wait of an operator for a change to be in force: a lease that must run
+	// out, and one more second.
+	inForceTimeout = session.LeaseLength + session.SkewAllowance + time.Second
+	expireInterval = 200 * time.Millisecond
+)
+
+// NewService returns the service.
+func NewService(config ServiceConfig) *Service {
+	return &Service{config: config, registry: session.NewRegistry()}
+}
+
+// Register adds the net/rpc services Session, Claims, Ledger and Commands.
+func (s *Service) Register(to Registrar) error {
+	for name, receiver := range map[string]any{
+		"Session":  &sessionService{s},
+		"Claims":   &claimService{s},
+		"Ledger":   &ledgerService{s},
+		"Commands": &commandService{s},
+	} {
+		if err := to.Register(name, receiver); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Run keeps the sessions until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			if _, ok := s.leads(); ok {
+				s.registry.Expire(now)
+			}
+		}
+	}
+}
+
+// Members returns the entries that hold a session; it is empty on an instance that does not lead.
+func (s *Service) Members() []session.Member {
+	if _, ok := s.leads(); !ok {
+		return nil
+	}
+	members, _ := s.registry.Members()
+	return members
+}
+
+// leads returns the term when this instance holds the leader lease.
+func (s *Service) leads() (uint64, bool) {
+	remaining, term := s.config.Log.LeaderLease()
+	if remaining <= 0 {
+		return 0, false
+	}
+	s.registry.Lead(term, time.Now())
+	return term, true
+}
+
+func (s *Service) leader() string {
+	_, address, _ := s.config.Log.Leader()
+	return address
+}
+
+// propose commits a command and returns the reply of the state machine; false means that this
+// instance could not, and the caller may ask again elsewhere.
+func propose[Reply any](s *Service, command Command) (Reply, bool) {
+	var none Reply
+	if _, ok := s.leads(); !ok {
+		return none, false
+	}
+	command.Time = time.Now().UnixMilli()
+	data, err := command.Encode()
+	if err != nil {
+		s.config.Logger.Error("Could not encode a command", zap.Error(err))
+		return none, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	result, err := s.config.Log.Propose(ctx, data)
+	if err != nil {
+		s.config.Logger.Info("Could not commit a command", zap.Error(err))
+		return none, false
+	}
+	reply, ok := result.(Reply)
+	if !ok {
+		s.config.Logger.Error("The state machine gave an unexpected reply", zap.Any("reply", result))
+	}
+	return reply, ok
+}
+
+// current reports whether this instance leads and its state machine is up to date.
+func (s *Service) current() (term uint64, ok bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	if err := s.config.Log.Read(ctx); err != nil {
+		return 0, false
+	}
+	return s.leads()
+}
+
+type sessionService struct{ *Service }
+
+// Heartbeat renews the lease of an entry.
+func (s *sessionService) Heartbeat(request session.HeartbeatRequest, reply *session.HeartbeatReply) error {
+	term, ok := s.current()
+	if !ok {
+		reply.NotLeader, reply.Leader = true, s.leader()
+		return nil
+	}
+	now := time.Now()
+	s.registry.Renew(request, now)
+	reply.Term = term
+	reply.Lease = session.LeaseLength
+	s.fill(request, reply)
+	members, version := s.registry.Members()
+	if version != request.MembershipVersion {
+		reply.Members, reply.MembershipVersion = members, version
+	}
+	quarantined := s.config.Machine.Quarantined(now.UnixMilli())
+	if session.QuarantineVersion(quarantined) != request.QuarantineVersion {
+		reply.Quarantined, reply.QuarantineChanged = quarantined, true
+	}
+	return nil
+}
+
+// fill adds what the entry lacks of the configuration.
+func (s *sessionService) fill(request session.HeartbeatRequest, reply *session.HeartbeatReply) {
+	revisions, complete := s.config.Machine.Since(request.Revision)
+	if complete && request.Revision > 0 {
+		reply.Revisions = revisions
+		reply.Revision = request.Revision + uint64(len(revisions))
+		return
+	}
+	snapshot := s.config.Machine.Configuration()
+	reply.Snapshot = &snapshot
+	reply.Revision = snapshot.Revision
+}
+
+// Watch waits until the entry lacks something.
+func (s *sessionService) Watch(request session.WatchRequest, reply *session.WatchReply) error {
+	deadline := time.NewTimer(session.WatchTime)
+	defer deadline.Stop()
+	check := time.NewTicker(session.HeartbeatInterval)
+	defer check.Stop()
+	for {
+		machine, registry := s.config.Machine.Changed(), s.registry.Changed()
+		if _, ok := s.leads(); !ok {
+			reply.NotLeader, reply.Leader = true, s.leader()
+			return nil
+		}
+		if s.differs(request) {
+			reply.Changed = true
+			return nil
+		}
+		select {
+		case <-machine:
+		case <-registry:
+		case <-check.C:
+		case <-deadline.C:
+			return nil
+		}
+	}
+}
+
+func (s *sessionService) differs(request session.WatchRequest) bool {
+	machine := s.config.Machine
+	return machine.Configuration().Revision != request.Revision ||
+		s.registry.Version() != request.MembershipVersion ||
+		session.QuarantineVersion(machine.Quarantined(time.Now().UnixMilli())) != request.QuarantineVersion
+}
+
+type claimService struct{ *Service }
+
+// Open claims an idempotency key.
+func (s *claimService) Open(request claim.OpenRequest, reply *claim.OpenReply) error {
+	result, ok := propose[claim.OpenReply](s.Service, Command{OpenClaim: &request})
+	if !ok {
+		reply.NotLeader, reply.Leader = true, s.leader()
+		return nil
+	}
+	*reply = result
+	if reply.Status == claim.InProgress && !s.registry.Live(reply.Holder, time.Now()) {
+		// The holder is gone, so nobody will settle the claim.
+		reply.Status = claim.Unknown
+	}
+	return nil
+}
+
+// Settle ends a claim.
+func (s *claimService) Settle(request claim.SettleRequest, reply *claim.SettleReply) error {
+	result, ok := propose[claim.SettleReply](s.Service, Command{SettleClaim: &request})
+	if !ok {
+		reply.NotLeader, reply.Leader = true, s.leader()
+		return nil
+	}
+	*reply = result
+	return nil
+}
+
+type ledgerService struct{ *Service }
+
+// Lease grants a slice of a workspace's budget.
+func (s *ledgerService) Lease(request ledger.LeaseRequest, reply *ledger.LeaseReply) error {
+	result, ok := propose[ledger.LeaseReply](s.Service, Command{LeaseBudget: &request})
+	if !ok {
+		reply.NotLeader, reply.Leader = true, s.leader()
+		return nil
+	}
+	*reply = result
+	return nil
+}
+
+// Settle books what an entry spent.
+func (s *ledgerService) Settle(request ledger.SettleRequest, reply *ledger.SettleReply) error {
+	if _, ok := propose[ledger.SettleReply](s.Service, Command{SettleBudget: &request}); !ok {
+		reply.NotLeader, reply.Leader = true, s.leader()
+	}
+	return nil
+}
+
+type commandService struct{ *Service }
+
+// Quarantine refuses a request everywhere for QuarantineTime.
+func (s *commandService) Quarantine(request QuarantineRequest, reply *QuarantineReply) error {
+	if _, ok := propose[QuarantineReply](s.Service, Command{Quarantine: &request}); !ok {
+		reply.NotLeader, reply.Leader = true, s.leader()
+	}
+	return nil
+}
+
+// Submit commits an operator's transaction and waits until it is in force.
+func (s *commandService) Submit(request SubmitRequest, reply *SubmitReply) error {
+	*reply = s.submit(request)
+	return nil
+}
+
+func (s *Service) submit(request SubmitRequest) SubmitReply {
+	if request.Check {
+		if _, ok := s.current(); !ok {
+			return SubmitReply{NotLeader: true, Leader: s.leader()}
+		}
+		return s.config.Machine.Check(request)
+	}
+	reply, ok := propose[SubmitReply](s, Command{Submit: &request})
+	if !ok {
+		return SubmitReply{NotLeader: true, Leader: s.leader()}
+	}
+	if reply.Status == Accepted {
+		reply.InForce = s.awaitInForce(reply.Revision)
+	}
+	return reply
+}
+
+func (s *Service) awaitInForce(revision uint64) bool {
+	deadline := time.Now().Add(inForceTimeout)
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		changed := s.registry.Changed()
+		now := time.Now()
+		if s.registry.InForce(revision, now) {
+			return true
+		}
+		if now.After(deadline) {
+			return false
+		}
+		select {
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// Query answers an operator's query.
+func (s *commandService) Query(request QueryRequest, reply *QueryReply) error {
+	*reply = s.query(request)
+	return nil
+}
+
+func (s *Service) query(request QueryRequest) QueryReply {
+	term, ok := s.current()
+	if !ok {
+		return QueryReply{NotLeader: true, Leader: s.leader()}
+	}
+	c := s.config.Machine.Configuration()
+	reply := QueryReply{Revision: c.Revision, Term: term}
+	if request.Configuration {
+		reply.Configuration = &c
+	}
+	if request.History > 0 {
+		reply.History = s.config.Machine.History(request.History)
+	}
+	if request.Members {
+		reply.Members, _ = s.registry.Members()
+	}
+	if request.Spending {
+		reply.Accounts = s.config.Machine.Accounts()
+	}
+	if request.Quorum && s.config.Voters != nil {
+		reply.Voters = s.config.Voters()
+	}
+	return reply
+}
--- a/internal/control/wire.go
+++ b/internal/control/wire.go
@@ -90,3 +90,14 @@
 	Accounts      []Account                    `json:"accounts,omitempty"`
 	Voters        []Voter                      `json:"voters,omitempty"`
 }
+
+// QuarantineRequest names a request that crashes endpoints.
+type QuarantineRequest struct {
+	Fingerprint uint64 `cbor:"1,keyasint"`
+}
+
+// QuarantineReply answers a QuarantineRequest.
+type QuarantineReply struct {
+	NotLeader bool
+	Leader    string
+}
--- /dev/null
+++ b/internal/ledger/book.go
@@ -0,0 +1,229 @@
+package ledger
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// shrinkDivisor bounds a slice to this part of what remains, so that slices shrink near the limit
+	// and one entry cannot strand most of it.
+	shrinkDivisor = 8
+	// forgetAfter is how long the answers to an entry's requests are kept for a resend.
+	forgetAfter = 24 * time.Hour
+)
+
+// PeriodOf returns the calendar month (UTC) of a time in Unix milliseconds.
+func PeriodOf(now int64) string {
+	return time.UnixMilli(now).UTC().Format("2006-01")
+}
+
+// Account is the spending of one workspace in one period.
+type Account struct {
+	Workspace string `cbor:"1,keyasint"`
+	Period    string `cbor:"2,keyasint"`
+	// Leased is what entries hold by entry/incarnation. A lost entry's slice stays here for the
+	// period: what it spent of it is not known, so all of it counts as spent.
+	Leased map[string]int64 `cbor:"3,keyasint"`
+	Spent  int64            `cbor:"4,keyasint"`
+	// Detail is the spend by model and length class, joined by a slash.
+	Detail map[string]Spend `cbor:"5,keyasint"`
+}
+
+// Outstanding returns the sum of the slices that entries hold.
+func (a *Account) Outstanding() int64 {
+	var sum int64
+	for _, amount := range a.Leased {
+		sum += amount
+	}
+	return sum
+}
+
+// Entry is what the ledger remembers of one life of an entry, to recognise resent requests.
+type Entry struct {
+	Name     string                 `cbor:"1,keyasint"`
+	Leases   map[string]LeaseAnswer `cbor:"2,keyasint"`
+	Settled  uint64                 `cbor:"3,keyasint"`
+	LastSeen int64                  `cbor:"4,keyasint"`
+}
+
+// LeaseAnswer is the answer to the last lease request for a workspace.
+type LeaseAnswer struct {
+	Sequence uint64     `cbor:"1,keyasint"`
+	Reply    LeaseReply `cbor:"2,keyasint"`
+}
+
+// State is the whole ledger, as kept in snapshots.
+type State struct {
+	Accounts []Account `cbor:"1,keyasint"`
+	Entries  []Entry   `cbor:"2,keyasint"`
+}
+
+type accountKey struct {
+	workspace string
+	period    string
+}
+
+// Book is the ledger. It is deterministic: time comes from the replicated log. It is not safe for
+// concurrent use.
+type Book struct {
+	accounts map[accountKey]*Account
+	entries  map[string]*Entry
+}
+
+// NewBook returns a ledger with the given state.
+func NewBook(state State) *Book {
+	b := &Book{accounts: make(map[accountKey]*Account), entries: make(map[string]*Entry)}
+	for _, a := range state.Accounts {
+		if a.Leased == nil {
+			a.Leased = make(map[string]int64)
+		}
+		if a.Detail == nil {
+			a.Detail = make(map[string]Spend)
+		}
+		b.accounts[accountKey{a.Workspace, a.Period}] = &a
+	}
+	for _, e := range state.Entries {
+		if e.Leases == nil {
+			e.Leases = make(map[string]LeaseAnswer)
+		}
+		b.entries[e.Name] = &e
+	}
+	return b
+}
+
+// State returns a copy of the ledger, sorted.
+func (b *Book) State() State {
+	var state State
+	for _, a := range b.accounts {
+		c := *a
+		c.Leased = maps.Clone(a.Leased)
+		c.Detail = maps.Clone(a.Detail)
+		state.Accounts = append(state.Accounts, c)
+	}
+	slices.SortFunc(state.Accounts, func(x, y Account) int {
+		return cmp.Or(cmp.Compare(x.Workspace, y.Workspace), cmp.Compare(x.Period, y.Period))
+	})
+	for _, e := range b.entries {
+		c := *e
+		c.Leases = maps.Clone(e.Leases)
+		state.Entries = append(state.Entries, c)
+	}
+	slices.SortFunc(state.Entries, func(x, y Entry) int { return cmp.Compare(x.Name, y.Name) })
+	return state
+}
+
+// Accounts returns a copy of the accounts, sorted by workspace and period.
+func (b *Book) Accounts() []Account {
+	return b.State().Accounts
+}
+
+// Lease grants a slice of what remains of the limit. A negative limit means none. A request that was
+// answered before gets the same answer. now is in Unix milliseconds.
+func (b *Book) Lease(request LeaseRequest, limit, now int64) LeaseReply {
+	e := b.entry(request.Entry, request.Incarnation, now)
+	if last, ok := e.Leases[request.Workspace]; ok && request.Sequence <= last.Sequence {
+		if request.Sequence == last.Sequence {
+			return last.Reply
+		}
+		return LeaseReply{}
+	}
+	reply := b.lease(request, e.Name, limit, now)
+	e.Leases[request.Workspace] = LeaseAnswer{Sequence: request.Sequence, Reply: reply}
+	return reply
+}
+
+func (b *Book) lease(request LeaseRequest, entry string, limit, now int64) LeaseReply {
+	period := PeriodOf(now)
+	a := b.account(request.Workspace, period)
+	want := max(request.Want, request.Need, 0)
+	if limit < 0 {
+		a.Leased[entry] += want
+		return LeaseReply{Granted: want, Period: period, Remaining: -1}
+	}
+	remaining := max(0, limit-a.Spent-a.Outstanding())
+	if request.Need > remaining || request.Need <= 0 {
+		return LeaseReply{Period: period, Remaining: remaining}
+	}
+	granted := min(want, max(request.Need, remaining/shrinkDivisor))
+	a.Leased[entry] += granted
+	return LeaseReply{Granted: granted, Period: period, Remaining: remaining - granted}
+}
+
+// Settle books what an entry spent and returned. A repeated report changes nothing. now is in Unix
+// milliseconds.
+func (b *Book) Settle(request SettleRequest, now int64) SettleReply {
+	e := b.entry(request.Entry, request.Incarnation, now)
+	if request.Sequence <= e.Settled {
+		return SettleReply{}
+	}
+	e.Settled = request.Sequence
+	for _, s := range request.Spent {
+		a := b.account(s.Workspace, s.Period)
+		a.Spent += s.Amount
+		b.reduce(a, e.Name, s.Amount)
+		a.add(s)
+	}
+	for _, r := range request.Returned {
+		b.reduce(b.account(r.Workspace, r.Period), e.Name, r.Amount)
+	}
+	return SettleReply{}
+}
+
+func (b *Book) reduce(a *Account, entry string, amount int64) {
+	left := a.Leased[entry] - amount
+	if left <= 0 {
+		delete(a.Leased, entry)
+		return
+	}
+	a.Leased[entry] = left
+}
+
+func (a *Account) add(s Spend) {
+	key := s.Model + "/" + s.LengthClass
+	sum := a.Detail[key]
+	sum.Workspace, sum.Model, sum.LengthClass, sum.Period = s.Workspace, s.Model, s.LengthClass, s.Period
+	sum.Amount += s.Amount
+	sum.Requests += s.Requests
+	sum.Tokens += s.Tokens
+	a.Detail[key] = sum
+}
+
+func (b *Book) account(workspace, period string) *Account {
+	key := accountKey{workspace, period}
+	a := b.accounts[key]
+	if a == nil {
+		a = &Account{
+			Workspace: workspace,
+			Period:    period,
+			Leased:    make(map[string]int64),
+			Detail:    make(map[string]Spend),
+		}
+		b.accounts[key] = a
+	}
+	return a
+}
+
+func (b *Book) entry(instance, incarnation string, now int64) *Entry {
+	name := instance + "/" + incarnation
+	e := b.entries[name]
+	if e == nil {
+		b.forget(now)
+		e = &Entry{Name: name, Leases: make(map[string]LeaseAnswer)}
+		b.entries[name] = e
+	}
+	e.LastSeen = now
+	return e
+}
+
+func (b *Book) forget(now int64) {
+	limit := now - forgetAfter.Milliseconds()
+	maps.DeleteFunc(b.entries, func(_ string, e *Entry) bool { return e.LastSeen < limit })
+	oldest := PeriodOf(time.UnixMilli(now).UTC().AddDate(0, -keptMonths, 0).UnixMilli())
+	maps.DeleteFunc(b.accounts, func(key accountKey, _ *Account) bool { return key.period < oldest })
+}
+
+// keptMonths is how many past months stay in the ledger for queries.
+const keptMonths = 13
--- /dev/null
+++ b/internal/session/keeper.go
@@ -0,0 +1,250 @@
+package session
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+)
+
+// Leader is the control leader as an entry reaches it.
+type Leader interface {
+	Heartbeat(ctx context.Context, request HeartbeatRequest) (HeartbeatReply, error)
+	Watch(ctx context.Context, request WatchRequest) (WatchReply, error)
+}
+
+// KeeperConfig sets up a Keeper.
+type KeeperConfig struct {
+	Member Member
+	Leader Leader
+	Logger *zap.Logger
+}
+
+// View is what an entry knows from the control leader. It is a value and is not changed.
+type View struct {
+	Configuration configuration.Configuration
+	Members       []Member
+	Term          uint64
+	// Quarantined are the fingerprints of requests that crash endpoints.
+	Quarantined map[uint64]bool
+}
+
+// Keeper holds the session of an entry with the control leader. It is safe for concurrent use.
+type Keeper struct {
+	config KeeperConfig
+
+	mu                sync.Mutex
+	member            Member
+	view              View
+	membershipVersion uint64
+	quarantineVersion uint64
+	// wanted is the newest accepted revision that a leader has named.
+	wanted   uint64
+	leaseEnd time.Time
+	wake     chan struct{}
+}
+
+// NewKeeper returns a keeper without a lease; Run obtains it.
+func NewKeeper(config KeeperConfig) *Keeper {
+	return &Keeper{config: config, member: config.Member, wake: make(chan struct{}, 1)}
+}
+
+// View returns what is known and an error of kind Expired when nothing may be admitted: the lease
+// has run out, or a newer revision is accepted than the one applied here. The view is usable for
+// address answers in both cases.
+func (k *Keeper) View() (View, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !time.Now().Before(k.leaseEnd) {
+		return k.view, fault.New("check lease", Expired, "the lease of instance %q has run out", k.member.Instance)
+	}
+	return k.view, nil
+}
+
+// Drain marks the instance as draining from the next heartbeat, which is sent at once.
+func (k *Keeper) Drain() {
+	k.mu.Lock()
+	k.member.Draining = true
+	k.mu.Unlock()
+	k.kick()
+}
+
+func (k *Keeper) kick() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends heartbeats until ctx ends, then ends the session.
+func (k *Keeper) Run(ctx context.Context) error {
+	watchEnd := make(chan struct{})
+	go func() {
+		defer close(watchEnd)
+		k.watch(ctx)
+	}()
+	ticker := time.NewTicker(HeartbeatInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		k.heartbeat(ctx)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-k.wake:
+		}
+	}
+	<-watchEnd
+	k.leave()
+	return nil
+}
+
+// heartbeatTimeout leaves time for a second attempt within the lease.
+const heartbeatTimeout = HeartbeatInterval
+
+func (k *Keeper) heartbeat(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	request := k.request()
+	sent := time.Now()
+	reply, err := k.config.Leader.Heartbeat(ctx, request)
+	if err != nil {
+		k.config.Logger.Debug("Could not send a heartbeat", zap.Error(err))
+		return
+	}
+	if k.accept(reply, sent) {
+		// The leader counts a change as in force once it knows that it was applied.
+		k.kick()
+	}
+}
+
+func (k *Keeper) request() HeartbeatRequest {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return HeartbeatRequest{
+		Member:            k.member,
+		Revision:          k.view.Configuration.Revision,
+		MembershipVersion: k.membershipVersion,
+		QuarantineVersion: k.quarantineVersion,
+	}
+}
+
+// accept takes over what the leader said and reports whether a newer revision was applied. A reply of
+// an older term, or with an older revision than is known to be accepted, changes nothing.
+func (k *Keeper) accept(reply HeartbeatReply, sent time.Time) (applied bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if reply.Term < k.view.Term || reply.Revision < k.wanted {
+		return false
+	}
+	before := k.view.Configuration.Revision
+	if err := k.apply(reply); err != nil {
+		k.config.Logger.Error("Could not apply the configuration", zap.Error(err))
+		return false
+	}
+	k.view.Term = reply.Term
+	k.wanted = reply.Revision
+	if reply.Members != nil {
+		k.view.Members = reply.Members
+		k.membershipVersion = reply.MembershipVersion
+	}
+	if reply.QuarantineChanged {
+		k.view.Quarantined = set(reply.Quarantined)
+		k.quarantineVersion = QuarantineVersion(reply.Quarantined)
+	}
+	if k.view.Configuration.Revision < k.wanted {
+		return false
+	}
+	if end := sent.Add(reply.Lease); end.After(k.leaseEnd) {
+		k.leaseEnd = end
+	}
+	return k.view.Configuration.Revision > before
+}
+
+// apply moves the configuration forward, by a snapshot or by the revisions that follow. The caller
+// holds k.mu.
+func (k *Keeper) apply(reply HeartbeatReply) error {
+	next := k.view.Configuration
+	if reply.Snapshot != nil && reply.Snapshot.Revision > next.Revision {
+		next = *reply.Snapshot
+	}
+	for _, r := range reply.Revisions {
+		if r.Number <= next.Revision {
+			continue
+		}
+		var err error
+		next, err = next.WithRevision(r)
+		if err != nil {
+			return err
+		}
+	}
+	k.view.Configuration = next
+	return nil
+}
+
+func set(fingerprints []uint64) map[uint64]bool {
+	m := make(map[uint64]bool, len(fingerprints))
+	for _, f := range fingerprints {
+		m[f] = true
+	}
+	return m
+}
+
+// QuarantineVersion is the sum of the fingerprints, so that equal sets have equal versions.
+func QuarantineVersion(fingerprints []uint64) uint64 {
+	var sum uint64
+	for _, f := range fingerprints {
+		sum += f
+	}
+	return sum
+}
+
+// watch waits at the leader for changes and sends a heartbeat for each.
+func (k *Keeper) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		request := k.request()
+		call, cancel := context.WithTimeout(ctx, WatchTime+heartbeatTimeout)
+		reply, err := k.config.Leader.Watch(call, WatchRequest{
+			Revision:          request.Revision,
+			MembershipVersion: request.MembershipVersion,
+			QuarantineVersion: request.QuarantineVersion,
+		})
+		cancel()
+		switch {
+		case err != nil:
+			pause(ctx, HeartbeatInterval)
+		case reply.Changed:
+			k.kick()
+			// Gives the heartbeat time to fetch the change before the next watch begins.
+			pause(ctx, watchPause)
+		}
+	}
+}
+
+// watchPause bounds the watches of one entry to 50 a second.
+const watchPause = 20 * time.Millisecond
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (k *Keeper) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
+	defer cancel()
+	request := k.request()
+	request.Leave = true
+	if _, err := k.config.Leader.Heartbeat(ctx, request); err != nil {
+		k.config.Logger.Warn("Could not end the session; it ends with its lease", zap.Error(err))
+	}
+	k.mu.Lock()
+	k.leaseEnd = time.Time{}
+	k.mu.Unlock()
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -52,15 +52,35 @@
 	Revision uint64
 	// MembershipVersion is the version of the member list that the entry knows.
 	MembershipVersion uint64
+	// QuarantineVersion is the sum of the quarantined fingerprints that the entry knows.
+	QuarantineVersion uint64
 	// Leave ends the session.
 	Leave bool
 }
 
+// WatchTime is how long the leader holds a watch without a change.
+const WatchTime = 10 * time.Second
+
+// WatchRequest waits until something differs from what the entry knows.
+type WatchRequest struct {
+	Revision          uint64
+	MembershipVersion uint64
+	QuarantineVersion uint64
+}
+
+// WatchReply answers a WatchRequest. It grants no lease.
+type WatchReply struct {
+	// NotLeader says that the instance does not lead; Leader then is the peer address to try, if known.
+	NotLeader bool
+	Leader    string
+	Changed   bool
+}
+
 // HeartbeatReply is the leader's answer.
 type HeartbeatReply struct {
-	// Accepted is false when the instance does not lead; Leader then is the peer address to try, if known.
-	Accepted bool
-	Leader   string
+	// NotLeader says that the instance does not lead; Leader then is the peer address to try, if known.
+	NotLeader bool
+	Leader    string
 	// Term is the leader's term and the fencing token of orders.
 	Term uint64
 	// Lease counts from the moment at which the heartbeat was sent.
@@ -73,6 +93,7 @@
 	// MembershipVersion and Members are set when the entry's list is old.
 	MembershipVersion uint64
 	Members           []Member
-	// Quarantined are the fingerprints of requests that crash endpoints.
-	Quarantined []uint64
+	// Quarantined are the fingerprints of requests that crash endpoints, set when QuarantineChanged.
+	Quarantined       []uint64
+	QuarantineChanged bool
 }
