--- /dev/null
+++ b/controld/internal/cli/settings.go
@@ -0,0 +1,66 @@
+package cli
+
+import (
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/settings"
+)
+
+// Settings are the options of controld.
+type Settings struct {
+	Instance   string `yaml:"instance" validate:"required"`
+	DataCentre string `yaml:"data-centre" validate:"required"`
+	// DataDirectory holds the log and snapshots; it needs a disk that keeps synced files.
+	DataDirectory string `yaml:"data-directory" validate:"required"`
+	// PeerListen is host:port for other processes of the system.
+	PeerListen    string `yaml:"peer-listen" validate:"required,hostname_port"`
+	AdvertisePeer string `yaml:"advertise-peer" validate:"omitempty,hostname_port"`
+	// OperatorListen is host:port for operators.
+	OperatorListen    string `yaml:"operator-listen" validate:"required,hostname_port"`
+	AdvertiseOperator string `yaml:"advertise-operator" validate:"omitempty,hostname_port"`
+	MetricsListen     string `yaml:"metrics-listen" validate:"omitempty,hostname_port"`
+	// ClusterKey proves to other processes that they belong to the same system.
+	ClusterKey string `yaml:"cluster-key" validate:"required,min=16"`
+	// Bootstrap lists the first voters. It is used only when the data directory is new.
+	Bootstrap []Voter `yaml:"bootstrap" validate:"dive"`
+	// Operators are the people who may issue commands.
+	Operators []Operator `yaml:"operators" validate:"dive"`
+	// SnapshotEvery is in log entries.
+	SnapshotEvery int `yaml:"snapshot-every" validate:"min=16"`
+	// ReplaceAfter is how long a voter may be unreachable before a standby takes its place.
+	ReplaceAfter time.Duration `yaml:"replace-after" validate:"gt=0"`
+	LogLevel     string        `yaml:"log-level" validate:"oneof=debug info warn error"`
+}
+
+// Voter is a control instance of the first quorum.
+type Voter struct {
+	Instance string `yaml:"instance" validate:"required"`
+	Address  string `yaml:"address" validate:"required,hostname_port"`
+	// Operator is the instance's address for operators.
+	Operator string `yaml:"operator" validate:"omitempty,hostname_port"`
+}
+
+// Operator is a person who may issue commands.
+type Operator struct {
+	Name string `yaml:"name" validate:"required"`
+	// KeyHash is the hexadecimal SHA-256 sum of the bearer key.
+	KeyHash string `yaml:"key-hash" validate:"required,len=64,hexadecimal"`
+}
+
+const (
+	defaultSnapshotEvery = 4096
+	defaultReplaceAfter  = 10 * time.Second
+)
+
+// loadSettings reads the file over the defaults.
+func loadSettings(path string) (Settings, error) {
+	s := Settings{
+		SnapshotEvery: defaultSnapshotEvery,
+		ReplaceAfter:  defaultReplaceAfter,
+		LogLevel:      "info",
+	}
+	if err := settings.Load(path, &s); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/claim/book_test.go
@@ -0,0 +1,134 @@
+package claim_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionpier/dandelionpier/internal/claim"
+)
+
+func open(key, request string) claim.OpenRequest {
+	return claim.OpenRequest{
+		Key:         claim.Key{Workspace: "norte", IdempotencyKey: key},
+		Fingerprint: 7,
+		RequestID:   request,
+		Entry:       "entry-1/a",
+	}
+}
+
+// Guards against a second dispatch of a key whose first one may have run.
+func TestOpen(t *testing.T) {
+	first := open("job-1", "r1")
+	done := &claim.Outcome{Status: 201, Body: []byte("booked")}
+	for name, test := range map[string]struct {
+		settle  *claim.SettleRequest
+		request claim.OpenRequest
+		now     int64
+		want    claim.Status
+	}{
+		"same request asks again": {nil, first, 2, claim.Granted},
+		"resend while it runs":    {nil, open("job-1", "r2"), 2, claim.InProgress},
+		"resend long after":       {nil, open("job-1", "r2"), claim.LongestRequest.Milliseconds() + 2, claim.Unknown},
+		"other body":              {nil, claim.OpenRequest{Key: first.Key, Fingerprint: 8, RequestID: "r2"}, 2, claim.Mismatch},
+		"done":                    {&claim.SettleRequest{RequestID: "r1", Outcome: done}, open("job-1", "r2"), 2, claim.Done},
+		"unknown":                 {&claim.SettleRequest{RequestID: "r1"}, open("job-1", "r2"), 2, claim.Unknown},
+		"unknown, same request":   {&claim.SettleRequest{RequestID: "r1"}, first, 2, claim.Unknown},
+		"released":                {&claim.SettleRequest{RequestID: "r1", Release: true}, open("job-1", "r2"), 2, claim.Granted},
+		"released by another":     {&claim.SettleRequest{RequestID: "r9", Release: true}, open("job-1", "r2"), 2, claim.InProgress},
+		"after retention":         {nil, open("job-1", "r2"), claim.Retention.Milliseconds() + 2, claim.Granted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			book := claim.NewBook(nil)
+			is.Equal(book.Open(first, 1).Status, claim.Granted)
+			if test.settle != nil {
+				test.settle.Key = first.Key
+				book.Settle(*test.settle, 1)
+			}
+			is.Equal(book.Open(test.request, test.now).Status, test.want)
+		})
+	}
+}
+
+// Guards against a release that reopens a key whose outcome is unknown.
+func TestUnknownStays(t *testing.T) {
+	is := is.New(t)
+	book := claim.NewBook(nil)
+	first := open("job-1", "r1")
+	book.Open(first, 1)
+	is.True(book.Settle(claim.SettleRequest{Key: first.Key, RequestID: "r1"}, 1).Accepted)
+	is.True(!book.Settle(claim.SettleRequest{Key: first.Key, RequestID: "r1", Release: true}, 1).Accepted)
+	is.Equal(book.Open(open("job-1", "r2"), 2).Status, claim.Unknown)
+}
+
+// Guards against an unbounded book: outcome bodies are dropped before keys are.
+func TestBodiesAreBounded(t *testing.T) {
+	is := is.New(t)
+	book := claim.NewBook(nil)
+	body := make([]byte, claim.MaxOutcomeBytes)
+	count := claim.MaxBodyBytes/claim.MaxOutcomeBytes + 2
+	for i := range count {
+		r := open(fmt.Sprint(i), fmt.Sprint(i))
+		book.Open(r, 1)
+		book.Settle(claim.SettleRequest{Key: r.Key, RequestID: r.RequestID, Outcome: &claim.Outcome{Status: 200, Body: body}}, 1)
+	}
+	is.Equal(book.Len(), count)
+	oldest := book.Open(open("0", "again"), 2)
+	is.Equal(oldest.Status, claim.Done)
+	is.True(oldest.Outcome.Truncated)
+	is.Equal(oldest.Outcome.Status, 200)
+}
+
+// Guards against two requests that both may dispatch one key, in any order of opening, settling,
+// releasing, passing time and restoring from a snapshot. A naive book that gives an old claim to the
+// next request breaks it.
+func TestOneDispatchForEachKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		book := claim.NewBook(nil)
+		now := int64(0)
+		// dispatched holds the request that may have sent bytes, by key.
+		dispatched := make(map[string]string)
+		t.Repeat(map[string]func(*rapid.T){
+			"open": func(t *rapid.T) {
+				key := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "key")
+				request := rapid.SampledFrom([]string{"r1", "r2", "r3"}).Draw(t, "request")
+				reply := book.Open(open(key, key+request), now)
+				if reply.Status != claim.Granted {
+					return
+				}
+				if other := dispatched[key]; other != "" && other != request {
+					t.Fatalf("key %s was dispatched by %s and granted to %s", key, other, request)
+				}
+				if rapid.Bool().Draw(t, "sends bytes") {
+					dispatched[key] = request
+				} else {
+					book.Settle(claim.SettleRequest{Key: open(key, "").Key, RequestID: key + request, Release: dispatched[key] == ""}, now)
+				}
+			},
+			"settle": func(t *rapid.T) {
+				key := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "key")
+				request := rapid.SampledFrom([]string{"r1", "r2", "r3"}).Draw(t, "request")
+				settle := claim.SettleRequest{Key: open(key, "").Key, RequestID: key + request}
+				if rapid.Bool().Draw(t, "done") {
+					settle.Outcome = &claim.Outcome{Status: 200}
+				}
+				book.Settle(settle, now)
+			},
+			"time passes": func(t *rapid.T) {
+				now += rapid.Int64Range(0, claim.LongestRequest.Milliseconds()*2).Draw(t, "ms")
+				// Retention is longer than any request, so the model forgets as the book does.
+				if now > claim.Retention.Milliseconds() {
+					now = 0
+					book = claim.NewBook(nil)
+					clear(dispatched)
+				}
+			},
+			"restore": func(*rapid.T) {
+				book = claim.NewBook(book.Records())
+			},
+		})
+	})
+}
