--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,143 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/peer"
+	"github.com/dandelionpier/dandelionpier/internal/task"
+)
+
+// echo is a service whose method Hold answers only when it is released.
+type echo struct {
+	held    chan struct{}
+	release chan struct{}
+}
+
+func (e *echo) Say(word string, reply *string) error {
+	if word == "" {
+		return errors.New("no word")
+	}
+	*reply = word
+	return nil
+}
+
+func (e *echo) Hold(_ int, reply *int) error {
+	e.held <- struct{}{}
+	<-e.release
+	*reply = 1
+	return nil
+}
+
+const key = "0123456789abcdef"
+
+func serve(t *testing.T, serverKey string) (address string, service *echo) {
+	t.Helper()
+	is := is.New(t)
+	service = &echo{held: make(chan struct{}, 16), release: make(chan struct{})}
+	server := peer.NewServer(peer.ServerConfig{Key: serverKey, Logger: zap.NewNop()})
+	is.NoErr(server.Register("Echo", service))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	end := task.Start(ctx, func(ctx context.Context) error { return server.Serve(ctx, listener) })
+	t.Cleanup(func() {
+		cancel()
+		close(service.release)
+		is.NoErr(<-end)
+	})
+	return listener.Addr().String(), service
+}
+
+func pool(t *testing.T, config peer.PoolConfig) *peer.Pool {
+	p := peer.NewPool(config)
+	t.Cleanup(p.Close)
+	return p
+}
+
+// Guards against errors that do not say whether the call may have run.
+func TestCall(t *testing.T) {
+	for name, test := range map[string]struct {
+		serverKey string
+		method    string
+		word      string
+		want      peer.Kind
+	}{
+		"answered":       {key, "Echo.Say", "saw", ""},
+		"method failed":  {key, "Echo.Say", "", peer.Remote},
+		"unknown method": {key, "Echo.Shout", "saw", peer.Remote},
+		"wrong key":      {"another key 0123", "Echo.Say", "saw", peer.Denied},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, _ := serve(t, test.serverKey)
+			var reply string
+			err := pool(t, peer.PoolConfig{Key: key}).Call(t.Context(), address, test.method, test.word, &reply)
+			if test.want == "" {
+				is.NoErr(err)
+				is.Equal(reply, test.word)
+				return
+			}
+			is.True(fault.Is(err, test.want))
+		})
+	}
+}
+
+// Guards against a call without a listener that is reported as one that may have run.
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	is.NoErr(listener.Close())
+	var reply string
+	err = pool(t, peer.PoolConfig{Key: key}).Call(t.Context(), address, "Echo.Say", "saw", &reply)
+	is.True(fault.Is(err, peer.Unreachable))
+}
+
+// Guards against a slow call that holds the others, an unbounded number of pending calls, and a
+// caller that waits past its context.
+func TestPendingCalls(t *testing.T) {
+	is := is.New(t)
+	address, service := serve(t, key)
+	p := pool(t, peer.PoolConfig{Key: key, MaxPending: 2})
+	ctx, cancel := context.WithCancel(t.Context())
+	var held int
+	slow := task.Start(ctx, func(ctx context.Context) error {
+		return p.Call(ctx, address, "Echo.Hold", 1, &held)
+	})
+	<-service.held
+	var reply string
+	is.NoErr(p.Call(t.Context(), address, "Echo.Say", "past the slow one", &reply))
+
+	second := task.Start(ctx, func(ctx context.Context) error {
+		var held int
+		return p.Call(ctx, address, "Echo.Hold", 1, &held)
+	})
+	<-service.held
+	is.True(fault.Is(p.Call(t.Context(), address, "Echo.Say", "one too many", &reply), peer.Busy))
+	cancel()
+	is.True(fault.Is(<-slow, peer.Lost))
+	is.True(fault.Is(<-second, peer.Lost))
+}
+
+// Guards against a peer that accepts connections and never answers the handshake.
+func TestSilentPeer(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var reply string
+	err = pool(t, peer.PoolConfig{Key: key}).Call(ctx, listener.Addr().String(), "Echo.Say", "saw", &reply)
+	is.True(err != nil)
+	is.NoErr(ctx.Err())
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -19,6 +19,8 @@
 	DialTimeout time.Duration
 	// MaxPending bounds the calls pending on one connection; 0 means 4,096.
 	MaxPending int
+	// Dial makes connections; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 const (
@@ -51,6 +53,12 @@
 	if config.MaxPending == 0 {
 		config.MaxPending = defaultMaxPending
 	}
+	if config.Dial == nil {
+		dialer := net.Dialer{Timeout: config.DialTimeout}
+		config.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
 	return &Pool{config: config, links: make(map[string]*link)}
 }
 
@@ -120,8 +128,7 @@
 	if l.client != nil {
 		return l.client, l.conn, nil
 	}
-	dialer := net.Dialer{Timeout: p.config.DialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.config.Dial(ctx, address)
 	if err != nil {
 		return nil, nil, fault.Wrap(err, op, Unreachable, address)
 	}
