--- a/standin/internal/cli/cli.go
+++ b/standin/internal/cli/cli.go
@@ -1,7 +1,164 @@
 // Package cli is the command line of standin.
 package cli
 
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/logging"
+	"github.com/dandelionpier/dandelionpier/standin/internal/engine"
+	"github.com/dandelionpier/dandelionpier/standin/internal/node"
+	"github.com/dandelionpier/dandelionpier/standin/internal/options"
+	"github.com/dandelionpier/dandelionpier/standin/internal/service"
+	"github.com/dandelionpier/dandelionpier/standin/internal/weights"
+)
+
+const (
+	exitFailure = 1
+	// exitCrash is the code of a simulated crash, so that tests can tell it from other failures.
+	exitCrash = 3
+)
+
 // Run executes the program and returns its exit code.
 func Run(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	command := &cli.Command{
+		Name:  "standin",
+		Usage: "stand-ins for the endpoints of the platform",
+		Commands: []*cli.Command{
+			mode("engine", "run a simulated model engine", runEngine),
+			mode("service", "run a plain service", runService),
+			mode("weights", "run a weight store", runWeights),
+			checkSettings(),
+			{Name: "version", Usage: "print the version", Action: printVersion},
+		},
+	}
+	if err := command.Run(ctx, args); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		return exitFailure
+	}
 	return 0
 }
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Usage: "path of the settings `FILE`", Required: true}
+}
+
+func mode(name, usage string, run func(ctx context.Context, path string) error) *cli.Command {
+	return &cli.Command{
+		Name:  name,
+		Usage: usage,
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return run(ctx, c.String("settings"))
+		},
+	}
+}
+
+// load reads the settings of each mode without running it.
+var load = map[string]func(path string) error{
+	"engine":  func(path string) error { _, err := options.LoadEngine(path); return err },
+	"service": func(path string) error { _, err := options.LoadService(path); return err },
+	"weights": func(path string) error { _, err := options.LoadWeights(path); return err },
+}
+
+func checkSettings() *cli.Command {
+	return &cli.Command{
+		Name:  "check-settings",
+		Usage: "check a settings file and exit",
+		Flags: []cli.Flag{
+			settingsFlag(),
+			&cli.StringFlag{Name: "mode", Usage: "`MODE` that the file is for", Value: "engine"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			check, found := load[c.String("mode")]
+			if !found {
+				return fmt.Errorf("mode %q does not exist; it must be engine, service or weights", c.String("mode"))
+			}
+			if err := check(c.String("settings")); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(c.Root().Writer, c.String("settings")+": valid")
+			return err
+		},
+	}
+}
+
+func printVersion(_ context.Context, c *cli.Command) error {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+	}
+	_, err := fmt.Fprintln(c.Root().Writer, "standin", version)
+	return err
+}
+
+func runEngine(ctx context.Context, path string) error {
+	o, err := options.LoadEngine(path)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(o.Common)
+	if err != nil {
+		return err
+	}
+	incarnation := rand.Text()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	e := engine.New(engine.Config{
+		Options:     o,
+		Incarnation: incarnation,
+		Logger:      logger,
+		Client:      client,
+		Crash: func() {
+			logger.Error("simulated crash")
+			os.Exit(exitCrash)
+		},
+	})
+	return run(ctx, o.Common, e, logger, incarnation)
+}
+
+func runService(ctx context.Context, path string) error {
+	o, err := options.LoadService(path)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(o.Common)
+	if err != nil {
+		return err
+	}
+	return run(ctx, o.Common, service.New(o), logger, rand.Text())
+}
+
+func runWeights(ctx context.Context, path string) error {
+	o, err := options.LoadWeights(path)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(o.Common)
+	if err != nil {
+		return err
+	}
+	// Announcements have no type for a weight store.
+	o.AnnounceTo = nil
+	return run(ctx, o.Common, weights.New(o), logger, rand.Text())
+}
+
+func newLogger(o options.Common) (*zap.Logger, error) {
+	return logging.New(logging.Config{Level: o.LogLevel, Program: "standin", Instance: o.Name})
+}
+
+func run(ctx context.Context, o options.Common, e node.Endpoint, logger *zap.Logger, incarnation string) error {
+	n := node.New(node.Config{Options: o, Endpoint: e, Logger: logger, Incarnation: incarnation})
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/standin/internal/engine/group.go
@@ -0,0 +1,71 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/standin/internal/model"
+)
+
+const (
+	// renewInterval is below the TTL of grants (5 s) by enough to survive two lost renewals.
+	renewInterval = time.Second
+	renewTimeout  = time.Second
+	// maxRenewFailures is the number of failed renewals after which the group breaks up.
+	maxRenewFailures = 3
+)
+
+// lead keeps the members' holdings alive while the attempt runs and releases them at its end. The
+// attempt fails when a member no longer has its holding or cannot be reached.
+func lead(ctx context.Context, client *http.Client, attempt *model.Attempt, group []member) {
+	for _, m := range group {
+		go m.keep(context.WithoutCancel(ctx), client, attempt)
+	}
+}
+
+func (m member) keep(ctx context.Context, client *http.Client, attempt *model.Attempt) {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	failures := 0
+	for {
+		status, err := m.call(ctx, client, http.MethodPost, "/renew")
+		switch {
+		case err != nil:
+			failures++
+		case status != http.StatusOK:
+			failures = maxRenewFailures
+		default:
+			failures = 0
+		}
+		if failures >= maxRenewFailures {
+			attempt.Fail(fmt.Sprintf("member %s lost holding %q (status %d, %v)", m.address, m.holding, status, err))
+			return
+		}
+		select {
+		case <-attempt.Ended():
+			_, _ = m.call(ctx, client, http.MethodDelete, "")
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m member) call(ctx context.Context, client *http.Client, method, suffix string) (status int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	target := "http://" + m.address + "/platform/holdings/" + url.PathEscape(m.holding) + suffix
+	request, err := http.NewRequestWithContext(ctx, method, target, http.NoBody)
+	if err != nil {
+		return 0, err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, response.Body.Close()
+}
