--- /dev/null
+++ b/internal/journal/file.go
@@ -0,0 +1,137 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+)
+
+const (
+	lockName       = "lock"
+	identityName   = "identity"
+	logPrefix      = "log-"
+	snapshotPrefix = "snapshot-"
+	temporary      = ".new"
+)
+
+func logName(number uint64) string {
+	return fmt.Sprintf("%s%016d", logPrefix, number)
+}
+
+func snapshotName(index uint64) string {
+	return fmt.Sprintf("%s%016d", snapshotPrefix, index)
+}
+
+func (j *Journal) path(name string) string {
+	return filepath.Join(j.config.Directory, name)
+}
+
+func lockDirectory(directory string) (*os.File, error) {
+	const op = "lock journal"
+	file, err := os.OpenFile(filepath.Join(directory, lockName), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fault.Wrap(err, op, Disk, directory)
+	}
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = file.Close()
+		return nil, fault.Wrap(err, op, InUse, "another process uses "+directory)
+	}
+	return file, nil
+}
+
+func (j *Journal) write(file *os.File, data []byte) error {
+	n, err := j.config.Write(file, data)
+	if err == nil && n < len(data) {
+		err = io.ErrShortWrite
+	}
+	return err
+}
+
+// replace writes data to a temporary file, syncs it, renames it to name and syncs the directory.
+func (j *Journal) replace(name string, data []byte) error {
+	const op = "replace file"
+	path := j.path(name)
+	file, err := os.OpenFile(path+temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fault.Wrap(err, op, Disk, name)
+	}
+	err = j.write(file, data)
+	if err == nil {
+		err = j.config.Sync(file)
+	}
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return fault.Wrap(err, op, Disk, name)
+	}
+	if err := os.Rename(path+temporary, path); err != nil {
+		return fault.Wrap(err, op, Disk, name)
+	}
+	return j.syncDirectory()
+}
+
+func (j *Journal) syncDirectory() error {
+	const op = "sync directory"
+	directory, err := os.Open(j.config.Directory)
+	if err != nil {
+		return fault.Wrap(err, op, Disk, j.config.Directory)
+	}
+	defer directory.Close()
+	return fault.Wrap(j.config.Sync(directory), op, Disk, j.config.Directory)
+}
+
+// numbered returns the highest number among the files with prefix, and all of them.
+func (j *Journal) numbered(prefix string) (uint64, []uint64, error) {
+	const op = "list directory"
+	files, err := os.ReadDir(j.config.Directory)
+	if err != nil {
+		return 0, nil, fault.Wrap(err, op, Disk, j.config.Directory)
+	}
+	var highest uint64
+	var all []uint64
+	for _, file := range files {
+		digits, ok := strings.CutPrefix(file.Name(), prefix)
+		if !ok {
+			continue
+		}
+		number, err := strconv.ParseUint(digits, 10, 64)
+		if err != nil {
+			continue
+		}
+		all = append(all, number)
+		highest = max(highest, number)
+	}
+	return highest, all, nil
+}
+
+// removeOld removes the files that newer ones replaced. A file that reappears after a crash is
+// ignored by recover, so the directory needs no sync here.
+func (j *Journal) removeOld() error {
+	j.mu.Lock()
+	snapshot := j.meta.Index
+	j.mu.Unlock()
+	for prefix, keep := range map[string]uint64{logPrefix: j.number, snapshotPrefix: snapshot} {
+		_, all, err := j.numbered(prefix)
+		if err != nil {
+			return j.fail(err)
+		}
+		for _, number := range all {
+			if number >= keep {
+				continue
+			}
+			name := fmt.Sprintf("%s%016d", prefix, number)
+			if err := os.Remove(j.path(name)); err != nil && !errors.Is(err, os.ErrNotExist) {
+				return j.fail(fault.Wrap(err, "remove old file", Disk, name))
+			}
+		}
+	}
+	return nil
+}
