--- /dev/null
+++ b/internal/consensus/cluster_test.go
@@ -0,0 +1,281 @@
+package consensus_test
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dandelionpier/dandelionpier/internal/consensus"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+)
+
+// counter adds the commands, which are big-endian numbers, and counts them.
+type counter struct {
+	mu    sync.Mutex
+	sum   uint64
+	count uint64
+}
+
+func (c *counter) Apply(_ uint64, command []byte) any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sum += binary.BigEndian.Uint64(command)
+	c.count++
+	return c.sum
+}
+
+func (c *counter) Snapshot() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, c.sum), c.count), nil
+}
+
+func (c *counter) Restore(data []byte) error {
+	if len(data) != 16 {
+		return fmt.Errorf("snapshot of %d bytes", len(data))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sum, c.count = binary.BigEndian.Uint64(data), binary.BigEndian.Uint64(data[8:])
+	return nil
+}
+
+func (c *counter) total() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sum
+}
+
+func add(n uint64) []byte {
+	return binary.BigEndian.AppendUint64(nil, n)
+}
+
+// network connects the nodes of a process. A link in cut carries nothing, in its direction only.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*consensus.Node
+	cut   map[[2]string]bool
+}
+
+// link is the transport of one node.
+type link struct {
+	*network
+	from string
+}
+
+var errCut = errors.New("the link is cut")
+
+func deliver[Reply any](ctx context.Context, l link, to string, request any) (*Reply, error) {
+	l.mu.Lock()
+	node, there, back := l.nodes[to], l.cut[[2]string{l.from, to}], l.cut[[2]string{to, l.from}]
+	l.mu.Unlock()
+	if node == nil || there {
+		return nil, errCut
+	}
+	reply, err := node.Handle(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	if back {
+		return nil, errCut
+	}
+	return reply.(*Reply), nil
+}
+
+func (l link) PreVote(ctx context.Context, to string, r *consensus.VoteRequest) (*consensus.VoteReply, error) {
+	return deliver[consensus.VoteReply](ctx, l, to, r)
+}
+
+func (l link) Vote(ctx context.Context, to string, r *consensus.VoteRequest) (*consensus.VoteReply, error) {
+	return deliver[consensus.VoteReply](ctx, l, to, r)
+}
+
+func (l link) Append(ctx context.Context, to string, r *consensus.AppendRequest) (*consensus.AppendReply, error) {
+	return deliver[consensus.AppendReply](ctx, l, to, r)
+}
+
+func (l link) InstallSnapshot(ctx context.Context, to string, r *consensus.SnapshotRequest) (*consensus.SnapshotReply, error) {
+	return deliver[consensus.SnapshotReply](ctx, l, to, r)
+}
+
+// cluster runs nodes with files in a temporary directory, inside a synctest bubble.
+type cluster struct {
+	t        *testing.T
+	network  *network
+	servers  []consensus.Server
+	machines map[string]*counter
+	cancel   map[string]context.CancelFunc
+	ended    map[string]chan error
+	dirs     map[string]string
+	adjust   func(*consensus.Config)
+}
+
+func newCluster(t *testing.T, size int) *cluster {
+	c := &cluster{
+		t: t, network: &network{nodes: make(map[string]*consensus.Node), cut: make(map[[2]string]bool)},
+		machines: make(map[string]*counter), cancel: make(map[string]context.CancelFunc),
+		ended: make(map[string]chan error), dirs: make(map[string]string), adjust: func(*consensus.Config) {},
+	}
+	for i := range size {
+		id := string(rune('a' + i))
+		c.servers = append(c.servers, consensus.Server{ID: id, Address: id})
+	}
+	return c
+}
+
+func (c *cluster) startAll() {
+	for _, s := range c.servers {
+		c.start(s.ID)
+	}
+}
+
+func (c *cluster) start(id string) {
+	c.t.Helper()
+	if c.dirs[id] == "" {
+		c.dirs[id] = c.t.TempDir()
+	}
+	c.machines[id] = &counter{}
+	config := consensus.Config{
+		ID: id, Address: id, Directory: c.dirs[id], Bootstrap: c.servers,
+		StateMachine: c.machines[id], Transport: link{c.network, id},
+	}
+	c.adjust(&config)
+	node, err := consensus.New(config)
+	if err != nil {
+		c.t.Fatalf("start %s: %v", id, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	c.cancel[id], c.ended[id] = cancel, ended
+	c.network.mu.Lock()
+	c.network.nodes[id] = node
+	c.network.mu.Unlock()
+	go func() { ended <- node.Run(ctx) }()
+}
+
+func (c *cluster) stop(id string) error {
+	c.network.mu.Lock()
+	delete(c.network.nodes, id)
+	c.network.mu.Unlock()
+	c.cancel[id]()
+	err := <-c.ended[id]
+	delete(c.cancel, id)
+	return err
+}
+
+func (c *cluster) stopAll() {
+	for id := range c.cancel {
+		if err := c.stop(id); err != nil {
+			c.t.Errorf("stop %s: %v", id, err)
+		}
+	}
+}
+
+func (c *cluster) node(id string) *consensus.Node {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	return c.network.nodes[id]
+}
+
+// leader waits, in the bubble's time, for a leader other than the given ones.
+func (c *cluster) leader(except ...string) string {
+	c.t.Helper()
+	for range 400 {
+		time.Sleep(50 * time.Millisecond)
+	nodes:
+		for id := range c.cancel {
+			for _, e := range except {
+				if e == id {
+					continue nodes
+				}
+			}
+			if lease, _ := c.node(id).LeaderLease(); lease > 0 {
+				return id
+			}
+		}
+	}
+	c.t.Fatal("no leader within 20 s")
+	return ""
+}
+
+func (c *cluster) propose(id string, n uint64) (any, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return c.node(id).Propose(ctx, add(n))
+}
+
+func (c *cluster) mustPropose(id string, n uint64) {
+	c.t.Helper()
+	if _, err := c.propose(id, n); err != nil {
+		c.t.Fatalf("propose at %s: %v", id, err)
+	}
+}
+
+func (c *cluster) wantTotal(want uint64, ids ...string) {
+	c.t.Helper()
+	for _, id := range ids {
+		if got := c.machines[id].total(); got != want {
+			c.t.Errorf("%s holds %d, want %d", id, got, want)
+		}
+	}
+}
+
+// Guards against a log that does not reach every node or does not survive a restart of all nodes.
+func TestReplicateAndRestart(t *testing.T) {
+	for _, size := range []int{1, 3, 5} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, size)
+				c.startAll()
+				leader := c.leader()
+				for i := uint64(1); i <= 100; i++ {
+					c.mustPropose(leader, i)
+				}
+				time.Sleep(time.Second)
+				for id := range c.machines {
+					c.wantTotal(5050, id)
+				}
+				c.stopAll()
+				c.startAll()
+				leader = c.leader()
+				is.NoErr(c.node(leader).Read(t.Context()))
+				c.wantTotal(5050, leader)
+				c.mustPropose(leader, 1)
+				time.Sleep(time.Second)
+				for id := range c.machines {
+					c.wantTotal(5051, id)
+				}
+				c.stopAll()
+			})
+		})
+	}
+}
+
+// Guards against a follower that takes a command or hides the leader's address.
+func TestProposeAtFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		c.startAll()
+		defer c.stopAll()
+		leader := c.leader()
+		for _, s := range c.servers {
+			if s.ID == leader {
+				continue
+			}
+			_, err := c.propose(s.ID, 1)
+			is.True(fault.Is(err, consensus.NotLeader))
+			var hint *consensus.LeaderHint
+			is.True(errors.As(err, &hint))
+			is.Equal(hint.Address, leader)
+		}
+	})
+}
