Add the operators' HTTP API of controld

Operators need one place to send commands and queries to, on any control instance.

controld/internal/operator serves POST /v1/commands and POST /v1/queries with operator keys that are stored as sums. A follower forwards to the leader or names it. A command that can no longer be translated is submitted as an invalid change, so that a resend still gets its first result. Fleet queries ask the dispatcher of each cell and name the cells that did not answer within 1 s. Answers are bounded by rows (200 by default, 10,000 at most) and by 4 MiB.

Package language gains the message types that pierctl shares and Diff for checks.

--- /dev/null
+++ b/controld/internal/operator/fleet.go
@@ -0,0 +1,115 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/language"
+	"github.com/dandelionpier/dandelionpier/internal/rendezvous"
+	"github.com/dandelionpier/dandelionpier/internal/session"
+)
+
+// maxFleetCalls bounds the concurrent calls of one query.
+const maxFleetCalls = 64
+
+// cellView is a cell as its dispatcher sees it.
+type cellView struct {
+	cell  string
+	reply dispatch.EndpointsReply
+}
+
+// fleet is what the entries answered.
+type fleet struct {
+	cells   []cellView
+	missing []language.Missing
+}
+
+// askFleet asks the dispatcher of each cell for its view. A cell whose dispatcher does not answer
+// within fleetTimeout is named in missing.
+func (a *API) askFleet(ctx context.Context, cells []string, members []session.Member) fleet {
+	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
+	defer cancel()
+	var (
+		result  fleet
+		mu      sync.Mutex
+		calls   sync.WaitGroup
+		permits = make(chan struct{}, maxFleetCalls)
+	)
+	for _, cell := range cells {
+		calls.Go(func() {
+			permits <- struct{}{}
+			defer func() { <-permits }()
+			reply, err := a.askCell(ctx, cell, members)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				result.missing = append(result.missing, language.Missing{Part: "cell " + cell, Error: err.Error()})
+				return
+			}
+			result.cells = append(result.cells, cellView{cell: cell, reply: reply})
+		})
+	}
+	calls.Wait()
+	slices.SortFunc(result.cells, func(x, y cellView) int { return compareText(x.cell, y.cell) })
+	slices.SortFunc(result.missing, func(x, y language.Missing) int { return compareText(x.Part, y.Part) })
+	return result
+}
+
+// askCell asks the entries in the order in which they are likely to dispatch for the cell, until one
+// does. The first entry that does not answer ends the search with an error: it may be the dispatcher.
+func (a *API) askCell(ctx context.Context, cell string, members []session.Member) (dispatch.EndpointsReply, error) {
+	for _, member := range dispatcherOrder(cell, members) {
+		var reply dispatch.EndpointsReply
+		err := a.config.Peers.Call(ctx, member.Peer, "Dispatch.Endpoints", dispatch.EndpointsRequest{Cell: cell}, &reply)
+		if err != nil {
+			return dispatch.EndpointsReply{}, fmt.Errorf("instance %s at %s: %w", member.Instance, member.Peer, err)
+		}
+		if reply.Status != dispatch.Elsewhere {
+			return reply, nil
+		}
+	}
+	return dispatch.EndpointsReply{}, fmt.Errorf("none of %d instances dispatches for it", len(members))
+}
+
+// dispatcherOrder ranks the members for a cell: live ones before draining ones, by rendezvous score.
+func dispatcherOrder(cell string, members []session.Member) []session.Member {
+	byName := make(map[string]session.Member, len(members))
+	var live, draining []string
+	for _, member := range members {
+		byName[member.Instance] = member
+		if member.Draining {
+			draining = append(draining, member.Instance)
+			continue
+		}
+		live = append(live, member.Instance)
+	}
+	names := append(rendezvous.Rank(cell, live), rendezvous.Rank(cell, draining)...)
+	ordered := make([]session.Member, len(names))
+	for i, name := range names {
+		ordered[i] = byName[name]
+	}
+	return ordered
+}
+
+// cellsOf lists the cells of all declared models and services in the regions of the members.
+func cellsOf(c configuration.Configuration, members []session.Member) []string {
+	regions := make(map[string]bool)
+	for _, member := range members {
+		regions[member.Region] = true
+	}
+	var cells []string
+	for region := range regions {
+		for name := range c.Models {
+			cells = append(cells, dispatch.Cell(name, region))
+		}
+		for name := range c.Services {
+			cells = append(cells, dispatch.Cell(name, region))
+		}
+	}
+	slices.Sort(cells)
+	return slices.Compact(cells)
+}
--- /dev/null
+++ b/controld/internal/operator/key.go
@@ -0,0 +1,71 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/language"
+)
+
+// Operator is an operator of the settings.
+type Operator struct {
+	Name string `yaml:"name" validate:"required"`
+	// KeyHash is the hexadecimal SHA-256 sum of the operator's key.
+	KeyHash string `yaml:"key-hash" validate:"required,len=64,hexadecimal,lowercase"`
+}
+
+type operatorKey struct{}
+
+// authenticate lets requests with an operator key through and adds the operator's name.
+func (a *API) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name, ok := a.operator(r)
+		if !ok {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			a.fail(w, r, http.StatusUnauthorized, fault.New("authenticate", Denied, "the request carries no operator key"))
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, name)))
+	})
+}
+
+func (a *API) operator(r *http.Request) (string, bool) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return "", false
+	}
+	hash := []byte(language.HashKey(key))
+	name, found := "", false
+	for _, operator := range a.config.Operators {
+		if subtle.ConstantTimeCompare(hash, []byte(operator.KeyHash)) == 1 {
+			name, found = operator.Name, true
+		}
+	}
+	return name, found
+}
+
+func operatorOf(r *http.Request) string {
+	name, _ := r.Context().Value(operatorKey{}).(string)
+	return name
+}
+
+// checkKeys refuses changes that give a workspace the key of an operator, so that no key is good
+// for both callers and operators.
+func (a *API) checkKeys(changes []configuration.Change) error {
+	for _, change := range changes {
+		if change.Workspace == nil || change.Delete {
+			continue
+		}
+		for _, operator := range a.config.Operators {
+			if slices.Contains(change.Workspace.KeyHashes, operator.KeyHash) {
+				return fault.New("check keys", Denied, "workspace %q: the key of an operator cannot be a caller's key", change.Workspace.Name)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/controld/internal/operator/operator.go
@@ -0,0 +1,115 @@
+// Package operator is the HTTP API of operators: commands, queries and reports. Its requests carry
+// an operator key; the keys of callers are not accepted.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/control"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/language"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// Malformed means that the request cannot be understood.
+	Malformed Kind = "malformed"
+	// Denied means that the request carries no operator key.
+	Denied Kind = "denied"
+	// Unavailable means that no leader answered; the request may be sent again with the same command id.
+	Unavailable Kind = "unavailable"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Submitter proposes transactions to the control quorum.
+type Submitter interface {
+	Submit(ctx context.Context, request control.SubmitRequest) (control.SubmitReply, error)
+}
+
+// Querier reads the state of the control quorum.
+type Querier interface {
+	Query(ctx context.Context, request control.QueryRequest) (control.QueryReply, error)
+}
+
+// Caller calls a method of a peer process; *peer.Pool is one.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Config sets up an API.
+type Config struct {
+	Submitter Submitter
+	Querier   Querier
+	// Peers reaches the entries.
+	Peers Caller
+	// Operators are the operators with the sums of their keys.
+	Operators []Operator
+	// LeaderAddress returns the operator address (host:port) of a leader named in a reply, or an
+	// empty string if it is not known.
+	LeaderAddress func(leader string) string
+	// Client forwards requests to the leader.
+	Client *http.Client
+	// Now is the clock.
+	Now    func() time.Time
+	Logger *zap.Logger
+}
+
+const (
+	// maxRequestBytes holds the longest text with JSON escapes.
+	maxRequestBytes = 2*language.MaxTextBytes + 4096
+	// requestTimeout covers an election (a few seconds) and the time until a revision is in force.
+	requestTimeout = 15 * time.Second
+	// fleetTimeout bounds how long a query waits for the entries.
+	fleetTimeout = time.Second
+)
+
+// API serves the operators' HTTP API.
+type API struct {
+	config Config
+	router *mux.Router
+}
+
+// New returns an API.
+func New(config Config) *API {
+	a := &API{config: config, router: mux.NewRouter()}
+	a.router.HandleFunc("/v1/commands", a.commands).Methods(http.MethodPost)
+	a.router.HandleFunc("/v1/queries", a.queries).Methods(http.MethodPost)
+	a.router.Use(a.authenticate)
+	return a
+}
+
+// ServeHTTP implements http.Handler.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	a.router.ServeHTTP(w, r)
+}
+
+// decode reads a strict JSON body into target and returns the body for forwarding.
+func decode(w http.ResponseWriter, r *http.Request, target any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	decoder.DisallowUnknownFields()
+	return fault.Wrap(decoder.Decode(target), "decode request", Malformed, "the body")
+}
+
+func respond(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the client left; nobody is there to tell
+}
+
+func (a *API) fail(w http.ResponseWriter, r *http.Request, status int, err error) {
+	a.config.Logger.Warn(
+		"Refused an operator's request", zap.String("operator", operatorOf(r)),
+		zap.String("path", r.URL.Path), zap.Int("status", status), zap.Error(err),
+	)
+	respond(w, status, language.ErrorReply{Error: err.Error()})
+}
--- /dev/null
+++ b/controld/internal/operator/operator_test.go
@@ -0,0 +1,328 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/dandelionpier/dandelionpier/controld/internal/operator"
+	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/control"
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/language"
+	"github.com/dandelionpier/dandelionpier/internal/session"
+)
+
+const (
+	operatorKey = "operator-secret"
+	callerKey   = "caller-secret"
+)
+
+// quorum is a control quorum in memory: results by command id, then the expected revision, then
+// the changes.
+type quorum struct {
+	mu      sync.Mutex
+	leader  string
+	state   configuration.Configuration
+	history []configuration.Revision
+	results map[string]control.SubmitReply
+	members []session.Member
+}
+
+func newQuorum() *quorum {
+	return &quorum{results: make(map[string]control.SubmitReply), state: configuration.Configuration{
+		Workspaces: map[string]configuration.Workspace{"shop": {
+			Name: "shop", KeyHashes: []string{language.HashKey(callerKey)},
+		}},
+		Models: map[string]configuration.Model{"oak": {Name: "oak", Version: "2"}},
+	}}
+}
+
+func (q *quorum) Submit(_ context.Context, r control.SubmitRequest) (control.SubmitReply, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.leader != "" {
+		return control.SubmitReply{NotLeader: true, Leader: q.leader}, nil
+	}
+	if first, ok := q.results[r.CommandID]; ok {
+		return first, nil
+	}
+	reply := q.decide(r)
+	if reply.Status == control.Accepted || reply.Status == control.Rejected {
+		q.results[r.CommandID] = reply
+	}
+	return reply, nil
+}
+
+func (q *quorum) decide(r control.SubmitRequest) control.SubmitReply {
+	if r.Expected != q.state.Revision {
+		return control.SubmitReply{Status: control.Conflict, Revision: q.state.Revision, Since: q.history[r.Expected:]}
+	}
+	revision := configuration.Revision{Number: r.Expected + 1, Author: r.Author, Time: 1, Changes: r.Changes}
+	next, err := q.state.WithRevision(revision)
+	if err != nil {
+		return control.SubmitReply{Status: control.Rejected, Revision: q.state.Revision, Message: err.Error()}
+	}
+	if r.Check {
+		return control.SubmitReply{Status: control.Valid, Revision: q.state.Revision}
+	}
+	q.state, q.history = next, append(q.history, revision)
+	return control.SubmitReply{Status: control.Accepted, Revision: next.Revision, InForce: true}
+}
+
+func (q *quorum) Query(context.Context, control.QueryRequest) (control.QueryReply, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.leader != "" {
+		return control.QueryReply{NotLeader: true, Leader: q.leader}, nil
+	}
+	state := q.state
+	return control.QueryReply{Configuration: &state, Revision: state.Revision, History: q.history, Members: q.members}, nil
+}
+
+type peers func(ctx context.Context, address, cell string, reply *dispatch.EndpointsReply) error
+
+func (p peers) Call(ctx context.Context, address, _ string, args, reply any) error {
+	return p(ctx, address, args.(dispatch.EndpointsRequest).Cell, reply.(*dispatch.EndpointsReply))
+}
+
+func newAPI(q *quorum, p operator.Caller, leaderAddress string, log *bytes.Buffer) *operator.API {
+	logger := zap.NewNop()
+	if log != nil {
+		logger = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{MessageKey: "m"}), zapcore.AddSync(log), zap.DebugLevel))
+	}
+	return operator.New(operator.Config{
+		Submitter: q, Querier: q, Peers: p, Client: http.DefaultClient, Now: time.Now, Logger: logger,
+		Operators:     []operator.Operator{{Name: "itziar", KeyHash: language.HashKey(operatorKey)}},
+		LeaderAddress: func(string) string { return leaderAddress },
+	})
+}
+
+func post(api http.Handler, path, key string, body any) (int, string) {
+	data, _ := json.Marshal(body)
+	request := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(data))
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	recorder := httptest.NewRecorder()
+	api.ServeHTTP(recorder, request)
+	return recorder.Code, recorder.Body.String()
+}
+
+func command(t *testing.T, api http.Handler, id, text string, expected ...uint64) (int, language.CommandReply) {
+	t.Helper()
+	request := language.CommandRequest{Text: text, CommandID: id}
+	if len(expected) > 0 {
+		request.Expected = &expected[0]
+	}
+	code, body := post(api, "/v1/commands", operatorKey, request)
+	var reply language.CommandReply
+	if err := json.Unmarshal([]byte(body), &reply); err != nil {
+		t.Fatal(body)
+	}
+	return code, reply
+}
+
+func query(t *testing.T, api http.Handler, text string) language.QueryReply {
+	t.Helper()
+	code, body := post(api, "/v1/queries", operatorKey, language.QueryRequest{Text: text})
+	var reply language.QueryReply
+	if err := json.Unmarshal([]byte(body), &reply); err != nil || code != http.StatusOK {
+		t.Fatal(code, body)
+	}
+	return reply
+}
+
+// Guards against callers who act as operators, and against keys in logs and responses.
+func TestKeys(t *testing.T) {
+	var log bytes.Buffer
+	api := newAPI(newQuorum(), nil, "", &log)
+	for key, want := range map[string]int{"": 401, callerKey: 401, language.HashKey(operatorKey): 401, operatorKey: 200} {
+		is := is.New(t)
+		code, body := post(api, "/v1/queries", key, language.QueryRequest{Text: "show models"})
+		is.Equal(code, want)
+		code, _ = post(api, "/v1/commands", key, language.CommandRequest{Text: "set model oak", CommandID: "command-" + language.HashKey(key)[:8]})
+		is.Equal(code, want)
+		for _, secret := range []string{operatorKey, callerKey} {
+			is.True(!strings.Contains(log.String()+body, secret))
+		}
+	}
+	is := is.New(t)
+	code, reply := command(t, api, "same-key-1", "add key "+language.HashKey(operatorKey)+" to workspace shop")
+	is.Equal(code, http.StatusUnprocessableEntity)
+	is.True(strings.Contains(reply.Message, "operator"))
+}
+
+// Guards against a resend that runs twice or gets another result than the first time, here a
+// command that can no longer be translated because its first run succeeded.
+func TestResendGetsFirstResult(t *testing.T) {
+	is := is.New(t)
+	api := newAPI(newQuorum(), nil, "", nil)
+	code, first := command(t, api, "delete-shop", "unset workspace shop")
+	is.Equal(code, http.StatusOK)
+	code, second := command(t, api, "delete-shop", "unset workspace shop")
+	is.Equal(code, http.StatusOK)
+	is.Equal(first, second)
+	code, other := command(t, api, "delete-again", "unset workspace shop")
+	is.Equal(code, http.StatusUnprocessableEntity)
+	is.True(strings.Contains(other.Message, `workspace "shop" does not exist`))
+}
+
+// Guards against a lost update, and against a conflict that does not say who changed what.
+func TestConflict(t *testing.T) {
+	is := is.New(t)
+	api := newAPI(newQuorum(), nil, "", nil)
+	code, _ := command(t, api, "first-write", "set workspace shop priority 4", 0)
+	is.Equal(code, http.StatusOK)
+	code, reply := command(t, api, "second-write", "set workspace shop priority 5", 0)
+	is.Equal(code, http.StatusConflict)
+	is.Equal(len(reply.Since), 1)
+	is.Equal(reply.Since[0].Author, "itziar")
+	is.True(strings.Contains(reply.Since[0].Changes[0], "set workspace shop models none services none priority 4"))
+}
+
+// Guards against a check that changes the configuration or does not show the change.
+func TestCheck(t *testing.T) {
+	is := is.New(t)
+	q := newQuorum()
+	code, reply := command(t, newAPI(q, nil, "", nil), "check-only", "check\nset model oak replicas 3")
+	is.Equal(code, http.StatusOK)
+	is.Equal(reply.Status, string(control.Valid))
+	is.Equal(len(reply.Changes), 2)
+	is.True(strings.HasPrefix(reply.Changes[1], "+ set model oak version 2 adapters none replicas 3"))
+	is.Equal(q.state.Revision, uint64(0))
+}
+
+// Guards against malformed requests that reach the quorum.
+func TestMalformed(t *testing.T) {
+	api := newAPI(newQuorum(), nil, "", nil)
+	for name, test := range map[string]struct {
+		path string
+		body any
+	}{
+		"query as command": {"/v1/commands", language.CommandRequest{Text: "show models", CommandID: "12345678"}},
+		"command as query": {"/v1/queries", language.QueryRequest{Text: "set model a"}},
+		"no command id":    {"/v1/commands", language.CommandRequest{Text: "set model a"}},
+		"unknown field":    {"/v1/queries", map[string]string{"text": "show models", "limit": "1"}},
+		"syntax error":     {"/v1/queries", language.QueryRequest{Text: "show modls"}},
+		"body too large":   {"/v1/queries", language.QueryRequest{Text: strings.Repeat("#", 1<<20)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			code, _ := post(api, test.path, operatorKey, test.body)
+			is.Equal(code, http.StatusBadRequest)
+		})
+	}
+}
+
+// Guards against a request to a follower that is lost, answered by the follower, or passed in a circle.
+func TestForwardsToLeader(t *testing.T) {
+	is := is.New(t)
+	leading := newQuorum()
+	leader := httptest.NewServer(newAPI(leading, nil, "", nil))
+	defer leader.Close()
+	following := newQuorum()
+	following.leader = "peer-of-leader"
+	code, reply := command(t, newAPI(following, nil, leader.Listener.Addr().String(), nil), "forwarded", "set model oak replicas 9")
+	is.Equal(code, http.StatusOK)
+	is.Equal(reply.Revision, uint64(1))
+	is.Equal(leading.state.Models["oak"].Replicas, 9)
+
+	var circular *operator.API
+	follower := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { circular.ServeHTTP(w, r) }))
+	defer follower.Close()
+	circular = newAPI(following, nil, follower.Listener.Addr().String(), nil)
+	code, body := post(circular, "/v1/queries", operatorKey, language.QueryRequest{Text: "show models"})
+	is.Equal(code, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, follower.Listener.Addr().String()))
+}
+
+func members(names ...string) []session.Member {
+	var list []session.Member
+	for _, name := range names {
+		list = append(list, session.Member{Instance: name, Region: "north", Peer: name + ":1"})
+	}
+	return list
+}
+
+// Guards against parts of the fleet that are left out silently, and against a query that a frozen
+// entry holds for longer than its bound.
+func TestFleetNamesMissingParts(t *testing.T) {
+	view := dispatch.EndpointsReply{Status: dispatch.Granted, Endpoints: []dispatch.EndpointView{
+		{Announcement: endpoint.Announcement{Name: "e1", Models: []string{"oak"}, Version: "1", State: endpoint.Ready}, Grants: 2},
+	}}
+	for name, test := range map[string]struct {
+		peers   peers
+		rows    string
+		missing string
+	}{
+		"one dispatches": {func(_ context.Context, address, _ string, reply *dispatch.EndpointsReply) error {
+			*reply = dispatch.EndpointsReply{Status: dispatch.Elsewhere}
+			if address == "c:1" {
+				*reply = view
+			}
+			return nil
+		}, `[["oak","2","1",1,1]]`, ""},
+		"all elsewhere": {func(_ context.Context, _, _ string, reply *dispatch.EndpointsReply) error {
+			reply.Status = dispatch.Elsewhere
+			return nil
+		}, `[["oak","2","",0,0]]`, "none of 3 instances dispatches for it"},
+		"unreachable": {func(context.Context, string, string, *dispatch.EndpointsReply) error {
+			return errors.New("connection refused")
+		}, `[["oak","2","",0,0]]`, "connection refused"},
+		"frozen": {func(ctx context.Context, _, _ string, _ *dispatch.EndpointsReply) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}, `[["oak","2","",0,0]]`, "deadline exceeded"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				q := newQuorum()
+				q.members = members("a", "b", "c")
+				started := time.Now()
+				reply := query(t, newAPI(q, test.peers, "", nil), "show versions")
+				is.True(time.Since(started) <= time.Second) // the bubble's clock
+				rows, err := json.Marshal(reply.Rows)
+				is.NoErr(err)
+				is.Equal(string(rows), test.rows)
+				if test.missing == "" {
+					is.Equal(len(reply.Missing), 0)
+					return
+				}
+				is.Equal(reply.Missing[0].Part, "cell oak/north")
+				is.True(strings.Contains(reply.Missing[0].Error, test.missing))
+			})
+		})
+	}
+}
+
+// Guards against answers without a bound at the 6,500 workspaces of the two-year target.
+func TestManyWorkspaces(t *testing.T) {
+	is := is.New(t)
+	q := newQuorum()
+	for i := range 6500 {
+		name := fmt.Sprintf("w%04d", i)
+		q.state.Workspaces[name] = configuration.Workspace{Name: name, Priority: i % 10}
+	}
+	api := newAPI(q, nil, "", nil)
+	reply := query(t, api, "show workspaces")
+	is.Equal(len(reply.Rows), 200)
+	is.Equal(reply.Total, 6501)
+	is.Equal(len(query(t, api, "show workspaces limit 20000").Rows), 6501)
+	is.Equal(len(query(t, api, "show workspaces by priority").Rows), 10)
+}
--- /dev/null
+++ b/controld/internal/operator/query.go
@@ -0,0 +1,113 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/dandelionpier/dandelionpier/internal/control"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/language"
+)
+
+const (
+	defaultRows = 200
+	// maxRows shows all 6,500 workspaces of the two-year target.
+	maxRows = 10_000
+	// maxHistory bounds the revisions read for a query.
+	maxHistory = 1000
+)
+
+func compareText(x, y string) int { return cmp.Compare(x, y) }
+
+func (a *API) queries(w http.ResponseWriter, r *http.Request) {
+	var request language.QueryRequest
+	if err := decode(w, r, &request); err != nil {
+		a.fail(w, r, http.StatusBadRequest, err)
+		return
+	}
+	query, err := parseQuery(request)
+	if err != nil {
+		a.fail(w, r, http.StatusBadRequest, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	reply, err := a.answer(ctx, query)
+	if err != nil {
+		a.unavailable(w, r.WithContext(ctx), request, err)
+		return
+	}
+	respond(w, http.StatusOK, reply)
+}
+
+func parseQuery(request language.QueryRequest) (language.Query, error) {
+	text, err := language.Parse(request.Text)
+	if err != nil {
+		return language.Query{}, err
+	}
+	if text.Query == nil {
+		return language.Query{}, fault.New("read query", Malformed, "the text has no query; commands go to /v1/commands")
+	}
+	return *text.Query, nil
+}
+
+// answer reads what the query's subject needs and evaluates the query over it.
+func (a *API) answer(ctx context.Context, query language.Query) (language.QueryReply, error) {
+	name := query.Subject.Text
+	subject := language.Subjects[name]
+	state, err := a.query(ctx, control.QueryRequest{
+		Configuration: true,
+		Members:       subject.Fleet || name == "instances",
+		Spending:      name == "costing" || name == "workspaces",
+		Quorum:        name == "quorum" || name == "revision",
+		History:       historyOf(name),
+	})
+	if err != nil {
+		return language.QueryReply{}, err
+	}
+	var seen fleet
+	if subject.Fleet {
+		seen = a.askFleet(ctx, cellsOf(*state.Configuration, state.Members), state.Members)
+	}
+	rows, err := rowsOf(name, state, seen, a.config.Now())
+	if err != nil {
+		return language.QueryReply{}, err
+	}
+	table, err := language.Evaluate(query, rows, language.EvaluateConfig{Now: a.config.Now(), DefaultLimit: defaultRows, MaxLimit: maxRows})
+	if err != nil {
+		return language.QueryReply{}, fault.Wrap(err, "evaluate", Malformed, query.String())
+	}
+	reply := language.QueryReply{Columns: table.Columns, Total: table.Total, Revision: state.Revision, Missing: seen.missing}
+	if name == "history" && len(state.History) == maxHistory {
+		reply.Missing = append(reply.Missing, language.Missing{Part: "older revisions", Error: "only the newest 1,000 revisions are read"})
+	}
+	reply.Rows, err = encodeRows(table.Rows)
+	return reply, err
+}
+
+func historyOf(subject string) int {
+	if subject == "history" {
+		return maxHistory
+	}
+	return 0
+}
+
+// encodeRows encodes rows until they fill maxReplyBytes; Total tells how many there are.
+func encodeRows(rows [][]any) ([]json.RawMessage, error) {
+	encoded := make([]json.RawMessage, 0, len(rows))
+	size := 0
+	for _, row := range rows {
+		data, err := json.Marshal(row)
+		if err != nil {
+			return nil, fault.Wrap(err, "encode rows", Unavailable, "a row")
+		}
+		size += len(data) + 1
+		if size > maxReplyBytes {
+			break
+		}
+		encoded = append(encoded, data)
+	}
+	return encoded, nil
+}
--- a/internal/language/describe.go
+++ b/internal/language/describe.go
@@ -123,3 +123,33 @@
 	}
 	return strings.Join(list, ", ")
 }
+
+// Diff lists the lines by which changes alter a configuration: lines that go after "- ", lines that
+// come after "+ ".
+func Diff(base configuration.Configuration, changes []configuration.Change) []string {
+	var lines []string
+	for _, change := range changes {
+		kind, name := Target(change)
+		var before, after []string
+		if old, exists := find(base, kind, name); exists {
+			before = Describe(old.change(kind, false))
+		}
+		if !change.Delete {
+			after = Describe(change)
+		}
+		lines = append(lines, marked("- ", before, after)...)
+		lines = append(lines, marked("+ ", after, before)...)
+	}
+	return lines
+}
+
+// marked returns the lines that others lacks, with a mark in front.
+func marked(mark string, lines, others []string) []string {
+	var list []string
+	for _, line := range lines {
+		if !slices.Contains(others, line) {
+			list = append(list, mark+line)
+		}
+	}
+	return list
+}
