--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,265 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// tickInterval is how often expiries are checked; it is well below the shortest of them, 1 s.
+	tickInterval = 100 * time.Millisecond
+	// compareInterval is the time between two comparisons of holdings with grants.
+	compareInterval = 2 * time.Second
+	// renewInterval leaves two more attempts within GrantTTL when a renewal is lost.
+	renewInterval = GrantTTL / 3
+	// callTimeout bounds one call to an endpoint.
+	callTimeout = time.Second
+	// maxCalls bounds the concurrent calls to endpoints.
+	maxCalls = 64
+	// maxAwait bounds one long poll.
+	maxAwait = 10 * time.Second
+)
+
+// Dispatcher dispatches for all cells that its entry owns. It is safe for concurrent use.
+type Dispatcher struct {
+	config Config
+	mu     sync.Mutex
+	cells  map[string]*cell
+	// calls are the calls to endpoints that Run is to make.
+	calls []call
+	wake  chan struct{}
+}
+
+// New returns a dispatcher without cells; a cell appears with its first announcement or reservation.
+func New(config Config) *Dispatcher {
+	if config.Owns == nil {
+		config.Owns = func(string) bool { return true }
+	}
+	if config.Clock == nil {
+		config.Clock = time.Now
+	}
+	if config.Logger == nil {
+		config.Logger = zap.NewNop()
+	}
+	if config.Quarantined == nil {
+		config.Quarantined = func(uint64) bool { return false }
+	}
+	if config.Quarantine == nil {
+		config.Quarantine = func(uint64) {}
+	}
+	if config.EndpointDrained == nil {
+		config.EndpointDrained = func(string) bool { return false }
+	}
+	if config.Jitter == nil {
+		config.Jitter = rand.Float64
+	}
+	return &Dispatcher{config: config, cells: make(map[string]*cell), wake: make(chan struct{}, 1)}
+}
+
+// Reserve asks for an endpoint or a group. The same attempt id always gets the same grant or ticket.
+// The error is always nil; it is there for symmetry with a remote call.
+func (d *Dispatcher) Reserve(_ context.Context, request ReserveRequest) (ReserveReply, error) {
+	c := d.cell(request.Cell)
+	if c == nil {
+		return ReserveReply{Status: Elsewhere}, nil
+	}
+	c.mu.Lock()
+	defer d.finish(c)
+	return c.reserve(d.config.Clock(), request), nil
+}
+
+// Await waits until a queued reservation is granted or refused, at most request.Wait or 10 s, and
+// returns Queued when it still waits. An unknown ticket gives Elsewhere: reserve again.
+func (d *Dispatcher) Await(ctx context.Context, request AwaitRequest) (ReserveReply, error) {
+	name, attempt := splitTicket(request.Ticket)
+	c := d.cell(name)
+	if c == nil {
+		return ReserveReply{Status: Elsewhere}, nil
+	}
+	c.mu.Lock()
+	done := c.beginAwait(d.config.Clock(), attempt)
+	d.finish(c)
+	if done != nil {
+		timer := time.NewTimer(min(request.Wait, maxAwait))
+		defer timer.Stop()
+		select {
+		case <-done:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	c.mu.Lock()
+	defer d.finish(c)
+	return c.endAwait(d.config.Clock(), attempt, done != nil), nil
+}
+
+// Report takes the events of grants. Events of cells that this entry does not own are ignored.
+func (d *Dispatcher) Report(_ context.Context, request ReportRequest) error {
+	for _, event := range request.Events {
+		c := d.cell(event.Cell)
+		if c == nil {
+			continue
+		}
+		c.mu.Lock()
+		c.report(d.config.Clock(), event)
+		d.finish(c)
+	}
+	return nil
+}
+
+// Announce takes announcements of endpoints; each one counts in the cells of all its models.
+func (d *Dispatcher) Announce(_ context.Context, request AnnounceRequest) error {
+	for _, announcement := range request.Announcements {
+		for _, model := range announcement.Models {
+			c := d.cell(Cell(model, announcement.Region))
+			if c == nil {
+				continue
+			}
+			c.mu.Lock()
+			c.announce(d.config.Clock(), announcement)
+			d.finish(c)
+		}
+	}
+	return nil
+}
+
+// Endpoints returns the endpoints and the queue of a cell.
+func (d *Dispatcher) Endpoints(_ context.Context, request EndpointsRequest) (EndpointsReply, error) {
+	c := d.cell(request.Cell)
+	if c == nil {
+		return EndpointsReply{Status: Elsewhere}, nil
+	}
+	c.mu.Lock()
+	defer d.finish(c)
+	return c.view(d.config.Clock()), nil
+}
+
+// cell returns the cell of that name, or nil when this entry does not own it.
+func (d *Dispatcher) cell(name string) *cell {
+	if !d.config.Owns(name) {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.cells[name]
+	if c == nil {
+		c = newCell(name, &d.config, d.config.Clock())
+		d.cells[name] = c
+	}
+	return c
+}
+
+// finish unlocks the cell and hands its calls to Run.
+func (d *Dispatcher) finish(c *cell) {
+	calls := c.calls
+	c.calls = nil
+	c.mu.Unlock()
+	if len(calls) == 0 {
+		return
+	}
+	d.mu.Lock()
+	d.calls = append(d.calls, calls...)
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run expires grants, endpoints and tickets and calls endpoints, until ctx ends. It returns nil.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	slots := make(chan struct{}, maxCalls)
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	compare := time.NewTicker(compareInterval)
+	defer compare.Stop()
+	renew := time.NewTicker(renewInterval)
+	defer renew.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.wake:
+		case <-tick.C:
+			d.tick()
+		case <-compare.C:
+			d.each((*cell).compare)
+		case <-renew.C:
+			d.each((*cell).renew)
+		}
+		for _, next := range d.takeCalls() {
+			running.Go(func() { d.run(ctx, slots, next) })
+		}
+	}
+}
+
+func (d *Dispatcher) takeCalls() []call {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	calls := d.calls
+	d.calls = nil
+	return calls
+}
+
+func (d *Dispatcher) owned() []*cell {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	cells := make([]*cell, 0, len(d.cells))
+	for _, c := range d.cells {
+		cells = append(cells, c)
+	}
+	return cells
+}
+
+func (d *Dispatcher) each(step func(*cell, time.Time)) {
+	for _, c := range d.owned() {
+		c.mu.Lock()
+		step(c, d.config.Clock())
+		d.finish(c)
+	}
+}
+
+// tick advances all cells and drops those that another entry now owns: its dispatcher adopts their
+// grants, so nothing is cancelled.
+func (d *Dispatcher) tick() {
+	for _, c := range d.owned() {
+		if d.config.Owns(c.name) {
+			c.mu.Lock()
+			c.tick(d.config.Clock())
+			d.finish(c)
+			continue
+		}
+		d.mu.Lock()
+		delete(d.cells, c.name)
+		d.mu.Unlock()
+		c.mu.Lock()
+		c.abandon()
+		d.finish(c)
+	}
+}
+
+func (d *Dispatcher) run(ctx context.Context, slots chan struct{}, next call) {
+	select {
+	case slots <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-slots }()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	next.make(ctx, d)
+}
+
+const ticketSeparator = "#"
+
+func splitTicket(ticket string) (cell, attempt string) {
+	cell, attempt, _ = strings.Cut(ticket, ticketSeparator)
+	return cell, attempt
+}
