Wire the control daemon: replicated log, sessions, operators' API

Cause: the control instances had their parts and no program. A resent command is recognised by a digest of the operator's text, since its changes can come out otherwise after the configuration has moved on.

--- a/controld/internal/cli/cli.go
+++ b/controld/internal/cli/cli.go
@@ -1,7 +1,69 @@
 // Package cli is the command line of controld.
 package cli
 
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+// version is set by the linker.
+var version = "development"
+
 // Run executes the program and returns its exit code.
 func Run(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := command().Run(ctx, args); err != nil {
+		fmt.Fprintln(os.Stderr, "controld:", err)
+		return 1
+	}
 	return 0
 }
+
+func command() *cli.Command {
+	file := &cli.StringFlag{Name: "settings", Usage: "path of the YAML settings", Required: true}
+	return &cli.Command{
+		Name:    "controld",
+		Usage:   "keep the configuration, claims and budgets of a dandelionpier deployment",
+		Version: version,
+		Commands: []*cli.Command{
+			{
+				Name:  "run",
+				Usage: "run the daemon until SIGTERM",
+				Flags: []cli.Flag{file},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					s, err := loadSettings(c.String("settings"))
+					if err != nil {
+						return err
+					}
+					return run(ctx, s)
+				},
+			},
+			{
+				Name:  "check-settings",
+				Usage: "check the settings and exit",
+				Flags: []cli.Flag{file},
+				Action: func(_ context.Context, c *cli.Command) error {
+					if _, err := loadSettings(c.String("settings")); err != nil {
+						return err
+					}
+					fmt.Fprintln(c.Root().Writer, "the settings are valid")
+					return nil
+				},
+			},
+			{
+				Name:  "version",
+				Usage: "print the version",
+				Action: func(_ context.Context, c *cli.Command) error {
+					fmt.Fprintln(c.Root().Writer, "controld", version)
+					return nil
+				},
+			},
+		},
+	}
+}
--- /dev/null
+++ b/controld/internal/cli/run.go
@@ -0,0 +1,213 @@
+package cli
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/controld/internal/operator"
+	"github.com/dandelionpier/dandelionpier/internal/consensus"
+	"github.com/dandelionpier/dandelionpier/internal/control"
+	"github.com/dandelionpier/dandelionpier/internal/logging"
+	"github.com/dandelionpier/dandelionpier/internal/metrics"
+	"github.com/dandelionpier/dandelionpier/internal/peer"
+	"github.com/dandelionpier/dandelionpier/internal/task"
+)
+
+// daemon is the wired control instance.
+type daemon struct {
+	settings Settings
+	logger   *zap.Logger
+	pool     *peer.Pool
+	server   *peer.Server
+	node     *consensus.Node
+	service  *control.Service
+	registry *metrics.Registry
+}
+
+func run(ctx context.Context, s Settings) error {
+	logger, err := logging.New(logging.Config{Level: s.LogLevel, Program: "controld", Instance: s.Instance})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = logger.Sync() }()
+	d, err := build(s, logger)
+	if err != nil {
+		return err
+	}
+	defer d.pool.Close()
+	return d.serve(ctx)
+}
+
+func build(s Settings, logger *zap.Logger) (*daemon, error) {
+	d := &daemon{settings: s, logger: logger, registry: metrics.NewRegistry()}
+	metrics.RegisterProcess(d.registry)
+	d.pool = peer.NewPool(peer.PoolConfig{Key: s.ClusterKey})
+	d.server = peer.NewServer(peer.ServerConfig{Key: s.ClusterKey, Logger: logger})
+	machine := control.NewMachine()
+	var err error
+	d.node, err = consensus.New(consensus.Config{
+		ID:            s.Instance,
+		Address:       s.peerAddress(),
+		Directory:     s.DataDirectory,
+		Bootstrap:     s.bootstrap(),
+		StateMachine:  machine,
+		Transport:     consensus.NewPeerTransport(d.pool),
+		Logger:        logger,
+		Timing:        consensus.Timing{ReplaceAfter: s.ReplaceAfter},
+		SnapshotEvery: s.SnapshotEvery,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.service = control.NewService(control.ServiceConfig{
+		Machine: machine,
+		Log:     d.node,
+		Voters:  d.voters,
+		Logger:  logger,
+	})
+	if err := d.service.Register(d.server); err != nil {
+		return nil, err
+	}
+	if err := consensus.Register(d.server, d.node); err != nil {
+		return nil, err
+	}
+	d.gauges()
+	return d, nil
+}
+
+// operators returns the operators' API. It reaches the leader as entries do, so every instance answers.
+func (d *daemon) operators() http.Handler {
+	client := control.NewClient(control.ClientConfig{Addresses: d.settings.controlAddresses(), Caller: d.pool})
+	return operator.New(operator.Config{
+		Submitter:     client,
+		Querier:       client,
+		Peers:         d.pool,
+		Operators:     d.settings.Operators,
+		LeaderAddress: func(string) string { return "" },
+		Client:        http.DefaultClient,
+		Now:           time.Now,
+		Logger:        d.logger,
+	})
+}
+
+// controlAddresses are the peer addresses of this instance and of the first voters.
+func (s Settings) controlAddresses() []string {
+	addresses := []string{s.peerAddress()}
+	for _, v := range s.Bootstrap {
+		if v.Address != addresses[0] {
+			addresses = append(addresses, v.Address)
+		}
+	}
+	return addresses
+}
+
+func (d *daemon) gauges() {
+	d.registry.GaugeFunc("control_leader", func() int64 {
+		if remaining, _ := d.node.LeaderLease(); remaining > 0 {
+			return 1
+		}
+		return 0
+	})
+	d.registry.GaugeFunc("control_applied_index", func() int64 { return int64(d.node.Status().Applied) })
+	d.registry.GaugeFunc("control_sessions", func() int64 { return int64(len(d.service.Members())) })
+}
+
+func (s Settings) peerAddress() string {
+	if s.AdvertisePeer != "" {
+		return s.AdvertisePeer
+	}
+	return s.PeerListen
+}
+
+func (s Settings) bootstrap() []consensus.Server {
+	var servers []consensus.Server
+	for _, v := range s.Bootstrap {
+		servers = append(servers, consensus.Server{ID: v.Instance, Address: v.Address})
+	}
+	return servers
+}
+
+func (d *daemon) voters() []control.Voter {
+	status := d.node.Status()
+	var voters []control.Voter
+	for _, m := range status.Members {
+		voters = append(voters, control.Voter{
+			ID:       m.ID,
+			Address:  m.Address,
+			Voter:    m.Voter,
+			Leader:   m.ID == status.LeaderID,
+			Match:    m.Match,
+			Reached:  m.ID == status.ID || m.Contact < reachedWithin,
+			LastSeen: m.Contact.Milliseconds(),
+		})
+	}
+	return voters
+}
+
+// reachedWithin is twenty heartbeats of the leader.
+const reachedWithin = time.Second
+
+// serve runs all parts until ctx ends or one of them fails.
+func (d *daemon) serve(ctx context.Context) error {
+	peers, err := net.Listen("tcp", d.settings.PeerListen)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	ends := []<-chan error{
+		task.Start(ctx, func(ctx context.Context) error {
+			return serveHTTP(ctx, d.settings.OperatorListen, d.operators())
+		}),
+		task.Start(ctx, func(ctx context.Context) error { return d.server.Serve(ctx, peers) }),
+		task.Start(ctx, d.node.Run),
+		task.Start(ctx, d.service.Run),
+	}
+	if d.settings.MetricsListen != "" {
+		handler := metrics.Handler(metrics.HandlerConfig{Registry: d.registry, Ready: d.ready, Profiles: true})
+		ends = append(ends, task.Start(ctx, func(ctx context.Context) error {
+			return serveHTTP(ctx, d.settings.MetricsListen, handler)
+		}))
+	}
+	d.logger.Info("Started", zap.String("peer", d.settings.peerAddress()))
+	err = task.First(ctx, stop, ends...)
+	d.logger.Info("Stopped", zap.Error(err))
+	return err
+}
+
+// ready fails on an instance that knows no leader.
+func (d *daemon) ready() error {
+	if _, _, term := d.node.Leader(); term == 0 {
+		return errNoLeader
+	}
+	if id, _, _ := d.node.Leader(); id == "" {
+		return errNoLeader
+	}
+	return nil
+}
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	shutdownTimeout   = 10 * time.Second
+)
+
+// serveHTTP serves until ctx ends and then finishes the requests in flight.
+func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	end := make(chan error, 1)
+	go func() { end <- server.ListenAndServe() }()
+	select {
+	case err := <-end:
+		return err
+	case <-ctx.Done():
+	}
+	shutdown, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	err := server.Shutdown(shutdown)
+	<-end
+	return err
+}
--- a/controld/internal/cli/settings.go
+++ b/controld/internal/cli/settings.go
@@ -1,8 +1,10 @@
 package cli
 
 import (
+	"errors"
 	"time"
 
+	"github.com/dandelionpier/dandelionpier/controld/internal/operator"
 	"github.com/dandelionpier/dandelionpier/internal/settings"
 )
 
@@ -24,7 +26,7 @@
 	// Bootstrap lists the first voters. It is used only when the data directory is new.
 	Bootstrap []Voter `yaml:"bootstrap" validate:"dive"`
 	// Operators are the people who may issue commands.
-	Operators []Operator `yaml:"operators" validate:"dive"`
+	Operators []operator.Operator `yaml:"operators" validate:"dive"`
 	// SnapshotEvery is in log entries.
 	SnapshotEvery int `yaml:"snapshot-every" validate:"min=16"`
 	// ReplaceAfter is how long a voter may be unreachable before a standby takes its place.
@@ -40,13 +42,6 @@
 	Operator string `yaml:"operator" validate:"omitempty,hostname_port"`
 }
 
-// Operator is a person who may issue commands.
-type Operator struct {
-	Name string `yaml:"name" validate:"required"`
-	// KeyHash is the hexadecimal SHA-256 sum of the bearer key.
-	KeyHash string `yaml:"key-hash" validate:"required,len=64,hexadecimal"`
-}
-
 const (
 	defaultSnapshotEvery = 4096
 	defaultReplaceAfter  = 10 * time.Second
@@ -64,3 +59,5 @@
 	}
 	return s, nil
 }
+
+var errNoLeader = errors.New("no control leader is known")
--- a/controld/internal/operator/command.go
+++ b/controld/internal/operator/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"net/http"
 	"regexp"
 	"time"
@@ -81,7 +82,10 @@
 		return language.CommandReply{}, err
 	}
 	base := *state.Configuration
-	submit := control.SubmitRequest{CommandID: request.CommandID, Author: author, Expected: base.Revision, Check: t.Check}
+	digest := sha256.Sum256([]byte(request.Text))
+	submit := control.SubmitRequest{
+		CommandID: request.CommandID, Author: author, Expected: base.Revision, Check: t.Check, Digest: digest[:],
+	}
 	if request.Expected != nil {
 		submit.Expected = *request.Expected
 	}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -156,6 +156,9 @@
 }
 
 func digest(request SubmitRequest) []byte {
+	if len(request.Digest) > 0 {
+		return request.Digest
+	}
 	request.CommandID = ""
 	data, err := encoding.Marshal(request)
 	if err != nil {
--- a/internal/control/wire.go
+++ b/internal/control/wire.go
@@ -17,6 +17,9 @@
 	Changes  []configuration.Change `cbor:"4,keyasint" json:"changes"`
 	// Check says what would change without doing it.
 	Check bool `cbor:"5,keyasint" json:"check"`
+	// Digest identifies what the operator sent. A resend has the same, even where its changes came out
+	// otherwise because the configuration has moved on; empty means that the changes identify it.
+	Digest []byte `cbor:"6,keyasint,omitempty" json:"digest,omitempty"`
 }
 
 // SubmitStatus is the result of a transaction.
--- a/loadtool/internal/cli/cli.go
+++ b/loadtool/internal/cli/cli.go
@@ -1,7 +1,34 @@
 // Package cli is the command line of loadtool.
 package cli
 
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/dandelionpier/dandelionpier/loadtool/internal/demo"
+	"github.com/dandelionpier/dandelionpier/loadtool/internal/sessions"
+)
+
 // Run executes the program and returns its exit code.
 func Run(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := command().Run(ctx, args); err != nil {
+		fmt.Fprintln(os.Stderr, "loadtool:", err)
+		return 1
+	}
 	return 0
 }
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:     "loadtool",
+		Usage:    "measure a dandelionpier deployment",
+		Commands: []*cli.Command{demo.Command(), sessions.Command()},
+	}
+}
