--- /dev/null
+++ b/entryd/internal/cell/client.go
@@ -0,0 +1,218 @@
+// Package cell is the entry's side of the dispatchers: it reserves endpoints, reports what becomes
+// of grants, forwards announcements, and selects an endpoint itself while a dispatcher is lost.
+package cell
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/logging"
+	"github.com/dandelionpier/dandelionpier/internal/peer"
+	"github.com/dandelionpier/dandelionpier/internal/rendezvous"
+	"github.com/dandelionpier/dandelionpier/internal/session"
+)
+
+const (
+	// acknowledgeTimeout is how long a dispatcher has for its first answer (design section 11).
+	acknowledgeTimeout = 50 * time.Millisecond
+	// awaitWait is the length of one long poll; awaitGrace covers the way back.
+	awaitWait  = time.Second
+	awaitGrace = 250 * time.Millisecond
+	// maxRounds bounds the reservations of one attempt: the lost dispatcher and two successors.
+	maxRounds = 3
+)
+
+// Dispatcher is the dispatcher in this process; the methods have the form of net/rpc.
+type Dispatcher interface {
+	Reserve(request dispatch.ReserveRequest, reply *dispatch.ReserveReply) error
+	Await(request dispatch.AwaitRequest, reply *dispatch.ReserveReply) error
+	Report(request dispatch.ReportRequest, reply *dispatch.ReportReply) error
+	Announce(request dispatch.AnnounceRequest, reply *dispatch.AnnounceReply) error
+	Endpoints(request dispatch.EndpointsRequest, reply *dispatch.EndpointsReply) error
+}
+
+// Caller makes net/rpc calls, as peer.Pool does.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Config sets up a Client.
+type Config struct {
+	// Instance is the name of this instance, Incarnation changes at each start of the process.
+	Instance    string
+	Incarnation string
+	// View returns the session's view.
+	View   func() (session.View, error)
+	Local  Dispatcher
+	Caller Caller
+	Logger *zap.Logger
+}
+
+// Client reaches the dispatchers of all cells. It is safe for concurrent use.
+type Client struct {
+	config    Config
+	roster    *roster
+	reporter  *reporter
+	forwarder *forwarder
+}
+
+// New returns a client; Run must run for reports and announcements to be sent.
+func New(config Config) *Client {
+	c := &Client{config: config, roster: newRoster()}
+	c.reporter = newReporter(c)
+	c.forwarder = newForwarder(c)
+	return c
+}
+
+// Run sends reports and announcements and polls the endpoints of the cells in use until ctx ends.
+// What is still to be reported then is sent before it returns.
+func (c *Client) Run(ctx context.Context) error {
+	ends := make(chan struct{}, 3)
+	for _, loop := range []func(context.Context){c.reporter.run, c.forwarder.run, c.poll} {
+		go func() {
+			loop(ctx)
+			ends <- struct{}{}
+		}()
+	}
+	for range cap(ends) {
+		<-ends
+	}
+	return nil
+}
+
+// Reserve obtains a grant for the request, waiting in the dispatcher's queue where needed. newAttempt
+// gives the id of each reservation. Errors are of type refusal.Error with outcome did-not-run.
+func (c *Client) Reserve(ctx context.Context, request dispatch.ReserveRequest, newAttempt func() string) (dispatch.Grant, error) {
+	c.roster.use(request.Cell)
+	request.Entry = c.holder()
+	for range maxRounds {
+		request.AttemptID = newAttempt()
+		reply, err := c.reserve(ctx, request)
+		if ctx.Err() != nil {
+			c.reporter.abandon(request)
+			return dispatch.Grant{}, timeLimit(ctx)
+		}
+		if err != nil {
+			c.reporter.abandon(request)
+			c.config.Logger.Debug("The dispatcher did not answer", zap.String("cell", request.Cell),
+				zap.String(logging.RequestID, request.RequestID), zap.Error(err))
+			if !queueLost(err) {
+				break
+			}
+			continue
+		}
+		switch reply.Status {
+		case dispatch.Granted:
+			return reply.Grant, nil
+		case dispatch.Refused:
+			if reply.Reason != dispatch.NoEndpoint {
+				return dispatch.Grant{}, refused(reply)
+			}
+			// A dispatcher that has just taken over knows no endpoint before the next announcements.
+			if grant, ok := c.choose(request, newAttempt); ok {
+				return grant, nil
+			}
+			return dispatch.Grant{}, refused(reply)
+		}
+	}
+	if grant, ok := c.choose(request, newAttempt); ok {
+		return grant, nil
+	}
+	return dispatch.Grant{}, unreachable(request.Cell)
+}
+
+func (c *Client) holder() string {
+	return c.config.Instance + "/" + c.config.Incarnation
+}
+
+func (c *Client) choose(request dispatch.ReserveRequest, newAttempt func() string) (dispatch.Grant, bool) {
+	view, _ := c.config.View()
+	member, ok := c.roster.choose(request, view.Configuration.Endpoints)
+	if !ok {
+		return dispatch.Grant{}, false
+	}
+	return dispatch.Grant{
+		ID:       newAttempt(),
+		Members:  []dispatch.GrantMember{member},
+		Priority: int64(request.Priority),
+	}, true
+}
+
+// lostQueue marks the loss of a dispatcher at which a reservation was queued.
+const lostQueue peer.Kind = "lost-queue"
+
+func queueLost(err error) bool {
+	return fault.Is(err, lostQueue)
+}
+
+func (c *Client) reserve(ctx context.Context, request dispatch.ReserveRequest) (dispatch.ReserveReply, error) {
+	var reply dispatch.ReserveReply
+	target, ok := c.dispatcher(request.Cell)
+	if !ok {
+		return reply, fault.New("reserve", peer.Unreachable, "no live entry dispatches for cell %q", request.Cell)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		request.TimeLeft = time.Until(deadline)
+	}
+	err := c.call(ctx, target, acknowledgeTimeout, "Dispatch.Reserve", request, &reply)
+	for err == nil && reply.Status == dispatch.Queued && ctx.Err() == nil {
+		wait := dispatch.AwaitRequest{Ticket: reply.Ticket, Wait: awaitWait}
+		var next dispatch.ReserveReply
+		err = c.call(ctx, target, awaitWait+awaitGrace, "Dispatch.Await", wait, &next)
+		if err != nil {
+			return reply, fault.Wrap(err, "await grant", lostQueue, request.Cell)
+		}
+		reply = next
+	}
+	return reply, err
+}
+
+// dispatcher returns the entry that dispatches for the cell: the live, non-draining one with the
+// highest rendezvous score.
+func (c *Client) dispatcher(cell string) (session.Member, bool) {
+	view, _ := c.config.View()
+	names := make([]string, 0, len(view.Members))
+	for _, member := range view.Members {
+		if !member.Draining {
+			names = append(names, member.Instance)
+		}
+	}
+	first := rendezvous.First(cell, names)
+	for _, member := range view.Members {
+		if member.Instance == first && !member.Draining {
+			return member, true
+		}
+	}
+	return session.Member{}, false
+}
+
+// call runs a method at a dispatcher, in this process where it is this instance.
+func (c *Client) call(ctx context.Context, target session.Member, timeout time.Duration, method string, args, reply any) error {
+	if target.Instance == c.config.Instance {
+		return c.callLocal(args, reply)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.config.Caller.Call(ctx, target.Peer, method, args, reply)
+}
+
+func (c *Client) callLocal(args, reply any) error {
+	switch request := args.(type) {
+	case dispatch.ReserveRequest:
+		return c.config.Local.Reserve(request, reply.(*dispatch.ReserveReply))
+	case dispatch.AwaitRequest:
+		return c.config.Local.Await(request, reply.(*dispatch.ReserveReply))
+	case dispatch.ReportRequest:
+		return c.config.Local.Report(request, reply.(*dispatch.ReportReply))
+	case dispatch.AnnounceRequest:
+		return c.config.Local.Announce(request, reply.(*dispatch.AnnounceReply))
+	case dispatch.EndpointsRequest:
+		return c.config.Local.Endpoints(request, reply.(*dispatch.EndpointsReply))
+	default:
+		return fault.New("call dispatcher", peer.Remote, "unknown request type %T", args)
+	}
+}
--- /dev/null
+++ b/entryd/internal/cell/reporter.go
@@ -0,0 +1,194 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/entryd/internal/stream"
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/session"
+)
+
+const (
+	// reportDelay collects the events of a batch.
+	reportDelay   = 20 * time.Millisecond
+	aliveInterval = time.Second
+	reportTimeout = 500 * time.Millisecond
+	// maxPending bounds the events kept for a dispatcher that does not answer. Lost events are made
+	// good by the grant TTL and the engines' holdings.
+	maxPending = 16384
+)
+
+// reporter sends the events of grants to the dispatchers of their cells.
+type reporter struct {
+	client  *Client
+	mu      sync.Mutex
+	pending []dispatch.Event
+	running map[*Run]struct{}
+	wake    chan struct{}
+	// flushing keeps the events of a grant in order.
+	flushing sync.Mutex
+}
+
+func newReporter(c *Client) *reporter {
+	return &reporter{client: c, running: make(map[*Run]struct{}), wake: make(chan struct{}, 1)}
+}
+
+// Run is a grant in use.
+type Run struct {
+	reporter *reporter
+	started  time.Time
+	event    dispatch.Event
+}
+
+// Start says that the grant is used from now on. End must follow.
+func (c *Client) Start(request dispatch.ReserveRequest, grant dispatch.Grant) *Run {
+	run := &Run{reporter: c.reporter, started: time.Now(), event: dispatch.Event{
+		Cell:         request.Cell,
+		Grant:        grant.ID,
+		PromptTokens: request.PromptTokens,
+		Members:      grant.Members,
+		Workspace:    request.Workspace,
+		Priority:     request.Priority,
+		Fingerprint:  request.Fingerprint,
+	}}
+	c.reporter.mu.Lock()
+	c.reporter.running[run] = struct{}{}
+	c.reporter.mu.Unlock()
+	return run
+}
+
+// FirstToken reports the end of the prefill.
+func (r *Run) FirstToken() {
+	r.reporter.mu.Lock()
+	r.event.Prefilled = true
+	r.reporter.mu.Unlock()
+	r.report(dispatch.FirstToken)
+}
+
+// End reports how the use ended, with the engine's figures where known.
+func (r *Run) End(how dispatch.EventType, usage stream.Usage) {
+	r.reporter.mu.Lock()
+	delete(r.reporter.running, r)
+	if usage.Known {
+		r.event.PromptTokens = usage.PromptTokens
+		r.event.CachedTokens = usage.CachedTokens
+		r.event.OutputTokens = usage.CompletionTokens
+	}
+	r.reporter.mu.Unlock()
+	r.report(how)
+}
+
+func (r *Run) report(how dispatch.EventType) {
+	r.reporter.mu.Lock()
+	event := r.event
+	r.reporter.mu.Unlock()
+	event.Type = how
+	event.Elapsed = time.Since(r.started)
+	r.reporter.add(event)
+}
+
+// abandon gives back a reservation whose answer is not awaited any more.
+func (r *reporter) abandon(request dispatch.ReserveRequest) {
+	r.add(dispatch.Event{
+		Cell:        request.Cell,
+		Grant:       request.AttemptID,
+		Type:        dispatch.Cancelled,
+		Workspace:   request.Workspace,
+		Fingerprint: request.Fingerprint,
+	})
+}
+
+func (r *reporter) add(event dispatch.Event) {
+	r.mu.Lock()
+	if len(r.pending) < maxPending {
+		r.pending = append(r.pending, event)
+	}
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *reporter) run(ctx context.Context) {
+	alive := time.NewTicker(aliveInterval)
+	defer alive.Stop()
+	delay := time.NewTimer(reportDelay)
+	defer delay.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-alive.C:
+			r.renew()
+		case <-r.wake:
+			delay.Reset(reportDelay)
+			select {
+			case <-ctx.Done():
+			case <-delay.C:
+			}
+		}
+		r.flush(context.WithoutCancel(ctx))
+	}
+	r.flush(context.WithoutCancel(ctx))
+}
+
+// renew adds an Alive event for each grant in use.
+func (r *reporter) renew() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for run := range r.running {
+		event := run.event
+		event.Type = dispatch.Alive
+		event.Elapsed = time.Since(run.started)
+		r.pending = append(r.pending, event)
+	}
+}
+
+func (r *reporter) flush(ctx context.Context) {
+	r.flushing.Lock()
+	defer r.flushing.Unlock()
+	r.mu.Lock()
+	events := r.pending
+	r.pending = nil
+	r.mu.Unlock()
+	batches := make(map[session.Member][]dispatch.Event)
+	for _, event := range events {
+		if target, ok := r.client.dispatcher(event.Cell); ok {
+			batches[target] = append(batches[target], event)
+		}
+	}
+	var sends sync.WaitGroup
+	for target, batch := range batches {
+		sends.Go(func() { r.send(ctx, target, batch) })
+	}
+	sends.Wait()
+}
+
+func (r *reporter) send(ctx context.Context, target session.Member, batch []dispatch.Event) {
+	request := dispatch.ReportRequest{Entry: r.client.holder(), Events: batch}
+	err := r.client.call(ctx, target, reportTimeout, "Dispatch.Report", request, &dispatch.ReportReply{})
+	if err == nil {
+		return
+	}
+	r.client.config.Logger.Debug("Could not report to a dispatcher", zap.String("dispatcher", target.Instance), zap.Error(err))
+	var again []dispatch.Event
+	for _, event := range batch {
+		if event.Type != dispatch.Alive {
+			again = append(again, event)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// The events are sent again with the next batch; the dispatcher may have changed by then.
+	r.pending = append(again, r.pending...)
+	r.pending = r.pending[:min(len(r.pending), maxPending)]
+}
+
+// Flush sends the pending events now and returns when the dispatchers have them or ctx ends.
+func (c *Client) Flush(ctx context.Context) {
+	c.reporter.flush(ctx)
+}
--- /dev/null
+++ b/entryd/internal/cell/roster.go
@@ -0,0 +1,180 @@
+package cell
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+)
+
+const (
+	// pollInterval is the age of the list when a dispatcher is lost, at most.
+	pollInterval = time.Second
+	pollTimeout  = 500 * time.Millisecond
+	// inUse is how long a cell is polled after the last request for it.
+	inUse = time.Minute
+)
+
+// roster is the last known state of the endpoints of the cells in use. It is as old as the last poll
+// or announcement and serves only while a dispatcher is lost.
+type roster struct {
+	mu    sync.Mutex
+	cells map[string]*cellState
+}
+
+type cellState struct {
+	lastUse   time.Time
+	endpoints map[string]known
+}
+
+type known struct {
+	announcement endpoint.Announcement
+	at           time.Time
+	open         bool
+	// chosen counts the requests that this entry sent there since the report.
+	chosen int
+}
+
+func newRoster() *roster {
+	return &roster{cells: make(map[string]*cellState)}
+}
+
+func (r *roster) cell(name string) *cellState {
+	state := r.cells[name]
+	if state == nil {
+		state = &cellState{endpoints: make(map[string]known)}
+		r.cells[name] = state
+	}
+	return state
+}
+
+func (r *roster) use(cell string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cell(cell).lastUse = time.Now()
+}
+
+// used returns the cells in use and forgets the others and endpoints that are dead.
+func (r *roster) used() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(r.cells, func(_ string, state *cellState) bool {
+		maps.DeleteFunc(state.endpoints, func(_ string, k known) bool { return now.Sub(k.at) > endpoint.DeadAfter })
+		return now.Sub(state.lastUse) > inUse && len(state.endpoints) == 0
+	})
+	var names []string
+	for name, state := range r.cells {
+		if now.Sub(state.lastUse) <= inUse {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (r *roster) announced(a endpoint.Announcement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.CacheEvents = nil
+	for _, model := range a.Models {
+		state := r.cell(dispatch.Cell(model, a.Region))
+		state.endpoints[a.Name] = known{announcement: a, at: time.Now(), open: state.endpoints[a.Name].open}
+	}
+}
+
+func (r *roster) polled(cell string, views []dispatch.EndpointView) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := r.cell(cell)
+	now := time.Now()
+	for _, view := range views {
+		at := now.Add(-view.Age)
+		view.Announcement.CacheEvents = nil
+		last, ok := state.endpoints[view.Announcement.Name]
+		if ok && last.at.After(at) {
+			last.open = view.Open
+			state.endpoints[view.Announcement.Name] = last
+			continue
+		}
+		state.endpoints[view.Announcement.Name] = known{announcement: view.Announcement, at: at, open: view.Open}
+	}
+}
+
+// choose takes two random endpoints that can run the request and returns the less loaded one
+// (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
+func (r *roster) choose(request dispatch.ReserveRequest, settings map[string]configuration.EndpointSetting) (dispatch.GrantMember, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := r.cell(request.Cell)
+	now := time.Now()
+	need := request.PromptTokens + request.MaxTokens
+	var candidates []known
+	for name, k := range state.endpoints {
+		a := k.announcement
+		usable := a.State == endpoint.Ready && !k.open && now.Sub(k.at) <= endpoint.DeadAfter &&
+			!settings[name].Drain && !slices.Contains(request.Exclude, name) &&
+			(a.Type == endpoint.Service || a.Memory >= need)
+		if usable {
+			candidates = append(candidates, k)
+		}
+	}
+	if len(candidates) == 0 {
+		return dispatch.GrantMember{}, false
+	}
+	best := candidates[rand.IntN(len(candidates))]
+	if other := candidates[rand.IntN(len(candidates))]; other.load() < best.load() {
+		best = other
+	}
+	best.chosen++
+	state.endpoints[best.announcement.Name] = best
+	return dispatch.GrantMember{Endpoint: best.announcement.Name, Address: best.announcement.Address, Tokens: need}, true
+}
+
+// load is the work ahead of a new request in requests; a queued prefill counts by its tokens.
+func (k known) load() float64 {
+	const tokensPerRequest = 4000
+	l := k.announcement.Load
+	return float64(l.Running+l.Queued+k.chosen) + float64(l.QueuedPrefill)/tokensPerRequest
+}
+
+// poll asks the dispatchers of the cells in use for their endpoints once a second.
+func (c *Client) poll(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		var calls sync.WaitGroup
+		for _, name := range c.roster.used() {
+			calls.Go(func() { c.pollCell(ctx, name) })
+		}
+		calls.Wait()
+	}
+}
+
+func (c *Client) pollCell(ctx context.Context, name string) {
+	target, ok := c.dispatcher(name)
+	if !ok {
+		return
+	}
+	var reply dispatch.EndpointsReply
+	err := c.call(ctx, target, pollTimeout, "Dispatch.Endpoints", dispatch.EndpointsRequest{Cell: name}, &reply)
+	if err != nil {
+		c.config.Logger.Debug("Could not poll the endpoints of a cell", zap.String("cell", name), zap.Error(err))
+		return
+	}
+	if reply.Status != dispatch.Elsewhere {
+		c.roster.polled(name, reply.Endpoints)
+	}
+}
