Serve streamed completions and plain-service calls through an entry

Cause: the first version of entryd. Change: settings, filter chain, callers' and platform API, model requests with retry and resumption, plain services under claims, address answers, drain, and the wiring behind cli.Parts. Conclusion: TestStream and TestServiceCall pass over real sockets with fakes for the control quorum, the dispatcher and the engine.

--- /dev/null
+++ b/entryd/internal/api/platform.go
@@ -0,0 +1,148 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/entryd/internal/address"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/refusal"
+	"github.com/dandelionpier/dandelionpier/internal/session"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// Invalid means that a message is not allowed.
+const Invalid Kind = "invalid"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Announcer takes over announcements, as cell.Client does.
+type Announcer interface {
+	Announce(a endpoint.Announcement)
+}
+
+// PlatformConfig sets up the interface to endpoints.
+type PlatformConfig struct {
+	Instance        string
+	View            func() (session.View, error)
+	Draining        func() bool
+	Addresses       *address.Book
+	Announcer       Announcer
+	MaxAnnouncement int64
+	Logger          *zap.Logger
+}
+
+type platform struct {
+	config PlatformConfig
+}
+
+// NewPlatform returns the handler of the interface to endpoints.
+func NewPlatform(config PlatformConfig) http.Handler {
+	p := &platform{config: config}
+	router := mux.NewRouter()
+	router.HandleFunc("/platform/announce", p.announce).Methods(http.MethodPost)
+	return router
+}
+
+func (p *platform) announce(w http.ResponseWriter, r *http.Request) {
+	a, err := decode(http.MaxBytesReader(w, r.Body, p.config.MaxAnnouncement))
+	if err != nil {
+		p.config.Logger.Info("Refused an announcement", zap.String("peer", r.RemoteAddr), zap.Error(err))
+		refusal.New(http.StatusBadRequest, "invalid-announcement", refusal.DidNotRun, "%s", err.Error()).Write(w)
+		return
+	}
+	p.config.Announcer.Announce(a)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(endpoint.AnnounceReply{Addresses: p.addresses(a.Name)})
+}
+
+// addresses names this entry too, unless it drains.
+func (p *platform) addresses(name string) []string {
+	view, _ := p.config.View()
+	exclude := ""
+	if p.config.Draining() {
+		exclude = p.config.Instance
+	}
+	addresses := []string{}
+	for _, member := range p.config.Addresses.Pick(name, view.Members, exclude) {
+		addresses = append(addresses, member.Platform)
+	}
+	return addresses
+}
+
+func decode(source io.Reader) (endpoint.Announcement, error) {
+	const op = "read announcement"
+	var a endpoint.Announcement
+	data, err := io.ReadAll(source)
+	if err != nil {
+		return a, fault.Wrap(err, op, Invalid, "read body")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&a); err != nil {
+		return a, fault.Wrap(err, op, Invalid, "decode")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return a, fault.New(op, Invalid, "data follows the announcement")
+	}
+	return a, check(a)
+}
+
+const (
+	maxName   = 256
+	maxModels = 256
+)
+
+func check(a endpoint.Announcement) error {
+	const op = "check announcement"
+	for field, value := range map[string]string{
+		"name": a.Name, "incarnation": a.Incarnation, "data-centre": a.DataCentre, "region": a.Region,
+	} {
+		if value == "" || len(value) > maxName {
+			return fault.New(op, Invalid, "%s must have 1 to %d bytes", field, maxName)
+		}
+	}
+	switch {
+	case !isAddress(a.Address):
+		return fault.New(op, Invalid, "address %.64q is not host:port", a.Address)
+	case a.Type != endpoint.Engine && a.Type != endpoint.Service:
+		return fault.New(op, Invalid, "type %.64q is not engine or service", a.Type)
+	case a.State != endpoint.Ready && a.State != endpoint.Draining && a.State != endpoint.Leaving:
+		return fault.New(op, Invalid, "state %.64q is not ready, draining or leaving", a.State)
+	case len(a.Models) > maxModels:
+		return fault.New(op, Invalid, "models has %d entries; at most %d are allowed", len(a.Models), maxModels)
+	case a.Type == endpoint.Engine && a.Memory <= 0:
+		return fault.New(op, Invalid, "memory is %d; an engine must have some", a.Memory)
+	}
+	for _, model := range a.Models {
+		if model == "" || len(model) > maxName {
+			return fault.New(op, Invalid, "a model's name must have 1 to %d bytes", maxName)
+		}
+	}
+	return checkLoad(a.Load)
+}
+
+func checkLoad(l endpoint.Load) error {
+	least := min(l.QueuedPrefill, l.Running, l.Queued, l.Used, l.Cached)
+	if least < 0 || l.PrefillRate < 0 || l.DecodeRate < 0 {
+		return fault.New("check announcement", Invalid, "load has a negative figure")
+	}
+	return nil
+}
+
+func isAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	n, portErr := strconv.Atoi(port)
+	return err == nil && portErr == nil && host != "" && n > 0 && n < 1<<16
+}
--- /dev/null
+++ b/entryd/internal/cli/fakes_test.go
@@ -0,0 +1,394 @@
+package cli
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/entryd/internal/completion"
+	"github.com/dandelionpier/dandelionpier/entryd/internal/options"
+	"github.com/dandelionpier/dandelionpier/internal/claim"
+	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/ledger"
+	"github.com/dandelionpier/dandelionpier/internal/session"
+)
+
+const testKey = "sk-test"
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// fakeKeeper is a session whose view and lease the test sets.
+type fakeKeeper struct {
+	mu      sync.Mutex
+	view    session.View
+	expired bool
+	drained atomic.Bool
+	// checks, when set, says after how many views the lease ends.
+	checks int
+}
+
+func (k *fakeKeeper) View() (session.View, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.checks > 0 {
+		k.checks--
+		k.expired = k.checks == 0
+	}
+	if k.expired {
+		return k.view, fault.New("check lease", session.Expired, "the lease has run out")
+	}
+	return k.view, nil
+}
+
+func (k *fakeKeeper) Drain() { k.drained.Store(true) }
+
+// fakePurse counts what is held and spent.
+type fakePurse struct {
+	mu     sync.Mutex
+	limit  int64
+	held   int64
+	spends []ledger.Spend
+}
+
+type fakeHold struct {
+	purse  *fakePurse
+	amount int64
+}
+
+func (p *fakePurse) Reserve(_ context.Context, _ string, _, amount int64) (completion.Hold, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held+amount > p.limit {
+		return nil, fault.New("reserve", completion.Exceeded, "the limit is reached")
+	}
+	p.held += amount
+	return &fakeHold{purse: p, amount: amount}, nil
+}
+
+func (h *fakeHold) Settle(spend ledger.Spend) {
+	h.purse.mu.Lock()
+	defer h.purse.mu.Unlock()
+	h.purse.held -= h.amount
+	spend.Amount = min(spend.Amount, h.amount)
+	h.purse.spends = append(h.purse.spends, spend)
+}
+
+func (h *fakeHold) Release() {
+	h.purse.mu.Lock()
+	defer h.purse.mu.Unlock()
+	h.purse.held -= h.amount
+}
+
+// fakeClaims is a book of claims as the control quorum keeps it.
+type fakeClaims struct {
+	mu      sync.Mutex
+	claims  map[claim.Key]*fakeClaim
+	failing bool
+}
+
+type fakeClaim struct {
+	request claim.OpenRequest
+	status  claim.Status
+	outcome claim.Outcome
+}
+
+func (c *fakeClaims) OpenClaim(_ context.Context, request claim.OpenRequest) (claim.OpenReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failing {
+		return claim.OpenReply{}, io.ErrUnexpectedEOF
+	}
+	held := c.claims[request.Key]
+	switch {
+	case held == nil:
+		c.claims[request.Key] = &fakeClaim{request: request, status: claim.InProgress}
+		return claim.OpenReply{Status: claim.Granted}, nil
+	case held.request.Fingerprint != request.Fingerprint:
+		return claim.OpenReply{Status: claim.Mismatch}, nil
+	default:
+		return claim.OpenReply{Status: held.status, Outcome: held.outcome}, nil
+	}
+}
+
+func (c *fakeClaims) SettleClaim(_ context.Context, request claim.SettleRequest) (claim.SettleReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.claims[request.Key]
+	switch {
+	case held == nil || held.request.RequestID != request.RequestID:
+		return claim.SettleReply{}, nil
+	case request.Release:
+		delete(c.claims, request.Key)
+	case request.Outcome != nil:
+		held.status, held.outcome = claim.Done, *request.Outcome
+	default:
+		held.status = claim.Unknown
+	}
+	return claim.SettleReply{Accepted: true}, nil
+}
+
+// fakeDispatcher grants the first endpoint of the cell that is not excluded.
+type fakeDispatcher struct {
+	mu            sync.Mutex
+	endpoints     []dispatch.GrantMember
+	reply         *dispatch.ReserveReply
+	reserved      []dispatch.ReserveRequest
+	events        []dispatch.Event
+	announcements []endpoint.Announcement
+	announced     chan struct{}
+}
+
+func (d *fakeDispatcher) Reserve(request dispatch.ReserveRequest, reply *dispatch.ReserveReply) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reserved = append(d.reserved, request)
+	if d.reply != nil {
+		*reply = *d.reply
+		return nil
+	}
+	for _, member := range d.endpoints {
+		if !slices.Contains(request.Exclude, member.Endpoint) {
+			*reply = dispatch.ReserveReply{Status: dispatch.Granted, Grant: dispatch.Grant{
+				ID: request.AttemptID, Members: []dispatch.GrantMember{member}, Priority: 7,
+			}}
+			return nil
+		}
+	}
+	*reply = dispatch.ReserveReply{Status: dispatch.Refused, Reason: dispatch.NoEndpoint, Message: "The cell has no endpoint left."}
+	return nil
+}
+
+func (d *fakeDispatcher) Await(dispatch.AwaitRequest, *dispatch.ReserveReply) error { return nil }
+
+func (d *fakeDispatcher) Report(request dispatch.ReportRequest, _ *dispatch.ReportReply) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.events = append(d.events, request.Events...)
+	return nil
+}
+
+func (d *fakeDispatcher) Announce(request dispatch.AnnounceRequest, _ *dispatch.AnnounceReply) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.announcements = append(d.announcements, request.Announcements...)
+	select {
+	case d.announced <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+func (d *fakeDispatcher) Endpoints(dispatch.EndpointsRequest, *dispatch.EndpointsReply) error {
+	return nil
+}
+
+// types returns the events of a grant, without renewals.
+func (d *fakeDispatcher) types(grant string) []dispatch.EventType {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var types []dispatch.EventType
+	for _, event := range d.events {
+		if event.Grant == grant && event.Type != dispatch.Alive {
+			types = append(types, event.Type)
+		}
+	}
+	return types
+}
+
+// observations are the service-level observations.
+type observations struct {
+	ok, failed atomic.Int64
+}
+
+func (o *observations) Observe(_, _ string, _, _ time.Duration, ok bool) {
+	if ok {
+		o.ok.Add(1)
+	} else {
+		o.failed.Add(1)
+	}
+}
+
+// site is an entry under test with everything around it.
+type site struct {
+	keeper     *fakeKeeper
+	purse      *fakePurse
+	claims     *fakeClaims
+	dispatcher *fakeDispatcher
+	seen       *observations
+	options    *options.Options
+	listening  Listening
+	stop       func() error
+}
+
+// start runs an entry on port 0. The endpoints serve both the model and the service.
+func start(t testing.TB, endpoints ...string) *site {
+	t.Helper()
+	s := &site{
+		keeper:     &fakeKeeper{},
+		purse:      &fakePurse{limit: 1 << 50},
+		claims:     &fakeClaims{claims: make(map[claim.Key]*fakeClaim)},
+		dispatcher: &fakeDispatcher{announced: make(chan struct{}, 1)},
+		seen:       &observations{},
+		options:    testOptions(),
+	}
+	for i, address := range endpoints {
+		s.dispatcher.endpoints = append(s.dispatcher.endpoints, dispatch.GrantMember{
+			Endpoint: "e" + strconv.Itoa(i+1), Address: strings.TrimPrefix(address, "http://"),
+		})
+	}
+	s.run(t)
+	return s
+}
+
+func testOptions() *options.Options {
+	o := options.Default()
+	o.Instance, o.DataCentre, o.Region = "entry-1", "vitoria", "norte"
+	o.CallerListen, o.PlatformListen, o.PeerListen, o.MetricsListen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	o.ClusterKey = "0123456789abcdef"
+	o.LogLevel = "error"
+	o.DrainTime = 0
+	return o
+}
+
+func testConfiguration() configuration.Configuration {
+	return configuration.Configuration{
+		Revision: 1,
+		Workspaces: map[string]configuration.Workspace{
+			"norte": {
+				Name: "norte", KeyHashes: []string{hashOf(testKey)}, Models: []string{"oak"}, Services: []string{"counter"}, SpendLimit: -1,
+			},
+		},
+		Models: map[string]configuration.Model{
+			"oak":  {Name: "oak", PromptPrice: 10, CachedPrice: 1, OutputPrice: 100, MaxContext: 2_000_000},
+			"pine": {Name: "pine"},
+		},
+		Services: map[string]configuration.Service{"counter": {Name: "counter"}},
+	}
+}
+
+func (s *site) run(t testing.TB) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	started := make(chan Listening, 1)
+	end := make(chan error, 1)
+	connect := func(site Site) (Parts, error) {
+		s.keeper.view = session.View{Configuration: testConfiguration(), Members: []session.Member{
+			site.Member,
+			{Instance: "entry-2", DataCentre: "vitoria", Caller: "10.0.0.2:80", Platform: "10.0.0.2:81", Draining: true},
+		}}
+		return Parts{Keeper: s.keeper, Claims: s.claims, Purse: s.purse, Observer: s.seen, Dispatcher: s.dispatcher}, nil
+	}
+	go func() { end <- serve(ctx, s.options, connect, func(l Listening) { started <- l }) }()
+	select {
+	case s.listening = <-started:
+	case err := <-end:
+		t.Fatal(err)
+	}
+	s.stop = sync.OnceValue(func() error {
+		cancel()
+		return <-end
+	})
+	t.Cleanup(func() {
+		if err := s.stop(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// send makes one request with the test key; headers are pairs of name and value.
+func (s *site) send(t testing.TB, method, path, body string, headers ...string) answer {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+s.listening.Caller+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	for pair := range slices.Chunk(headers, 2) {
+		request.Header.Set(pair[0], pair[1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer{status: response.StatusCode, header: response.Header, body: string(text)}
+}
+
+// engine is a fake model engine; respond gets the ids of the attempt.
+func engine(t testing.TB, respond func(w http.ResponseWriter, r *http.Request, e events)) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			return
+		}
+		e := events{w: w, request: r.Header.Get(endpoint.HeaderRequestID), attempt: r.Header.Get(endpoint.HeaderAttemptID)}
+		w.Header().Set(endpoint.HeaderRequestID, e.request)
+		w.Header().Set(endpoint.HeaderAttemptID, e.attempt)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.Copy(io.Discard, r.Body)
+		respond(w, r, e)
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// events writes events of one attempt.
+type events struct {
+	w                http.ResponseWriter
+	request, attempt string
+}
+
+func (e events) chunk(index int) {
+	e.write(fmt.Sprintf(`{"request_id":%q,"attempt_id":%q,"index":%d,"choices":[{"index":0,"delta":{"content":"w%d"}}]}`,
+		e.request, e.attempt, index, index))
+}
+
+func (e events) usage(index, prompt, completion, cached int) {
+	e.write(fmt.Sprintf(`{"request_id":%q,"attempt_id":%q,"index":%d,"choices":[],"usage":{"prompt_tokens":%d,"completion_tokens":%d,"cached_tokens":%d}}`,
+		e.request, e.attempt, index, prompt, completion, cached))
+}
+
+func (e events) write(data string) {
+	_, _ = io.WriteString(e.w, "data: "+data+"\n\n")
+	_ = http.NewResponseController(e.w).Flush()
+}
+
+func (e events) done() { e.write("[DONE]") }
+
+// finish writes the chunks from index on up to count, the usage and the end.
+func (e events) finish(index, count int) {
+	for i := index; i < count; i++ {
+		e.chunk(i)
+	}
+	e.usage(count, 20, count, 5)
+	e.done()
+}
+
+const streamBody = `{"model":"oak","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"Which tooth angle?"}]}`
--- /dev/null
+++ b/entryd/internal/filter/limits.go
@@ -0,0 +1,136 @@
+package filter
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/dandelionpier/dandelionpier/entryd/internal/exchange"
+	"github.com/dandelionpier/dandelionpier/internal/refusal"
+)
+
+// BodyLimit refuses bodies of more than limit bytes.
+func BodyLimit(limit int64) Filter {
+	return func(next Handler) Handler {
+		return func(w http.ResponseWriter, r *http.Request, x *exchange.Exchange) error {
+			if r.ContentLength > limit {
+				return refusal.New(http.StatusRequestEntityTooLarge, "body-too-large", refusal.DidNotRun,
+					"The body has %d bytes; at most %d are allowed.", r.ContentLength, limit)
+			}
+			r.Body = http.MaxBytesReader(w, r.Body, limit)
+			return next(w, r, x)
+		}
+	}
+}
+
+// TimeLimitHeader is the caller's time limit in seconds.
+const TimeLimitHeader = "X-Time-Limit"
+
+// writeGrace is the time after the time limit in which an error can still be written to the caller.
+const writeGrace = 2 * time.Second
+
+// TimeLimit sets the deadline of the request from the caller's header, or from the default.
+func TimeLimit(standard, largest time.Duration) Filter {
+	return func(next Handler) Handler {
+		return func(w http.ResponseWriter, r *http.Request, x *exchange.Exchange) error {
+			limit, err := timeLimit(r.Header.Values(TimeLimitHeader), standard, largest)
+			if err != nil {
+				return err
+			}
+			x.Deadline = x.Start.Add(limit)
+			ctx, cancel := context.WithDeadline(r.Context(), x.Deadline)
+			defer cancel()
+			// A caller that does not read must not hold the request beyond its time limit.
+			_ = http.NewResponseController(w).SetWriteDeadline(x.Deadline.Add(writeGrace))
+			return next(w, r.WithContext(ctx), x)
+		}
+	}
+}
+
+func timeLimit(values []string, standard, largest time.Duration) (time.Duration, error) {
+	if len(values) == 0 {
+		return standard, nil
+	}
+	seconds, err := strconv.ParseFloat(values[0], 64)
+	valid := err == nil && len(values) == 1 && !math.IsNaN(seconds) && seconds > 0 && seconds <= largest.Seconds()
+	if !valid {
+		return 0, refusal.New(http.StatusBadRequest, "invalid-time-limit", refusal.DidNotRun,
+			"The header %s must be a number of seconds above 0 and at most %v.", TimeLimitHeader, largest.Seconds()).WithParam(TimeLimitHeader)
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
+
+// RateLimit holds each workspace to the request rate of its configuration.
+func RateLimit() Filter {
+	var mu sync.Mutex
+	limiters := make(map[string]*rate.Limiter)
+	allow := func(workspace string, limit float64) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		limiter := limiters[workspace]
+		if limiter == nil {
+			limiter = rate.NewLimiter(rate.Limit(limit), burst(limit))
+			limiters[workspace] = limiter
+		}
+		if limiter.Limit() != rate.Limit(limit) {
+			limiter.SetLimit(rate.Limit(limit))
+			limiter.SetBurst(burst(limit))
+		}
+		return limiter.Allow()
+	}
+	return func(next Handler) Handler {
+		return func(w http.ResponseWriter, r *http.Request, x *exchange.Exchange) error {
+			limit := x.Workspace.RequestRate
+			if limit > 0 && !allow(x.Workspace.Name, limit) {
+				return refusal.New(http.StatusTooManyRequests, "rate-limit", refusal.DidNotRun,
+					"The workspace may send %g requests a second.", limit).WithRetryAfter(time.Second)
+			}
+			return next(w, r, x)
+		}
+	}
+}
+
+// burst allows one second's worth of requests at once.
+func burst(limit float64) int {
+	return max(1, int(math.Ceil(limit)))
+}
+
+// InFlight bounds the concurrent requests of each workspace, by its configuration, and of the entry.
+func InFlight(largest int) Filter {
+	var mu sync.Mutex
+	total := 0
+	counts := make(map[string]int)
+	return func(next Handler) Handler {
+		return func(w http.ResponseWriter, r *http.Request, x *exchange.Exchange) error {
+			name, limit := x.Workspace.Name, x.Workspace.MaxInFlight
+			mu.Lock()
+			switch {
+			case limit > 0 && counts[name] >= limit:
+				mu.Unlock()
+				return refusal.New(http.StatusTooManyRequests, "in-flight-limit", refusal.DidNotRun,
+					"The workspace may have %d requests in flight at this entry.", limit).WithRetryAfter(time.Second)
+			case total >= largest:
+				mu.Unlock()
+				return refusal.New(http.StatusServiceUnavailable, "overloaded", refusal.DidNotRun,
+					"The entry has %d requests in flight and takes no more.", total).WithRetryAfter(time.Second)
+			}
+			total++
+			counts[name]++
+			mu.Unlock()
+			defer func() {
+				mu.Lock()
+				defer mu.Unlock()
+				total--
+				if counts[name]--; counts[name] == 0 {
+					delete(counts, name)
+				}
+			}()
+			return next(w, r, x)
+		}
+	}
+}
--- /dev/null
+++ b/entryd/internal/filter/record.go
@@ -0,0 +1,94 @@
+package filter
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/entryd/internal/cell"
+	"github.com/dandelionpier/dandelionpier/entryd/internal/exchange"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/logging"
+	"github.com/dandelionpier/dandelionpier/internal/metrics"
+	"github.com/dandelionpier/dandelionpier/internal/refusal"
+)
+
+// RecordConfig sets up Record.
+type RecordConfig struct {
+	// Access receives one line for each request.
+	Access  *zap.Logger
+	Metrics *metrics.Registry
+	// Draining asks callers to connect elsewhere for their next request.
+	Draining func() bool
+}
+
+// Record turns a handler into an http.Handler: it gives the request its id, sends the handler's error
+// to the caller, and writes the access log and the metrics.
+func Record(config RecordConfig, handler Handler) http.Handler {
+	inFlight := config.Metrics.Gauge("entry_requests_in_flight")
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x := &exchange.Exchange{RequestID: newRequestID(), Start: time.Now()}
+		w.Header().Set(endpoint.HeaderRequestID, x.RequestID)
+		if config.Draining() {
+			w.Header().Set("Connection", "close")
+		}
+		inFlight.Update(inFlight.Value() + 1)
+		err := guarded(config.Access, handler, w, r, x)
+		inFlight.Update(inFlight.Value() - 1)
+		finish(w, x, err)
+		config.Access.Info("Request", x.Fields(time.Now())...)
+		count(config.Metrics, x)
+	})
+}
+
+// guarded keeps a fault in the handling of one request from ending the process.
+func guarded(logger *zap.Logger, handler Handler, w http.ResponseWriter, r *http.Request, x *exchange.Exchange) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			logger.Error("A handler panicked", zap.String(logging.RequestID, x.RequestID), zap.Any("cause", cause), zap.ByteString("stack", debug.Stack()))
+			err = refusal.New(http.StatusInternalServerError, "internal", refusal.MayHaveRun, "The entry failed to handle the request.")
+		}
+	}()
+	return handler(w, r, x)
+}
+
+func finish(w http.ResponseWriter, x *exchange.Exchange, err error) {
+	if err == nil {
+		x.Outcome = "ok"
+		return
+	}
+	var refused refusal.Error
+	if !errors.As(err, &refused) {
+		refused = refusal.New(http.StatusInternalServerError, "internal", refusal.MayHaveRun, "The entry failed to handle the request.")
+	}
+	x.Outcome, x.Code = string(refused.Outcome), refused.Code
+	if x.Committed {
+		return
+	}
+	x.Status = refused.Status
+	if refused.Status != cell.StatusCallerLeft {
+		refused.Write(w)
+	}
+}
+
+func count(registry *metrics.Registry, x *exchange.Exchange) {
+	registry.Counter("entry_requests_total", "outcome", x.Outcome, "code", x.Code).Inc(1)
+	registry.Counter("entry_attempts_total").Inc(int64(len(x.Attempts)))
+	registry.Counter("entry_output_tokens_total").Inc(int64(x.OutputTokens))
+	if x.FirstToken > 0 {
+		registry.Histogram("entry_time_to_first_token_microseconds").Update(x.FirstToken.Microseconds())
+	}
+}
+
+const requestIDBytes = 12
+
+func newRequestID() string {
+	var id [requestIDBytes]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
--- /dev/null
+++ b/entryd/internal/service/dispatch.go
@@ -0,0 +1,103 @@
+package service
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/entryd/internal/exchange"
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// NoResponse means that the service did not answer.
+	NoResponse Kind = "no-response"
+	// Unusable means that the answer cannot be passed on.
+	Unusable Kind = "unusable"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+const dialTimeout = 2 * time.Second
+
+// onceTransport uses a fresh connection for each request: http.Transport sends a request again on its
+// own when a kept connection breaks.
+func onceTransport() *http.Transport {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+}
+
+func repeatableTransport() *http.Transport {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+}
+
+// forwarded are the caller's headers that the service gets. The bearer key and the headers that make
+// http.Transport repeat a request are not among them.
+var forwarded = []string{"Content-Type", "Accept", "Accept-Language"}
+
+// dispatch sends the call to an endpoint, once. connected says whether any byte of it may have been
+// written: it is set before the transport writes to the connection.
+func (s *Server) dispatch(ctx context.Context, x *exchange.Exchange, call Call, transport http.RoundTripper, grant dispatch.Grant) (response Response, connected bool, err error) {
+	const op = "call service"
+	var wrote atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method,
+		"http://"+grant.Members[0].Address+call.Path, nil)
+	if err != nil {
+		return Response{}, false, fault.Wrap(err, op, Unusable, "make the request")
+	}
+	if len(call.Body) > 0 {
+		// GetBody stays unset, so that the transport cannot send the body a second time.
+		request.Body = io.NopCloser(bytes.NewReader(call.Body))
+		request.ContentLength = int64(len(call.Body))
+	}
+	setHeaders(request.Header, x, call, grant)
+	answer, err := transport.RoundTrip(request)
+	if err != nil {
+		return Response{}, wrote.Load(), fault.Wrap(err, op, NoResponse, grant.Members[0].Endpoint)
+	}
+	defer answer.Body.Close()
+	response, err = s.read(answer, x.RequestID)
+	return response, true, err
+}
+
+func setHeaders(h http.Header, x *exchange.Exchange, call Call, grant dispatch.Grant) {
+	for _, name := range forwarded {
+		if value := call.Header.Get(name); value != "" {
+			h.Set(name, value)
+		}
+	}
+	h.Set(endpoint.HeaderRequestID, x.RequestID)
+	h.Set(endpoint.HeaderAttemptID, grant.ID)
+	h.Set(endpoint.HeaderPriority, strconv.FormatInt(grant.Priority, 10))
+	h.Set(endpoint.HeaderDeadline, strconv.FormatInt(x.Deadline.UnixMilli(), 10))
+}
+
+// read takes the whole answer: the caller sees a complete response or an error.
+func (s *Server) read(answer *http.Response, requestID string) (Response, error) {
+	const op = "read service response"
+	if got := answer.Header.Get(endpoint.HeaderRequestID); got != "" && got != requestID {
+		return Response{}, fault.New(op, Unusable, "the response is of request %.64q", got)
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, int64(s.config.MaxResponse)+1))
+	if err != nil {
+		return Response{}, fault.Wrap(err, op, NoResponse, "read body")
+	}
+	if len(body) > s.config.MaxResponse {
+		return Response{}, fault.New(op, Unusable, "the response has more than %d bytes", s.config.MaxResponse)
+	}
+	return Response{Status: answer.StatusCode, ContentType: answer.Header.Get("Content-Type"), Body: body}, nil
+}
