Add pierctl run, check, query and version

Operators need a command line that scripts can rely on.

pierctl parses texts locally, makes keys and sends only their sums, resends a command under the same command id to the other control addresses when an answer is lost, and ends with documented exit codes. Output is a table, JSON lines or CSV.

--- a/pierctl/internal/cli/cli.go
+++ b/pierctl/internal/cli/cli.go
@@ -1,7 +1,298 @@
 // Package cli is the command line of pierctl.
 package cli
 
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/dandelionpier/dandelionpier/internal/control"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/language"
+	"github.com/dandelionpier/dandelionpier/pierctl/internal/client"
+	"github.com/dandelionpier/dandelionpier/pierctl/internal/output"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// Usage means that the command line, settings or text is wrong.
+	Usage Kind = "usage"
+	// Failed means that the result cannot be written.
+	Failed Kind = "failed"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// The exit codes. Scripts rely on them; docs/operators.md lists them.
+const (
+	exitDone        = 0
+	exitUsage       = 2
+	exitConflict    = 3
+	exitRejected    = 4
+	exitUnavailable = 5
+	exitPartial     = 6
+)
+
+const exitCodes = `Exit codes: 0 done, 2 usage or parse error, 3 conflict, 4 rejected, 5 unavailable, 6 partial answer.`
+
+// program holds what a run reads and writes.
+type program struct {
+	in   io.Reader
+	out  io.Writer
+	errs io.Writer
+	http *http.Client
+	// pause is client.Config's.
+	pause func(ctx context.Context, d time.Duration) bool
+	code  int
+}
+
 // Run executes the program and returns its exit code.
 func Run(args []string) int {
-	return 0
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	p := program{in: os.Stdin, out: os.Stdout, errs: os.Stderr, http: &http.Client{}}
+	return p.run(ctx, args)
+}
+
+func (p *program) run(ctx context.Context, args []string) int {
+	if err := p.root().Run(ctx, args); err != nil {
+		fmt.Fprintln(p.errs, "pierctl:", err)
+		return exitCode(err)
+	}
+	return p.code
+}
+
+func exitCode(err error) int {
+	switch {
+	case fault.Is(err, client.Unavailable):
+		return exitUnavailable
+	case fault.Is(err, client.Refused):
+		return exitRejected
+	default:
+		return exitUsage
+	}
+}
+
+func (p *program) root() *cli.Command {
+	return &cli.Command{
+		Name:        "pierctl",
+		Usage:       "operate a dandelionpier deployment",
+		Description: "The language of commands and queries is described in docs/language.md.\n" + exitCodes,
+		Reader:      p.in,
+		Writer:      p.out,
+		ErrWriter:   p.errs,
+		// The library would end the process with its own exit codes.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError:   usageError,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Sources: cli.EnvVars("PIERCTL_SETTINGS"), Usage: "settings `FILE`; by default dandelionpier/pierctl.yaml in the user's configuration directory"},
+			&cli.StringSliceFlag{Name: "address", Usage: "operator `ADDRESS` of a control instance; may be repeated"},
+			&cli.StringFlag{Name: "key-file", Usage: "`FILE` with the operator key"},
+			&cli.StringFlag{Name: "output", Usage: "output `FORMAT`: table, json (one object a line) or csv"},
+			&cli.DurationFlag{Name: "timeout", Usage: "bound of all attempts"},
+		},
+		Commands: []*cli.Command{
+			{
+				Name: "run", Usage: "run the lines of a transaction", ArgsUsage: "[LINES…]", Flags: commandFlags(), OnUsageError: usageError,
+				Action: func(ctx context.Context, c *cli.Command) error { return p.command(ctx, c, false) },
+			},
+			{
+				Name: "check", Usage: "say what a transaction would change, without doing it", ArgsUsage: "[LINES…]", Flags: commandFlags(), OnUsageError: usageError,
+				Action: func(ctx context.Context, c *cli.Command) error { return p.command(ctx, c, true) },
+			},
+			{
+				Name: "query", Usage: "answer a query", ArgsUsage: "[QUERY]", Flags: []cli.Flag{fileFlag()}, OnUsageError: usageError, Action: p.query,
+			},
+			{Name: "version", Usage: "print the version", Action: p.version},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return fault.New("read command line", Usage, "unknown command %q; see pierctl --help", c.Args().First())
+			}
+			return cli.ShowAppHelp(c)
+		},
+	}
+}
+
+// usageError replaces the library's help text, which goes to standard output.
+func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return fault.Wrap(err, "read command line", Usage, "see pierctl --help")
+}
+
+func fileFlag() cli.Flag {
+	return &cli.StringFlag{Name: "file", Usage: "read the text from `FILE`; without it and without arguments, from standard input"}
+}
+
+func commandFlags() []cli.Flag {
+	return []cli.Flag{
+		fileFlag(),
+		&cli.StringFlag{Name: "command-id", Usage: "`ID` of an earlier attempt whose result is wanted"},
+		&cli.Uint64Flag{Name: "expected-revision", Usage: "`REVISION` that the lines were written against; another one in force is a conflict"},
+	}
+}
+
+// text returns the language text of a command line.
+func (p *program) text(c *cli.Command) (string, error) {
+	const op = "read text"
+	if path := c.String("file"); path != "" {
+		if c.Args().Present() {
+			return "", fault.New(op, Usage, "give either --file or lines as arguments")
+		}
+		data, err := os.ReadFile(path)
+		return string(data), fault.Wrap(err, op, Usage, "the file")
+	}
+	if c.Args().Present() {
+		return strings.Join(c.Args().Slice(), "\n"), nil
+	}
+	data, err := io.ReadAll(io.LimitReader(p.in, language.MaxTextBytes+1))
+	return string(data), fault.Wrap(err, op, Usage, "standard input")
+}
+
+func (p *program) client(c *cli.Command) (*client.Client, Settings, error) {
+	s, err := settingsOf(c)
+	if err != nil {
+		return nil, s, err
+	}
+	key, err := readKey(s.KeyFile)
+	if err != nil {
+		return nil, s, fault.Wrap(err, "read key", Usage, "the operator key")
+	}
+	return client.New(client.Config{Addresses: s.Addresses, Key: key, HTTP: p.http, Pause: p.pause}), s, nil
+}
+
+func (p *program) command(ctx context.Context, c *cli.Command, check bool) error {
+	text, err := p.text(c)
+	if err != nil {
+		return err
+	}
+	parsed, err := language.Parse(text)
+	if err != nil {
+		return err
+	}
+	if parsed.Transaction == nil {
+		return fault.New("read text", Usage, "the text has no commands; pierctl query answers queries")
+	}
+	request := language.CommandRequest{CommandID: c.String("command-id")}
+	if request.CommandID == "" {
+		request.CommandID = rand.Text()
+	}
+	if c.IsSet("expected-revision") {
+		expected := c.Uint64("expected-revision")
+		request.Expected = &expected
+	}
+	parsed.Transaction.Check = parsed.Transaction.Check || check
+	made := language.MakeKeys(parsed.Transaction)
+	if len(made) > 0 && c.IsSet("command-id") {
+		return fault.New("read text", Usage, "a resend names the sum of the key made before in place of new")
+	}
+	request.Text = parsed.Transaction.String()
+	return p.submit(ctx, c, request, made)
+}
+
+// submit sends a transaction and writes its result. Keys are shown when the transaction was accepted,
+// and also when that is not known: they cannot be had later.
+func (p *program) submit(ctx context.Context, c *cli.Command, request language.CommandRequest, made []language.MadeKey) error {
+	sender, s, err := p.client(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
+	defer cancel()
+	reply, err := sender.Command(ctx, request)
+	if fault.Is(err, client.Unavailable) {
+		fmt.Fprintf(p.errs, "The transaction may have run. Its result can be had with --command-id %s and the lines:\n%s", request.CommandID, request.Text)
+		return errors.Join(err, output.Keys(p.out, s.Output, made))
+	}
+	if err != nil {
+		return err
+	}
+	p.code = resultCode(reply.Status)
+	if reply.Status == string(control.Accepted) {
+		if err := output.Keys(p.out, s.Output, made); err != nil {
+			return fault.Wrap(err, "write keys", Failed, "output")
+		}
+	}
+	return fault.Wrap(output.Result(p.out, s.Output, reply), "write result", Failed, "output")
+}
+
+func resultCode(status string) int {
+	switch control.SubmitStatus(status) {
+	case control.Accepted, control.Valid:
+		return exitDone
+	case control.Conflict:
+		return exitConflict
+	case control.Rejected:
+		return exitRejected
+	default:
+		return exitUnavailable
+	}
+}
+
+func (p *program) query(ctx context.Context, c *cli.Command) error {
+	text, err := p.text(c)
+	if err != nil {
+		return err
+	}
+	parsed, err := language.Parse(text)
+	if err != nil {
+		return err
+	}
+	if parsed.Query == nil {
+		return fault.New("read text", Usage, "the text has no query; pierctl run runs commands")
+	}
+	sender, s, err := p.client(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
+	defer cancel()
+	reply, err := sender.Query(ctx, text)
+	if err != nil {
+		return err
+	}
+	p.note(reply)
+	return fault.Wrap(output.Rows(p.out, s.Output, reply), "write rows", Failed, "output")
+}
+
+// note writes to standard error what the answer lacks.
+func (p *program) note(reply language.QueryReply) {
+	if len(reply.Rows) < reply.Total {
+		fmt.Fprintf(p.errs, "%d of %d rows\n", len(reply.Rows), reply.Total)
+	}
+	for _, missing := range reply.Missing {
+		p.code = exitPartial
+		fmt.Fprintf(p.errs, "missing: %s: %s\n", missing.Part, missing.Error)
+	}
+}
+
+func (p *program) version(context.Context, *cli.Command) error {
+	revision, modified := "unknown", ""
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		info = &debug.BuildInfo{}
+	}
+	for _, setting := range info.Settings {
+		switch {
+		case setting.Key == "vcs.revision":
+			revision = setting.Value
+		case setting.Key == "vcs.modified" && setting.Value == "true":
+			modified = " (modified)"
+		}
+	}
+	_, err := fmt.Fprintf(p.out, "pierctl %s%s, %s\n", revision, modified, info.GoVersion)
+	return fault.Wrap(err, "write version", Failed, "output")
 }
--- /dev/null
+++ b/pierctl/internal/cli/cli_test.go
@@ -0,0 +1,172 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dandelionpier/dandelionpier/internal/language"
+)
+
+// instance stands for a control instance and answers each request with the next of its answers; the last one stays.
+type instance struct {
+	*httptest.Server
+	mu       sync.Mutex
+	answers  []answer
+	commands []language.CommandRequest
+	keys     []string
+}
+
+type answer struct {
+	status int
+	body   string
+}
+
+func newInstance(t *testing.T, answers ...answer) *instance {
+	c := &instance{answers: answers}
+	c.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var request language.CommandRequest
+		_ = json.NewDecoder(r.Body).Decode(&request)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.commands = append(c.commands, request)
+		c.keys = append(c.keys, r.Header.Get("Authorization"))
+		next := c.answers[0]
+		if len(c.answers) > 1 {
+			c.answers = c.answers[1:]
+		}
+		if next.status == 0 {
+			panic(http.ErrAbortHandler) // the answer is lost
+		}
+		w.WriteHeader(next.status)
+		_, _ = w.Write([]byte(next.body))
+	}))
+	t.Cleanup(c.Close)
+	return c
+}
+
+func (c *instance) received() ([]language.CommandRequest, []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.commands, c.keys
+}
+
+type result struct {
+	code      int
+	out, errs string
+}
+
+func run(t *testing.T, controls []*instance, in string, args ...string) result {
+	t.Helper()
+	directory := t.TempDir()
+	t.Setenv("XDG_CONFIG_HOME", directory)
+	key := filepath.Join(directory, "key")
+	if err := os.WriteFile(key, []byte("secret\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	all := []string{"pierctl", "--key-file", key, "--timeout", "1m"}
+	for _, c := range controls {
+		all = append(all, "--address", c.Listener.Addr().String())
+	}
+	var out, errs bytes.Buffer
+	p := program{in: strings.NewReader(in), out: &out, errs: &errs, http: &http.Client{}, pause: func(context.Context, time.Duration) bool { return false }}
+	code := p.run(t.Context(), append(all, args...))
+	return result{code, out.String(), errs.String()}
+}
+
+const (
+	accepted = `{"status":"accepted","revision":8,"in-force":true}`
+	conflict = `{"status":"conflict","revision":8,"since":[{"revision":8,"author":"itziar","time":"2026-12-04T05:00:00Z","changes":["set model oak replicas 3"]}]}`
+	rejected = `{"status":"rejected","revision":7,"message":"workspace \"a\" does not exist"}`
+	rows     = `{"columns":[{"name":"model","type":"text"},{"name":"adapters","type":"list"},{"name":"cost","type":"cents"}],"rows":[["oak",["x","y"],1.5],["a\u001bb",null,12345678901234567]],"total":5,"revision":7}`
+	partial  = `{"columns":[{"name":"cell","type":"text"}],"rows":[],"total":0,"revision":7,"missing":[{"part":"cell oak/north","error":"deadline exceeded"}]}`
+)
+
+// Guards against exit codes and outputs that change under the scripts that rely on them.
+func TestExitCodesAndOutput(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer answer
+		args   []string
+		code   int
+		out    string
+		errs   string
+	}{
+		"accepted":      {answer{200, accepted}, []string{"run", "set model oak"}, 0, "accepted, revision 8, in force\n", ""},
+		"accepted json": {answer{200, accepted}, []string{"--output", "json", "run", "set model oak"}, 0, accepted + "\n", ""},
+		"accepted csv":  {answer{200, accepted}, []string{"--output", "csv", "run", "set model oak"}, 0, "status,revision,in-force,message\naccepted,8,true,\n", ""},
+		"conflict": {
+			answer{409, conflict},
+			[]string{"run", "set model oak"},
+			3, "conflict, revision 8\nrevision 8 by itziar at 2026-12-04T05:00:00Z:\n  set model oak replicas 3\n", "",
+		},
+		"rejected":       {answer{422, rejected}, []string{"run", "unset workspace a"}, 4, "rejected, revision 7\nworkspace \"a\" does not exist\n", ""},
+		"denied":         {answer{401, `{"error":"no operator key"}`}, []string{"query", "show models"}, 4, "", "no operator key"},
+		"parse error":    {answer{200, accepted}, []string{"run", "st model oak"}, 2, "", "1:1: unexpected \"st\"; did you mean \"set\"?"},
+		"usage error":    {answer{200, accepted}, []string{"run", "--unknown"}, 2, "", "unknown"},
+		"unknown verb":   {answer{200, accepted}, []string{"runn"}, 2, "", "unknown command"},
+		"wrong format":   {answer{200, accepted}, []string{"--output", "xml", "query", "show models"}, 2, "", "table json csv"},
+		"unavailable":    {answer{503, `{"error":"no quorum"}`}, []string{"run", "--command-id", "12345678", "set model oak"}, 5, "", "--command-id 12345678"},
+		"query as table": {answer{200, rows}, []string{"query", "show models"}, 0, "MODEL     ADAPTERS  COST\noak       x, y      1.5\n\"a\\x1bb\"  -         12345678901234567\n", "2 of 5 rows"},
+		"query as json":  {answer{200, rows}, []string{"--output", "json", "query", "show models"}, 0, `{"model":"oak","adapters":["x","y"],"cost":1.5}` + "\n" + `{"model":"a\u001bb","adapters":null,"cost":12345678901234567}` + "\n", "2 of 5 rows"},
+		"query as csv":   {answer{200, rows}, []string{"--output", "csv", "query", "show models"}, 0, "model,adapters,cost\noak,\"x, y\",1.5\na\x1bb,,12345678901234567\n", "2 of 5 rows"},
+		"partial answer": {answer{200, partial}, []string{"query", "show running"}, 6, "CELL\n", "missing: cell oak/north: deadline exceeded"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := run(t, []*instance{newInstance(t, test.answer)}, "", test.args...)
+			is.Equal(got.code, test.code)
+			is.Equal(got.out, test.out)
+			is.True(strings.Contains(got.errs, test.errs))
+			is.True(!strings.Contains(got.out+got.errs, "secret"))
+		})
+	}
+}
+
+// Guards against a lost answer that makes the command run twice or fail: the next instance gets the
+// same command id and text.
+func TestLostAnswerIsResent(t *testing.T) {
+	is := is.New(t)
+	first, second := newInstance(t, answer{}), newInstance(t, answer{200, accepted})
+	got := run(t, []*instance{first, second}, "add key new to workspace shop\n", "run")
+	is.Equal(got.code, 0)
+	lost, _ := first.received()
+	resent, keys := second.received()
+	is.Equal(lost, resent)
+	is.Equal(keys[0], "Bearer secret")
+	// The key is shown; only its sum was sent.
+	key := strings.TrimSpace(strings.SplitN(strings.SplitN(got.out, "\n", 2)[0], ": ", 2)[1])
+	is.True(strings.Contains(resent[0].Text, language.HashKey(key)))
+	is.True(!strings.Contains(resent[0].Text, key))
+}
+
+// Guards against a follower's hint at the leader that is not used.
+func TestFollowsLeader(t *testing.T) {
+	is := is.New(t)
+	leader := newInstance(t, answer{200, accepted})
+	follower := newInstance(t, answer{503, `{"error":"does not lead","leader":"` + leader.Listener.Addr().String() + `"}`})
+	got := run(t, []*instance{follower}, "", "check", "set model oak")
+	is.Equal(got.code, 0)
+	commands, _ := leader.received()
+	is.Equal(commands[0].Text, "check\nset model oak\n")
+}
+
+// Guards against a resend that shows a fresh key although the first attempt's key is the one in force.
+func TestResendNamesKeyBySum(t *testing.T) {
+	is := is.New(t)
+	lost := run(t, []*instance{newInstance(t, answer{503, `{"error":"no quorum"}`})}, "", "run", "add key new to workspace shop")
+	is.Equal(lost.code, 5)
+	key := strings.TrimSpace(strings.SplitN(lost.out, ": ", 2)[1])
+	is.True(strings.Contains(lost.errs, "add key "+language.HashKey(key)+" to workspace shop"))
+	again := run(t, []*instance{newInstance(t, answer{200, accepted})}, "", "run", "--command-id", "12345678", "add key new to workspace shop")
+	is.Equal(again.code, 2)
+}
--- /dev/null
+++ b/pierctl/internal/cli/settings.go
@@ -0,0 +1,71 @@
+package cli
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/dandelionpier/dandelionpier/internal/settings"
+)
+
+// Settings are the options of the settings file; flags take precedence.
+type Settings struct {
+	// Addresses are the operator addresses of the control instances.
+	Addresses []string `yaml:"addresses" validate:"min=1,dive,hostname_port"`
+	// KeyFile holds the operator key on one line.
+	KeyFile string `yaml:"key-file" validate:"required"`
+	// Output is the output format.
+	Output string `yaml:"output" validate:"oneof=table json csv"`
+	// Timeout bounds all attempts of a command or query.
+	Timeout time.Duration `yaml:"timeout" validate:"gt=0"`
+}
+
+const defaultTimeout = 30 * time.Second
+
+// settingsOf reads the settings file, if there is one or one is named, and applies the flags.
+func settingsOf(c *cli.Command) (Settings, error) {
+	s := Settings{Output: "table", Timeout: defaultTimeout}
+	path := c.String("settings")
+	if path == "" {
+		path = defaultPath()
+	}
+	if path != "" {
+		if err := settings.Load(path, &s); err != nil {
+			return s, err
+		}
+	}
+	if c.IsSet("address") {
+		s.Addresses = c.StringSlice("address")
+	}
+	if c.IsSet("key-file") {
+		s.KeyFile = c.String("key-file")
+	}
+	if c.IsSet("output") {
+		s.Output = c.String("output")
+	}
+	if c.IsSet("timeout") {
+		s.Timeout = c.Duration("timeout")
+	}
+	return s, settings.Parse("settings and flags", []byte("{}"), &s)
+}
+
+// defaultPath returns the settings file in the user's configuration directory, if it exists.
+func defaultPath() string {
+	directory, err := os.UserConfigDir()
+	if err != nil {
+		return ""
+	}
+	path := filepath.Join(directory, "dandelionpier", "pierctl.yaml")
+	if _, err := os.Stat(path); err != nil {
+		return ""
+	}
+	return path
+}
+
+func readKey(path string) (string, error) {
+	data, err := os.ReadFile(path)
+	return strings.TrimSpace(string(data)), err
+}
