Connect the entry daemon to the control client, the purse and the dispatcher

Cause: entries had an API and no parts behind it. Change: Connect makes the session keeper, the purse and the dispatcher; the dispatcher of a cell is the first by rendezvous hashing in the cell's region. A prompt of a million tokens is not served yet: the dispatcher does not reserve groups.

--- a/entryd/internal/cli/connect.go
+++ b/entryd/internal/cli/connect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -9,7 +10,11 @@
 	"github.com/dandelionpier/dandelionpier/entryd/internal/completion"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/options"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/service"
+	"github.com/dandelionpier/dandelionpier/internal/control"
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/ledger"
 	"github.com/dandelionpier/dandelionpier/internal/metrics"
 	"github.com/dandelionpier/dandelionpier/internal/peer"
 	"github.com/dandelionpier/dandelionpier/internal/session"
@@ -21,8 +26,6 @@
 const (
 	// Listen means that an address could not be listened on.
 	Listen Kind = "listen"
-	// Incomplete means that the program lacks a part.
-	Incomplete Kind = "incomplete"
 )
 
 // Error is the error type of this package.
@@ -60,6 +63,73 @@
 type Connector func(site Site) (Parts, error)
 
 // Connect makes the parts of the running system.
-func Connect(Site) (Parts, error) {
-	return Parts{}, fault.New("connect parts", Incomplete, "this build has no control client and no dispatcher")
+func Connect(site Site) (Parts, error) {
+	client := control.NewClient(control.ClientConfig{Addresses: site.Options.Control, Caller: site.Pool})
+	keeper := session.NewKeeper(session.KeeperConfig{Member: site.Member, Leader: client, Logger: site.Logger})
+	purse := ledger.NewPurse(ledger.PurseConfig{
+		Entry:       site.Member.Instance,
+		Incarnation: site.Member.Incarnation,
+		Bank:        client,
+		Logger:      site.Logger,
+	})
+	dispatcher := newDispatcher(site, client, keeper)
+	return Parts{
+		Keeper:     keeper,
+		Claims:     client,
+		Purse:      purseAdapter{purse},
+		Observer:   discard{},
+		Dispatcher: dispatcher.Service(),
+		Runs:       []func(context.Context) error{dispatcher.Run, purse.Run, keeper.Run},
+	}, nil
 }
+
+// quarantineTimeout bounds the report of a request that crashes endpoints.
+const quarantineTimeout = 10 * time.Second
+
+func newDispatcher(site Site, client *control.Client, keeper *session.Keeper) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{
+		Instance: site.Member.Instance,
+		Owns: func(cell string) bool {
+			view, _ := keeper.View()
+			member, ok := view.Dispatcher(cell)
+			return ok && member.Instance == site.Member.Instance
+		},
+		Holdings: endpoint.NewClient(endpoint.ClientConfig{}),
+		Settings: site.Options.DispatchSettings(),
+		Logger:   site.Logger,
+		Quarantined: func(fingerprint uint64) bool {
+			view, _ := keeper.View()
+			return view.Quarantined[fingerprint]
+		},
+		Quarantine: func(fingerprint uint64) {
+			ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
+			defer cancel()
+			err := client.Quarantine(ctx, control.QuarantineRequest{Fingerprint: fingerprint})
+			if err != nil {
+				site.Logger.Error("Could not record a quarantined request", zap.Error(err))
+			}
+		},
+		EndpointDrained: func(endpoint string) bool {
+			view, _ := keeper.View()
+			return view.Configuration.Endpoints[endpoint].Drain
+		},
+	})
+}
+
+// purseAdapter returns holds as the interface that package completion declares.
+type purseAdapter struct {
+	purse *ledger.Purse
+}
+
+func (a purseAdapter) Reserve(ctx context.Context, workspace string, limit, amount int64) (completion.Hold, error) {
+	hold, err := a.purse.Reserve(ctx, workspace, limit, amount)
+	if err != nil {
+		return nil, err
+	}
+	return hold, nil
+}
+
+// discard drops service-level observations.
+type discard struct{}
+
+func (discard) Observe(string, string, time.Duration, time.Duration, bool) {}
--- a/entryd/internal/options/options.go
+++ b/entryd/internal/options/options.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/settings"
 )
@@ -62,6 +63,7 @@
 	PrefillRate     float64       `yaml:"assumed-prefill-rate" validate:"min=1" description:"Tokens a second, for the estimate while no dispatcher gives one."`
 	DecodeRate      float64       `yaml:"assumed-decode-rate" validate:"min=0.1" description:"Tokens a second, for the time that a response without stream may take."`
 	StallTimeout    time.Duration `yaml:"stall-timeout" validate:"min=10ms,max=900s" description:"Longest pause between two events of a stream."`
+	DispatchProfile string        `yaml:"dispatch-profile" validate:"oneof=balanced long-prompts short-slowdown" description:"What the dispatcher weighs higher: time to first token of long prompts, or slowdown of short requests."`
 	EngineIdle      int           `yaml:"idle-connections" validate:"min=0,max=10000" description:"Idle connections kept to each engine."`
 }
 
@@ -94,6 +96,7 @@
 		DecodeRate:       10,
 		StallTimeout:     10 * time.Second,
 		EngineIdle:       256,
+		DispatchProfile:  "balanced",
 	}
 }
 
@@ -124,6 +127,18 @@
 	return nil
 }
 
+// DispatchSettings returns the dispatcher's settings of the profile.
+func (o *Options) DispatchSettings() dispatch.Settings {
+	switch o.DispatchProfile {
+	case "long-prompts":
+		return dispatch.LongPromptSettings()
+	case "short-slowdown":
+		return dispatch.ShortSlowdownSettings()
+	default:
+		return dispatch.DefaultSettings()
+	}
+}
+
 // Reference returns a Markdown table of all options.
 func Reference() string {
 	var b strings.Builder
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -16,32 +16,32 @@
 }
 
 // Reserve is Dispatcher.Reserve.
-func (s *Service) Reserve(request *ReserveRequest, reply *ReserveReply) error {
+func (s *Service) Reserve(request ReserveRequest, reply *ReserveReply) error {
 	var err error
-	*reply, err = s.dispatcher.Reserve(context.Background(), *request)
+	*reply, err = s.dispatcher.Reserve(context.Background(), request)
 	return err
 }
 
 // Await is Dispatcher.Await.
-func (s *Service) Await(request *AwaitRequest, reply *ReserveReply) error {
+func (s *Service) Await(request AwaitRequest, reply *ReserveReply) error {
 	var err error
-	*reply, err = s.dispatcher.Await(context.Background(), *request)
+	*reply, err = s.dispatcher.Await(context.Background(), request)
 	return err
 }
 
 // Report is Dispatcher.Report.
-func (s *Service) Report(request *ReportRequest, _ *ReportReply) error {
-	return s.dispatcher.Report(context.Background(), *request)
+func (s *Service) Report(request ReportRequest, _ *ReportReply) error {
+	return s.dispatcher.Report(context.Background(), request)
 }
 
 // Announce is Dispatcher.Announce.
-func (s *Service) Announce(request *AnnounceRequest, _ *AnnounceReply) error {
-	return s.dispatcher.Announce(context.Background(), *request)
+func (s *Service) Announce(request AnnounceRequest, _ *AnnounceReply) error {
+	return s.dispatcher.Announce(context.Background(), request)
 }
 
 // Endpoints is Dispatcher.Endpoints.
-func (s *Service) Endpoints(request *EndpointsRequest, reply *EndpointsReply) error {
+func (s *Service) Endpoints(request EndpointsRequest, reply *EndpointsReply) error {
 	var err error
-	*reply, err = s.dispatcher.Endpoints(context.Background(), *request)
+	*reply, err = s.dispatcher.Endpoints(context.Background(), request)
 	return err
 }
