--- /dev/null
+++ b/internal/dispatch/breaker.go
@@ -0,0 +1,97 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// breaker is the circuit breaker of one endpoint. It opens after consecutive failures, lets one probe
+// through after a back-off with jitter, and closes when a request succeeds.
+type breaker struct {
+	failures int
+	open     bool
+	since    time.Time
+	retryAt  time.Time
+	backOff  time.Duration
+	// probe is the grant that tests an open breaker.
+	probe string
+}
+
+// backOffJitter is the share by which a back-off varies, so that probes of several endpoints that
+// failed together do not coincide.
+const backOffJitter = 0.2
+
+// allows says whether the endpoint may get work.
+func (b *breaker) allows(now time.Time) bool {
+	return !b.open || (b.probe == "" && !now.Before(b.retryAt))
+}
+
+// granted records a grant; the first one after the back-off is the probe.
+func (b *breaker) granted(now time.Time, id string) {
+	if b.open && b.probe == "" && !now.Before(b.retryAt) {
+		b.probe = id
+	}
+}
+
+func (b *breaker) succeeded() {
+	*b = breaker{}
+}
+
+// released records that a grant ended without a verdict on the endpoint.
+func (b *breaker) released(id string) {
+	if b.probe == id {
+		b.probe = ""
+	}
+}
+
+func (b *breaker) failed(now time.Time, id string, s *Settings, jitter float64) {
+	b.failures++
+	switch {
+	case b.open && b.probe != id:
+		return
+	case b.open:
+		b.backOff = min(2*b.backOff, s.BreakerMaxBackOff)
+	case b.failures >= s.BreakerFailures:
+		b.open, b.since, b.backOff = true, now, s.BreakerBackOff
+	default:
+		return
+	}
+	b.probe = ""
+	b.retryAt = now.Add(time.Duration(float64(b.backOff) * (1 + backOffJitter*(2*jitter-1))))
+}
+
+// eject decides which replicas get no work: those with an open breaker, and those with a lost
+// connection until they announce themselves again; the earliest first, and never more than half of
+// the replicas that could take work.
+func (c *cell) eject(now time.Time) {
+	usable := 0
+	var suspicious []*replica
+	for _, r := range c.order {
+		r.ejected, r.tainted = false, false
+		if !r.takesWork() {
+			continue
+		}
+		usable++
+		if !r.breaker.allows(now) || !r.unsure.IsZero() {
+			r.tainted = true
+			suspicious = append(suspicious, r)
+		}
+	}
+	if usable > 0 {
+		c.ready = now
+	}
+	slices.SortFunc(suspicious, func(a, b *replica) int {
+		return cmp.Or(a.suspiciousSince().Compare(b.suspiciousSince()), cmp.Compare(a.name, b.name))
+	})
+	for _, r := range suspicious[:min(len(suspicious), usable/2)] {
+		r.ejected = true
+	}
+}
+
+func (r *replica) suspiciousSince() time.Time {
+	if r.breaker.open && (r.unsure.IsZero() || r.breaker.since.Before(r.unsure)) {
+		return r.breaker.since
+	}
+	return r.unsure
+}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -2,25 +2,254 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 )
 
-// call is one call to an endpoint, made by Run outside of the cell's lock.
+// call is work that Run does outside of the cell's lock, mostly calls to endpoints.
 type call interface {
 	make(ctx context.Context, d *Dispatcher)
 }
 
-// cancelCall ends an attempt that has no grant any more.
+// cancelCall ends an attempt that has no grant any more, and frees its memory.
 type cancelCall struct {
 	endpoint, address, attempt string
 }
 
 func (c cancelCall) make(ctx context.Context, d *Dispatcher) {
-	if err := d.config.Holdings.Cancel(ctx, c.address, c.attempt); err != nil {
-		d.config.Logger.Warn("Attempt not cancelled; the next comparison of holdings repeats it",
-			zap.String(logging.Endpoint, c.endpoint), zap.String(logging.AttemptID, c.attempt), zap.Error(err))
+	err := bounded(ctx, func(ctx context.Context) error {
+		return d.config.Holdings.Cancel(ctx, c.address, c.attempt)
+	})
+	d.warn(err, "Attempt not cancelled; the next comparison of holdings repeats it", c.endpoint, c.attempt)
+}
+
+// deleteCall frees a holding.
+type deleteCall struct {
+	endpoint, address, holding string
+}
+
+func (c deleteCall) make(ctx context.Context, d *Dispatcher) {
+	err := bounded(ctx, func(ctx context.Context) error {
+		return d.config.Holdings.Delete(ctx, c.address, c.holding)
+	})
+	d.warn(err, "Holding not deleted; it expires or the next comparison repeats it", c.endpoint, c.holding)
+}
+
+// renewCall keeps a holding of a group.
+type renewCall struct {
+	endpoint, address, holding string
+}
+
+func (c renewCall) make(ctx context.Context, d *Dispatcher) {
+	err := bounded(ctx, func(ctx context.Context) error {
+		return d.config.Holdings.Renew(ctx, c.address, c.holding, GrantTTL)
+	})
+	d.warn(err, "Holding not renewed", c.endpoint, c.holding)
+}
+
+// quarantineCall reports a new quarantine.
+type quarantineCall struct {
+	fingerprint uint64
+}
+
+func (c quarantineCall) make(_ context.Context, d *Dispatcher) {
+	d.config.Quarantine(c.fingerprint)
+}
+
+// createCall creates the holdings of a group. The first member by name is asked alone: of two
+// dispatchers that want overlapping groups, the one that comes second there has not taken memory
+// anywhere. Nothing waits while it holds memory, so there is no deadlock.
+type createCall struct {
+	cell    *cell
+	grant   *grant
+	members []GrantMember
+}
+
+func (c createCall) make(ctx context.Context, d *Dispatcher) {
+	members := slices.Clone(c.members)
+	slices.SortFunc(members, func(a, b GrantMember) int { return strings.Compare(a.Endpoint, b.Endpoint) })
+	err := c.create(ctx, d, members[0])
+	if err == nil {
+		err = c.createAll(ctx, d, members[1:])
+	}
+	c.cell.mu.Lock()
+	keep := c.cell.holdingsCreated(d.config.Clock(), c.grant, err == nil)
+	d.finish(c.cell)
+	if keep {
+		return
+	}
+	d.warn(err, "Group not reserved; its holdings are deleted", members[0].Endpoint, c.grant.ID)
+	var deletions sync.WaitGroup
+	for _, m := range members {
+		deletions.Go(func() { deleteCall{m.Endpoint, m.Address, m.Holding}.make(ctx, d) })
+	}
+	deletions.Wait()
+}
+
+func (c createCall) createAll(ctx context.Context, d *Dispatcher, members []GrantMember) error {
+	errs := make([]error, len(members))
+	var creations sync.WaitGroup
+	for i, m := range members {
+		creations.Go(func() { errs[i] = c.create(ctx, d, m) })
+	}
+	creations.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c createCall) create(ctx context.Context, d *Dispatcher, m GrantMember) error {
+	return bounded(ctx, func(ctx context.Context) error {
+		return d.config.Holdings.Create(ctx, m.Address, endpoint.Holding{
+			ID: m.Holding, Holder: d.config.Instance, Tokens: m.Tokens, TTL: GrantTTL.Milliseconds(),
+		})
+	})
+}
+
+// listCall compares the holdings of an engine with the grants of all cells that it serves.
+type listCall struct {
+	cell              *cell
+	endpoint, address string
+	incarnation       string
+	models            []string
+	region            string
+}
+
+func (c listCall) make(ctx context.Context, d *Dispatcher) {
+	cells := d.ownedCells(c.models, c.region)
+	if cells == nil {
+		return
+	}
+	var holdings []endpoint.Holding
+	err := bounded(ctx, func(ctx context.Context) error {
+		var err error
+		holdings, err = d.config.Holdings.List(ctx, c.address)
+		return err
+	})
+	if err != nil {
+		d.warn(err, "Holdings not listed", c.endpoint, "")
+		return
+	}
+	unknown := slices.DeleteFunc(holdings, func(h endpoint.Holding) bool {
+		return slices.ContainsFunc(cells, func(other *cell) bool {
+			other.mu.Lock()
+			defer d.finish(other)
+			return other.knows(h.ID)
+		})
+	})
+	c.cell.mu.Lock()
+	c.cell.compared(d.config.Clock(), c.endpoint, c.incarnation, unknown)
+	d.finish(c.cell)
+}
+
+// ownedCells returns the cells of an engine's models, or nil when another entry dispatches for one of
+// them: only all of them together know which holdings are orphans.
+func (d *Dispatcher) ownedCells(models []string, region string) []*cell {
+	var cells []*cell
+	for _, model := range models {
+		c := d.cell(Cell(model, region))
+		if c == nil {
+			return nil
+		}
+		cells = append(cells, c)
+	}
+	return cells
+}
+
+func (d *Dispatcher) warn(err error, message, endpointName, id string) {
+	if err != nil {
+		d.config.Logger.Warn(message, zap.String(logging.Endpoint, endpointName), zap.String("id", id), zap.Error(err))
+	}
+}
+
+// bounded runs one call with a deadline of its own.
+func bounded(ctx context.Context, run func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return run(ctx)
+}
+
+func (c *cell) callCancel(r *replica, attempt string) {
+	c.calls = append(c.calls, cancelCall{endpoint: r.name, address: r.announcement.Address, attempt: attempt})
+}
+
+func (c *cell) callDelete(r *replica, holding string) {
+	c.calls = append(c.calls, deleteCall{endpoint: r.name, address: r.announcement.Address, holding: holding})
+}
+
+// knows says whether a holding belongs to a live grant: it is named like the attempt at a single
+// engine, and has an id of its own in a group.
+func (c *cell) knows(holding string) bool {
+	if c.grants[holding] != nil {
+		return true
+	}
+	for _, g := range c.grants {
+		for _, p := range g.parts {
+			if p.holding == holding {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// compare has the holdings of all engines listed.
+func (c *cell) compare(time.Time) {
+	for _, r := range c.order {
+		a := &r.announcement
+		if r.announced && r.engine() {
+			c.calls = append(c.calls, listCall{
+				cell: c, endpoint: r.name, address: a.Address, incarnation: a.Incarnation, models: a.Models, region: a.Region,
+			})
+		}
+	}
+}
+
+// compared takes the holdings of an engine that no grant explains. One that stays without a grant for
+// GrantTTL is an orphan: by then its entry would have reported it, also to a new dispatcher.
+func (c *cell) compared(now time.Time, name, incarnation string, unknown []endpoint.Holding) {
+	r := c.replicas[name]
+	if r == nil || r.announcement.Incarnation != incarnation {
+		return
+	}
+	seen := make(map[string]time.Time, len(unknown))
+	r.foreignHeld = 0
+	for _, h := range unknown {
+		first, known := r.unknown[h.ID]
+		if !known {
+			first = now
+		}
+		seen[h.ID] = first
+		r.foreignHeld += h.Tokens
+		if now.Sub(first) >= GrantTTL {
+			c.callCancel(r, h.ID)
+			c.callDelete(r, h.ID)
+		}
+	}
+	r.unknown = seen
+	c.pump(now)
+}
+
+// renew has the holdings of all groups renewed.
+func (c *cell) renew(time.Time) {
+	for _, id := range sortedKeys(c.grants) {
+		g := c.grants[id]
+		for _, p := range g.parts {
+			if p.holding != "" && !g.creating {
+				c.calls = append(c.calls, renewCall{
+					endpoint: p.replica.name, address: p.replica.announcement.Address, holding: p.holding,
+				})
+			}
+		}
 	}
 }
--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -1,10 +1,30 @@
 package dispatch
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/logging"
+	"github.com/dandelionpier/dandelionpier/internal/prefix"
+)
+
+const (
+	// ticketTTL is how long a ticket lives while nobody awaits it.
+	ticketTTL = 2 * time.Second
+	// endedTTL is how long ended attempts are remembered, so that late events do not adopt them; it is
+	// longer than an entry keeps reporting after it last heard of a grant.
+	endedTTL = 4 * GrantTTL
+	// patience is how long reservations wait for a first ready endpoint: a new dispatcher hears of all
+	// live ones within that time.
+	patience = endpoint.DeadAfter
+	// maxScan bounds the reservations that one event tries to place, which bounds its processor time.
+	maxScan = 32
 )
 
 // cell is the view of one cell and all decisions on it. Its methods do no I/O and take the time as an
@@ -12,130 +32,601 @@
 type cell struct {
 	name     string
 	config   *Config
+	settings *Settings
 	mu       sync.Mutex
 	replicas map[string]*replica
-	grants   map[string]*grant
-	calls    []call
+	// order has the replicas by name.
+	order  []*replica
+	index  *prefix.Index
+	hits   []int
+	grants map[string]*grant
+	// items are queued reservations, and resolved ones until they have been fetched.
+	items map[string]*item
+	queue *fairQueue
+	hold  *hold
+	// ended has the attempts that ended lately with the time.
+	ended    map[string]time.Time
+	suspects suspects
+	// ready is when an endpoint could last take work.
+	ready time.Time
+	// created is when this dispatcher took over the cell.
+	created    time.Time
+	meanOutput float64
+	drain      drainRate
+	// scan numbers the runs of pump, groups the reserved groups.
+	scan, groups uint64
+	closed       bool
+	calls        []call
 }
 
-type replica struct {
-	announcement endpoint.Announcement
-	seen         time.Time
-	grants       map[string]*grant
-	tokens       int
+// item is a reservation on its way to a grant.
+type item struct {
+	request  ReserveRequest
+	arrival  time.Time
+	deadline time.Time
+	key      int64
+	class    LengthClass
+	tokens   int
+	// cost is what fair queueing charges; it is 0 once it was charged.
+	cost int
+	flow *flow
+	done chan struct{}
+	// reply is set when the item is resolved.
+	reply     *ReserveReply
+	resolved  time.Time
+	awaiting  int
+	lastAwait time.Time
+	notBefore time.Time
+	// pending is the group whose holdings are being created.
+	pending *grant
+	// service is the shortest expected time from start to end, estimate that from arrival to first token.
+	service  time.Duration
+	estimate time.Duration
+	// scan is the last run of pump that tried it.
+	scan uint64
+	// safety says that the last try found no replica without other suspects.
+	safety bool
 }
 
+// grant is a grant with what its end has to undo.
 type grant struct {
 	Grant
-	replica *replica
-	tokens  int
-	event   time.Time
+	parts       []*part
+	class       LengthClass
+	key         int64
+	workspace   string
+	fingerprint uint64
+	blocks      []uint64
+	hit         int
+	granted     time.Time
+	event       time.Time
+	firstToken  time.Time
+	// expected is when the grant is expected to end, end when it ends at the latest.
+	expected  time.Time
+	end       time.Time
+	prefilled bool
+	// overtaken says that work with a higher priority came after it, so that its time to first token
+	// does not measure the prefill rate.
+	overtaken bool
+	adopted   bool
+	// creating is set while the holdings of a group are being created.
+	creating bool
 }
 
-func newCell(name string, config *Config, _ time.Time) *cell {
-	return &cell{name: name, config: config, replicas: make(map[string]*replica), grants: make(map[string]*grant)}
+func newCell(name string, config *Config, now time.Time) *cell {
+	return &cell{
+		name:     name,
+		config:   config,
+		settings: &config.Settings,
+		replicas: make(map[string]*replica),
+		index:    prefix.NewIndex(),
+		grants:   make(map[string]*grant),
+		items:    make(map[string]*item),
+		queue:    newFairQueue(config.Settings.ClassStep),
+		ended:    make(map[string]time.Time),
+		suspects: newSuspects(),
+		ready:    now,
+		created:  now,
+	}
 }
 
-// reserve grants the replica with the fewest reserved tokens.
+// reserve grants, queues or refuses. A repeated call for an attempt gets the first result.
 func (c *cell) reserve(now time.Time, request ReserveRequest) ReserveReply {
-	if g := c.grants[request.AttemptID]; g != nil {
-		return ReserveReply{Status: Granted, Grant: g.Grant}
+	if c.closed {
+		return ReserveReply{Status: Elsewhere}
 	}
-	var best *replica
-	for _, r := range c.replicas {
-		if r.announcement.State != endpoint.Ready || c.config.EndpointDrained(r.announcement.Name) {
-			continue
+	if reply, known := c.known(request.AttemptID); known {
+		return reply
+	}
+	it := c.newItem(now, request)
+	if c.quarantined(now, request.Fingerprint) {
+		return refuse(Quarantine, 0, "the request crashed endpoints before and is quarantined")
+	}
+	if c.queue.size == 0 {
+		outcome := c.place(now, it)
+		if outcome.granted != nil && !outcome.granted.creating {
+			return ReserveReply{Status: Granted, Grant: outcome.granted.Grant}
+		}
+		if outcome.granted != nil {
+			c.items[request.AttemptID] = it
+			return c.queued(it)
 		}
-		if best == nil || r.tokens < best.tokens {
-			best = r
+		if outcome.refusal != nil {
+			return *outcome.refusal
 		}
 	}
-	if best == nil {
-		return ReserveReply{Status: Refused, Reason: NoEndpoint, Message: "cell " + c.name + " has no ready endpoint"}
+	if refusal := c.admit(now, it); refusal != nil {
+		return *refusal
+	}
+	c.items[request.AttemptID] = it
+	c.queue.push(it)
+	c.pump(now)
+	if it.reply != nil {
+		return c.fetch(it)
+	}
+	return c.queued(it)
+}
+
+// known returns the state of an attempt that has been reserved before.
+func (c *cell) known(attempt string) (ReserveReply, bool) {
+	if it := c.items[attempt]; it != nil {
+		if it.reply == nil {
+			return c.queued(it), true
+		}
+		if it.reply.Status != Granted {
+			return *it.reply, true
+		}
+	}
+	if g := c.grants[attempt]; g != nil {
+		return ReserveReply{Status: Granted, Grant: g.Grant}, true
+	}
+	if _, ended := c.ended[attempt]; ended {
+		return refuse(NoEndpoint, 0, "attempt %s has ended; a new attempt needs a new id", attempt), true
 	}
+	return ReserveReply{}, false
+}
+
+func (c *cell) newItem(now time.Time, request ReserveRequest) *item {
 	tokens := request.PromptTokens + request.MaxTokens
-	g := &grant{replica: best, tokens: tokens, event: now, Grant: Grant{ID: request.AttemptID, Members: []GrantMember{{
-		Endpoint: best.announcement.Name, Address: best.announcement.Address, Tokens: tokens,
-	}}}}
-	c.grants[g.ID] = g
-	best.grants[g.ID] = g
-	best.tokens += tokens
-	return ReserveReply{Status: Granted, Grant: g.Grant}
+	return &item{
+		request:   request,
+		arrival:   now,
+		deadline:  now.Add(request.TimeLeft),
+		key:       c.key(now, request),
+		class:     Length(request.PromptTokens),
+		tokens:    tokens,
+		cost:      max(1, tokens),
+		done:      make(chan struct{}),
+		lastAwait: now,
+	}
 }
 
-func (c *cell) end(g *grant) {
-	delete(c.grants, g.ID)
-	delete(g.replica.grants, g.ID)
-	g.replica.tokens -= g.tokens
+// key is the engine priority in milliseconds: the arrival, plus the expected prefill times the ageing
+// factor, plus a step for each workspace priority class. It does not change with time, so work is
+// overtaken only by what arrives within a bounded time after it.
+func (c *cell) key(now time.Time, request ReserveRequest) int64 {
+	prefill := float64(request.PromptTokens) / c.settings.PrefillRate * c.settings.AgeingFactor
+	ageing := min(c.settings.AgeingLimit, time.Duration(prefill*float64(time.Second)))
+	class := time.Duration(request.Priority) * c.settings.ClassStep
+	return now.Add(ageing + class).UnixMilli()
+}
+
+func (c *cell) queued(it *item) ReserveReply {
+	return ReserveReply{Status: Queued, Ticket: ticketOf(c.name, it.request.AttemptID), Estimate: it.estimate}
 }
 
-func (c *cell) beginAwait(time.Time, string) <-chan struct{} { return nil }
+func refuse(reason Reason, after time.Duration, format string, args ...any) ReserveReply {
+	return ReserveReply{Status: Refused, Reason: reason, RetryAfter: after, Message: fmt.Sprintf(format, args...)}
+}
+
+// resolve gives a queued reservation its result.
+func (c *cell) resolve(now time.Time, it *item, reply ReserveReply) {
+	c.queue.remove(it)
+	it.reply, it.resolved = &reply, now
+	close(it.done)
+	if c.hold != nil && c.hold.item == it {
+		c.hold = nil
+	}
+}
 
-func (c *cell) endAwait(_ time.Time, attempt string, _ bool) ReserveReply {
+// fetch returns the result of a resolved reservation and forgets it; a grant is still found by its id.
+func (c *cell) fetch(it *item) ReserveReply {
+	delete(c.items, it.request.AttemptID)
+	if it.reply.Status == Granted && c.grants[it.reply.Grant.ID] == nil {
+		// The grant ended before its entry knew of it, so the attempt may be reserved again.
+		delete(c.ended, it.reply.Grant.ID)
+		return ReserveReply{Status: Elsewhere}
+	}
+	return *it.reply
+}
+
+// beginAwait returns the channel that closes when the reservation is resolved, or nil.
+func (c *cell) beginAwait(now time.Time, attempt string) <-chan struct{} {
+	it := c.items[attempt]
+	if it == nil || it.reply != nil {
+		return nil
+	}
+	it.awaiting++
+	it.lastAwait = now
+	return it.done
+}
+
+func (c *cell) endAwait(now time.Time, attempt string, began bool) ReserveReply {
+	it := c.items[attempt]
+	if it == nil {
+		if g := c.grants[attempt]; g != nil {
+			return ReserveReply{Status: Granted, Grant: g.Grant}
+		}
+		return ReserveReply{Status: Elsewhere}
+	}
+	if began && it.awaiting > 0 {
+		it.awaiting--
+	}
+	it.lastAwait = now
+	if it.reply == nil {
+		return c.queued(it)
+	}
 	if g := c.grants[attempt]; g != nil {
-		return ReserveReply{Status: Granted, Grant: g.Grant}
+		g.event = now
+	}
+	return c.fetch(it)
+}
+
+// addGrant books a grant at its replicas.
+func (c *cell) addGrant(now time.Time, g *grant) {
+	c.grants[g.ID] = g
+	delete(c.ended, g.ID)
+	for _, p := range g.parts {
+		p.replica.advance(now, c.settings)
+		p.replica.add(p, now)
+		p.replica.lastGrant = now
+		p.replica.breaker.granted(now, g.ID)
+	}
+	c.suspects.started(g)
+}
+
+// endGrant undoes a grant. Holdings of a group are deleted unless their engine is gone.
+func (c *cell) endGrant(now time.Time, g *grant, gone *replica) {
+	delete(c.grants, g.ID)
+	c.ended[g.ID] = now
+	c.suspects.stopped(g)
+	for _, p := range g.parts {
+		p.replica.remove(p)
+		p.replica.breaker.released(g.ID)
+		if p.holding != "" && !g.creating && p.replica != gone {
+			c.callDelete(p.replica, p.holding)
+		}
 	}
-	return ReserveReply{Status: Elsewhere}
+	c.requeue(g)
 }
 
+// cancelGrant ends a grant whose entry is silent or that must not go on, and its work at the engines.
+func (c *cell) cancelGrant(now time.Time, g *grant) {
+	c.endGrant(now, g, nil)
+	for _, p := range g.parts {
+		c.callCancel(p.replica, g.ID)
+		if p.holding == "" && p.replica.engine() {
+			c.callDelete(p.replica, g.ID)
+		}
+	}
+}
+
+// report takes one event of a grant. Events may be late, repeated, out of order or missing.
 func (c *cell) report(now time.Time, event Event) {
+	if it := c.items[event.Grant]; it != nil && it.reply == nil {
+		if event.Type == Cancelled {
+			c.dropItem(now, it)
+			c.ended[event.Grant] = now
+			c.pump(now)
+		}
+		return
+	}
 	g := c.grants[event.Grant]
 	if g == nil {
+		c.adopt(now, event)
 		return
 	}
 	g.event = now
 	switch event.Type {
-	case Finished, Cancelled, Failed, Died:
-		c.end(g)
+	case Alive:
+		if event.Prefilled {
+			c.prefilled(now, g, 0)
+		}
+	case FirstToken:
+		c.prefilled(now, g, event.Elapsed)
+	case Finished:
+		c.finished(now, g, event)
+	case Cancelled:
+		c.endGrant(now, g, nil)
+	case Failed:
+		c.failed(now, g)
+	case Died:
+		c.connectionLost(now, g)
+	}
+	c.pump(now)
+}
+
+func (c *cell) prefilled(now time.Time, g *grant, elapsed time.Duration) {
+	if g.prefilled {
+		return
+	}
+	for _, p := range g.parts {
+		p.replica.advance(now, c.settings)
+		p.replica.prefilled(p)
+		p.replica.breaker.succeeded()
+	}
+	g.prefilled, g.firstToken = true, now
+	if elapsed > 0 && !g.overtaken && !g.adopted && len(g.parts) == 1 {
+		g.parts[0].replica.measurePrefill(g.Estimate, elapsed)
+	}
+	c.eject(now)
+}
+
+func (c *cell) finished(now time.Time, g *grant, event Event) {
+	for _, p := range g.parts {
+		p.replica.breaker.succeeded()
+	}
+	if g.prefilled && len(g.parts) == 1 {
+		g.parts[0].replica.measureDecode(event.OutputTokens, now.Sub(g.firstToken))
+	}
+	if event.OutputTokens > 0 {
+		c.meanOutput += rateSmoothing * (float64(event.OutputTokens) - c.meanOutput)
+	}
+	c.learnCache(now, g, event.CachedTokens)
+	c.suspects.proved(now, g.fingerprint)
+	c.endGrant(now, g, nil)
+	c.eject(now)
+}
+
+// learnCache corrects the prefix index by the cached tokens that the engine reports.
+func (c *cell) learnCache(now time.Time, g *grant, cached int) {
+	// An engine that had less in its cache than expected is believed only through its cache events
+	// for this long.
+	const pessimism = time.Minute
+	if len(g.parts) != 1 || len(g.blocks) == 0 || !g.parts[0].replica.announced {
+		return
+	}
+	r := g.parts[0].replica
+	actual := min(cached/prefix.BlockTokens, len(g.blocks))
+	switch {
+	case actual < g.hit:
+		c.index.Forget(r.slot, g.blocks[actual:g.hit])
+		r.pessimisticUntil = now.Add(pessimism)
+	case now.Before(r.pessimisticUntil):
+		c.index.Store(r.slot, g.blocks[:actual])
+	default:
+		c.index.Store(r.slot, g.blocks)
+	}
+}
+
+func (c *cell) failed(now time.Time, g *grant) {
+	for _, p := range g.parts {
+		p.replica.breaker.failed(now, g.ID, c.settings, c.config.Jitter())
+	}
+	c.endGrant(now, g, nil)
+	c.eject(now)
+}
+
+// adopt takes over a grant that another dispatcher gave, or an entry itself.
+func (c *cell) adopt(now time.Time, event Event) {
+	if _, ended := c.ended[event.Grant]; ended {
+		return
+	}
+	if event.Type != Alive && event.Type != FirstToken {
+		c.ended[event.Grant] = now
+		return
+	}
+	if len(event.Members) == 0 {
+		return
+	}
+	g := &grant{
+		Grant:       Grant{ID: event.Grant, Members: event.Members},
+		class:       Length(event.PromptTokens),
+		key:         now.UnixMilli(),
+		workspace:   event.Workspace,
+		fingerprint: event.Fingerprint,
+		granted:     now,
+		event:       now,
+		firstToken:  now,
+		expected:    now.Add(GrantTTL),
+		end:         now.Add(GrantTTL),
+		prefilled:   event.Prefilled || event.Type == FirstToken,
+		adopted:     true,
+	}
+	for _, m := range event.Members {
+		prefill := float64(event.PromptTokens) / float64(len(event.Members))
+		r := c.replica(now, m.Endpoint)
+		if r.announcement.Address == "" {
+			r.announcement.Address = m.Address
+		}
+		g.parts = append(g.parts, &part{
+			grant: g, replica: r, tokens: m.Tokens, prefill: prefill, remaining: prefill, holding: m.Holding,
+		})
+	}
+	c.addGrant(now, g)
+}
+
+// replica returns the view of an endpoint, new ones unannounced.
+func (c *cell) replica(now time.Time, name string) *replica {
+	r := c.replicas[name]
+	if r != nil {
+		return r
 	}
+	r = &replica{
+		name: name, announcement: endpoint.Announcement{Name: name}, seen: now, advanced: now, correction: 1,
+		unknown: make(map[string]time.Time), slot: c.index.Add(1),
+	}
+	c.replicas[name] = r
+	at, _ := slices.BinarySearchFunc(c.order, name, func(r *replica, name string) int { return cmp.Compare(r.name, name) })
+	c.order = slices.Insert(c.order, at, r)
+	return r
+}
+
+func (c *cell) removeReplica(r *replica) {
+	c.index.Remove(r.slot)
+	delete(c.replicas, r.name)
+	c.order = slices.DeleteFunc(c.order, func(other *replica) bool { return other == r })
 }
 
+// announce takes an announcement. A new incarnation ends the old life.
 func (c *cell) announce(now time.Time, a endpoint.Announcement) {
-	r := c.replicas[a.Name]
-	if r == nil {
-		r = &replica{grants: make(map[string]*grant)}
-		c.replicas[a.Name] = r
+	r := c.replica(now, a.Name)
+	if r.announced && r.announcement.Incarnation != a.Incarnation {
+		c.died(now, r)
+		c.removeReplica(r)
+		r = c.replica(now, a.Name)
+	}
+	if !r.announced {
+		c.index.Remove(r.slot)
+		r.slot = c.index.Add(max(1, a.Memory/prefix.BlockTokens))
 	}
-	if r.announcement.Incarnation != a.Incarnation {
-		c.endAll(r)
+	c.suspects.announced(now, r.name)
+	r.announcement, r.announced, r.seen = a, true, now
+	r.announcement.CacheEvents = nil
+	r.drained = c.config.EndpointDrained(a.Name)
+	r.unsure = time.Time{}
+	r.advance(now, c.settings)
+	r.takeLoad(now)
+	for _, event := range a.CacheEvents {
+		c.index.Apply(r.slot, event)
 	}
-	r.announcement, r.seen = a, now
+	c.eject(now)
+	c.pump(now)
 }
 
-func (c *cell) endAll(r *replica) {
-	for _, g := range r.grants {
-		c.end(g)
+// died ends the grants of an endpoint that is confirmed dead.
+func (c *cell) died(now time.Time, r *replica) {
+	if !r.announced {
+		for _, p := range slices.Clone(r.parts) {
+			c.endGrant(now, p.grant, r)
+		}
+		return
+	}
+	c.config.Logger.Warn("Endpoint died", zap.String("cell", c.name), zap.String(logging.Endpoint, r.name),
+		zap.Int("grants", len(r.parts)))
+	var running []uint64
+	for _, p := range slices.Clone(r.parts) {
+		if r.announcement.State != endpoint.Leaving {
+			running = append(running, p.grant.fingerprint)
+		}
+		c.endGrant(now, p.grant, r)
+	}
+	for _, culprit := range c.suspects.death(now, r.name, running) {
+		c.quarantine(now, culprit)
 	}
 }
 
+// tick expires what has to be expired and lets time act on the queue.
 func (c *cell) tick(now time.Time) {
-	for name, r := range c.replicas {
+	for _, r := range slices.Clone(c.order) {
+		r.drained = c.config.EndpointDrained(r.name)
 		if now.Sub(r.seen) > endpoint.DeadAfter {
-			c.endAll(r)
-			delete(c.replicas, name)
+			c.died(now, r)
+			c.removeReplica(r)
+		}
+	}
+	for _, id := range sortedKeys(c.grants) {
+		if g := c.grants[id]; now.Sub(g.event) > GrantTTL {
+			c.cancelGrant(now, g)
 		}
 	}
-	for _, g := range c.grants {
-		if now.Sub(g.event) > GrantTTL {
-			c.end(g)
-			a := g.replica.announcement
-			c.calls = append(c.calls, cancelCall{endpoint: a.Name, address: a.Address, attempt: g.ID})
+	for id, at := range c.ended {
+		if now.Sub(at) > endedTTL {
+			delete(c.ended, id)
 		}
 	}
+	c.suspects.expire(now)
+	for _, id := range sortedKeys(c.items) {
+		c.expireItem(now, c.items[id])
+	}
+	c.queue.forget()
+	c.drain.tick(now, c.queue.size > 0)
+	c.eject(now)
+	c.pump(now)
 }
 
-func (c *cell) compare(time.Time) {}
+// expireItem drops reservations that nobody awaits, and refuses those that can no longer be in time.
+func (c *cell) expireItem(now time.Time, it *item) {
+	if it.awaiting == 0 && now.Sub(it.lastAwait) > ticketTTL {
+		c.dropItem(now, it)
+		return
+	}
+	if it.reply != nil || now.Add(it.service).Before(it.deadline) {
+		return
+	}
+	c.withdraw(now, it)
+	reply := c.tooLate(it, 0, it.service)
+	if it.safety {
+		reply = refuse(NoSafeEndpoint, minRetryAfter, "the request ran on an endpoint that died, and no endpoint is free of other such requests")
+	}
+	c.resolve(now, it, reply)
+}
 
-func (c *cell) renew(time.Time) {}
+// dropItem forgets a reservation and what it has reserved.
+func (c *cell) dropItem(now time.Time, it *item) {
+	c.withdraw(now, it)
+	if it.reply == nil {
+		c.resolve(now, it, ReserveReply{Status: Elsewhere})
+	}
+	delete(c.items, it.request.AttemptID)
+	if g := c.grants[it.request.AttemptID]; g != nil {
+		c.endGrant(now, g, nil)
+	}
+}
 
-func (c *cell) abandon() {}
+// withdraw ends the group whose holdings are being created for a reservation; the result of the
+// creation finds no grant and deletes the holdings.
+func (c *cell) withdraw(now time.Time, it *item) {
+	if it.pending == nil {
+		return
+	}
+	g := it.pending
+	it.pending = nil
+	c.endGrant(now, g, nil)
+}
+
+// abandon ends the view when another entry owns the cell.
+func (c *cell) abandon() {
+	c.closed = true
+	for _, it := range c.items {
+		if it.reply == nil {
+			c.resolve(time.Time{}, it, ReserveReply{Status: Elsewhere})
+		}
+	}
+}
 
 func (c *cell) view(now time.Time) EndpointsReply {
 	reply := EndpointsReply{Status: Granted}
-	for _, r := range c.replicas {
+	for _, r := range c.order {
+		if !r.announced {
+			continue
+		}
 		reply.Endpoints = append(reply.Endpoints, EndpointView{
-			Announcement: r.announcement, Grants: len(r.grants), GrantedTokens: r.tokens, Age: now.Sub(r.seen),
+			Announcement: r.announcement, Grants: len(r.parts), GrantedTokens: r.reserved,
+			Age: now.Sub(r.seen), Open: r.ejected,
 		})
 	}
+	for _, f := range c.queue.order(now) {
+		for _, it := range f.items {
+			reply.Waiting = append(reply.Waiting, WaitingView{
+				RequestID: it.request.RequestID, Workspace: it.request.Workspace, Tokens: it.tokens,
+				Waited: now.Sub(it.arrival), Estimate: it.estimate,
+			})
+		}
+	}
 	return reply
 }
+
+// idle says that nothing is known of the cell, so that it can be dropped.
+func (c *cell) idle(now time.Time) bool {
+	return len(c.order) == 0 && len(c.items) == 0 && len(c.grants) == 0 && now.Sub(c.ready) > endedTTL
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -80,6 +80,17 @@
 	Long   float64 `yaml:"long" validate:"gte=0"`
 }
 
+func (w ClassWeights) of(class LengthClass) float64 {
+	switch class {
+	case Short:
+		return w.Short
+	case Long:
+		return w.Long
+	default:
+		return w.Medium
+	}
+}
+
 // Settings are the dispatcher's options.
 type Settings struct {
 	// OwnWeight multiplies the expected time to first token of the request that is being placed.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -233,8 +233,11 @@
 		if d.config.Owns(c.name) {
 			c.mu.Lock()
 			c.tick(d.config.Clock())
+			idle := c.idle(d.config.Clock())
 			d.finish(c)
-			continue
+			if !idle {
+				continue
+			}
 		}
 		d.mu.Lock()
 		delete(d.cells, c.name)
@@ -252,13 +255,15 @@
 		return
 	}
 	defer func() { <-slots }()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	next.make(ctx, d)
 }
 
 const ticketSeparator = "#"
 
+func ticketOf(cell, attempt string) string {
+	return cell + ticketSeparator + attempt
+}
+
 func splitTicket(ticket string) (cell, attempt string) {
 	cell, attempt, _ = strings.Cut(ticket, ticketSeparator)
 	return cell, attempt
--- /dev/null
+++ b/internal/dispatch/group.go
@@ -0,0 +1,288 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// groupRetry is the shortest wait after a group could not be reserved; jitter doubles it at most, so
+	// that two dispatchers that are briefly active do not collide again.
+	groupRetry = 100 * time.Millisecond
+	// overdueEnd is when work that has passed its expected end is expected to end instead.
+	overdueEnd = time.Second
+)
+
+// hold keeps replicas for the first reservation that waits for memory: other work may use them only
+// if it ends before the start estimate.
+type hold struct {
+	item    *item
+	members []*replica
+	start   time.Time
+}
+
+// placeGroup reserves the smallest group that can hold the prompt, if its memory is free now.
+func (c *cell) placeGroup(now time.Time, it *item, where *placement) outcome {
+	all, candidates := c.groupCandidates(it)
+	if size, total := smallestGroup(all, it.tokens); size == 0 {
+		if now.Sub(c.created) < patience {
+			return outcome{}
+		}
+		reply := refuse(TooLarge, 0, "prompt and completion need %d tokens of memory; the %d ready engines of cell %s have %d",
+			it.tokens, len(all), c.name, total)
+		return outcome{refusal: &reply}
+	}
+	size, total := smallestGroup(candidates, it.tokens)
+	if size == 0 {
+		reply := refuse(NoEndpoint, minRetryAfter, "the %d engines of cell %s that were not tried have %d tokens of memory; %d are needed",
+			len(candidates), c.name, total, it.tokens)
+		return outcome{refusal: &reply}
+	}
+	first := c.groupFirstToken(now, it, candidates[:size])
+	it.service = seconds(first)
+	if now.Add(it.service).After(it.deadline) {
+		reply := c.tooLate(it, 0, it.service)
+		return outcome{refusal: &reply}
+	}
+	var safe []*replica
+	for _, r := range candidates {
+		if !r.ejected && where.allows(r) {
+			safe = append(safe, r)
+		}
+	}
+	members := freeGroup(safe, size, it.tokens, (*replica).free)
+	if members == nil || c.groupHeldBack(now, it, members, first) {
+		return outcome{memory: len(safe) >= size, safety: len(safe) < size}
+	}
+	return outcome{granted: c.grantGroup(now, it, members, first)}
+}
+
+// groupCandidates returns the engines that may take work by falling memory, and those of them that the
+// request has not tried.
+func (c *cell) groupCandidates(it *item) (all, candidates []*replica) {
+	for _, r := range c.order {
+		if r.takesWork() && r.engine() {
+			all = append(all, r)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b *replica) int {
+		return cmp.Compare(b.announcement.Memory, a.announcement.Memory)
+	})
+	for _, r := range all {
+		if !slices.Contains(it.request.Exclude, r.name) {
+			candidates = append(candidates, r)
+		}
+	}
+	return all, candidates
+}
+
+// smallestGroup returns how many of the replicas, given by falling memory, hold the tokens when they
+// are empty, 0 if all together do not, and the memory of all.
+func smallestGroup(replicas []*replica, tokens int) (size, total int) {
+	for i, r := range replicas {
+		total += r.announcement.Memory
+		if size == 0 && total >= tokens {
+			size = i + 1
+		}
+	}
+	return size, total
+}
+
+// freeGroup returns the size replicas with the most free memory, the emptiest first, or nil when they
+// cannot hold the tokens.
+func freeGroup(replicas []*replica, size, tokens int, free func(*replica) int) []*replica {
+	if len(replicas) < size {
+		return nil
+	}
+	sorted := slices.Clone(replicas)
+	slices.SortStableFunc(sorted, func(a, b *replica) int {
+		return cmp.Or(cmp.Compare(free(b), free(a)), cmp.Compare(a.queuedPrefill(), b.queuedPrefill()))
+	})
+	sum := 0
+	for _, r := range sorted[:size] {
+		sum += max(0, free(r))
+	}
+	if sum < tokens {
+		return nil
+	}
+	return sorted[:size]
+}
+
+// groupFirstToken is the expected time to first token in seconds: the longest wait at a member and
+// the prefill shared by all.
+func (c *cell) groupFirstToken(now time.Time, it *item, members []*replica) float64 {
+	wait, rates := 0.0, 0.0
+	for _, r := range members {
+		r.advance(now, c.settings)
+		rate := r.prefillRate(c.settings)
+		ahead, _ := c.delays(r, it.key, rate)
+		wait = max(wait, ahead)
+		rates += rate
+	}
+	return wait + float64(it.request.PromptTokens)/rates
+}
+
+func (c *cell) groupHeldBack(now time.Time, it *item, members []*replica, first float64) bool {
+	return slices.ContainsFunc(members, func(r *replica) bool { return c.heldBack(now, it, r, first) })
+}
+
+// grantGroup books a group and has its holdings created; the grant is given out once all exist.
+func (c *cell) grantGroup(now time.Time, it *item, members []*replica, first float64) *grant {
+	request := &it.request
+	g := &grant{
+		Grant: Grant{ID: request.AttemptID, Priority: it.key, Estimate: seconds(first)},
+		class: it.class, key: it.key, workspace: request.Workspace, fingerprint: request.Fingerprint,
+		granted: now, event: now, end: c.latestEnd(now, it, members[0], first), creating: true,
+		expected: now.Add(seconds(first + c.expectedDecode(it, members[0]))),
+	}
+	c.groups++
+	for i, tokens := range shares(members, it.tokens) {
+		r := members[i]
+		holding := fmt.Sprintf("%s-%s-%d-%d", request.AttemptID, c.config.Instance, c.groups, i)
+		prefill := float64(request.PromptTokens) / float64(len(members))
+		g.parts = append(g.parts, &part{
+			grant: g, replica: r, tokens: tokens, prefill: prefill, remaining: prefill, holding: holding,
+		})
+		g.Members = append(g.Members, GrantMember{
+			Endpoint: r.name, Address: r.announcement.Address, Holding: holding, Tokens: tokens,
+		})
+	}
+	c.addGrant(now, g)
+	it.pending = g
+	c.calls = append(c.calls, createCall{cell: c, grant: g, members: slices.Clone(g.Members)})
+	return g
+}
+
+// shares splits the tokens over the members in proportion to their free memory.
+func shares(members []*replica, tokens int) []int {
+	sum := 0
+	for _, r := range members {
+		sum += max(0, r.free())
+	}
+	result := make([]int, len(members))
+	left := tokens
+	for i, r := range members {
+		result[i] = int(int64(tokens) * int64(max(0, r.free())) / int64(sum))
+		left -= result[i]
+	}
+	for i, r := range members {
+		extra := min(left, r.free()-result[i])
+		result[i] += extra
+		left -= extra
+	}
+	return result
+}
+
+// created takes the result of creating the holdings of a group, and says whether they are kept.
+func (c *cell) holdingsCreated(now time.Time, g *grant, succeeded bool) bool {
+	it := c.items[g.ID]
+	if c.closed || it == nil || it.pending != g {
+		return false
+	}
+	if !succeeded {
+		it.notBefore = now.Add(groupRetry + time.Duration(c.config.Jitter()*float64(groupRetry)))
+		c.endGrant(now, g, nil)
+		c.pump(now)
+		return false
+	}
+	it.pending = nil
+	g.creating, g.event = false, now
+	c.resolve(now, it, ReserveReply{Status: Granted, Grant: g.Grant})
+	return true
+}
+
+// requeue puts a reservation back whose group ended before all of its holdings existed.
+func (c *cell) requeue(g *grant) {
+	it := c.items[g.ID]
+	if it == nil || it.pending != g {
+		return
+	}
+	it.pending = nil
+	delete(c.ended, g.ID)
+	if it.reply == nil {
+		c.queue.push(it)
+	}
+}
+
+// holdFor keeps replicas for a reservation that waits for memory, from the estimate of when enough of
+// it is free.
+func (c *cell) holdFor(now time.Time, it *item) {
+	_, candidates := c.groupCandidates(it)
+	candidates = slices.DeleteFunc(candidates, func(r *replica) bool { return r.ejected })
+	size, _ := smallestGroup(candidates, it.tokens)
+	if size == 0 {
+		return
+	}
+	members, start := earliestGroup(now, candidates, size, it.tokens, latestEnd)
+	c.hold = &hold{item: it, members: members, start: start}
+	it.estimate = start.Sub(now) + it.service
+}
+
+// groupWait is the expected wait for the memory of a group.
+func (c *cell) groupWait(now time.Time, it *item) time.Duration {
+	_, candidates := c.groupCandidates(it)
+	size, _ := smallestGroup(candidates, it.tokens)
+	if size == 0 {
+		return 0
+	}
+	_, start := earliestGroup(now, candidates, size, it.tokens, expectedEnd)
+	return start.Sub(now)
+}
+
+func latestEnd(g *grant) time.Time { return g.end }
+
+func expectedEnd(g *grant) time.Time { return g.expected }
+
+// earliestGroup returns the group that has the tokens free first when all work ends at the given times.
+func earliestGroup(now time.Time, replicas []*replica, size, tokens int, end func(*grant) time.Time) ([]*replica, time.Time) {
+	type release struct {
+		at   time.Time
+		part *part
+	}
+	var releases []release
+	free := make(map[*replica]int, len(replicas))
+	for _, r := range replicas {
+		free[r] = r.free()
+		for _, p := range r.parts {
+			at := end(p.grant)
+			if at.Before(now.Add(overdueEnd)) {
+				at = now.Add(overdueEnd)
+			}
+			releases = append(releases, release{at: at, part: p})
+		}
+	}
+	slices.SortStableFunc(releases, func(a, b release) int { return a.at.Compare(b.at) })
+	at := now
+	lookup := func(r *replica) int { return free[r] }
+	for i := 0; ; i++ {
+		if members := freeGroup(replicas, size, tokens, lookup); members != nil {
+			return members, at
+		}
+		if i == len(releases) {
+			// Memory that others hold is in the way; its end is unknown.
+			return replicas[:size], at.Add(overdueEnd)
+		}
+		at = releases[i].at
+		free[releases[i].part.replica] += releases[i].part.tokens
+	}
+}
+
+// heldBack says whether work at a replica has to wait for the reservation that the replica is kept for.
+func (c *cell) heldBack(now time.Time, it *item, r *replica, first float64) bool {
+	if c.hold == nil || c.hold.item == it || !slices.Contains(c.hold.members, r) {
+		return false
+	}
+	return c.latestEnd(now, it, r, first).After(c.hold.start)
+}
+
+// checkHold drops a hold that no longer serves its reservation.
+func (c *cell) checkHold() {
+	h := c.hold
+	if h.item.reply != nil || h.item.flow == nil || slices.ContainsFunc(h.members, func(r *replica) bool {
+		return c.replicas[r.name] != r || !r.takesWork()
+	}) {
+		c.hold = nil
+	}
+}
--- /dev/null
+++ b/internal/dispatch/replica.go
@@ -0,0 +1,221 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+)
+
+const (
+	// unfinishedShare of a prefill counts as still to do until its first token is reported, even when
+	// the estimate says that it is done.
+	unfinishedShare = 0.05
+	// rateSmoothing is the share of a new measurement in a moving average.
+	rateSmoothing = 0.1
+	// maxCorrection bounds how far measured times to first token move the reported prefill rate.
+	maxCorrection = 4
+	// minMeasured is the shortest predicted prefill that is used to correct the rate; below it the
+	// network takes a large part of the time.
+	minMeasured = 20 * time.Millisecond
+	// reportWindow is how far back own work is looked for in a load report: the age of a report plus
+	// the interval between two of them.
+	reportWindow = 3 * endpoint.AnnounceInterval
+)
+
+// replica is the view of one endpoint.
+type replica struct {
+	name         string
+	announcement endpoint.Announcement
+	// announced is false for an endpoint that is known only from adopted grants.
+	announced bool
+	drained   bool
+	seen      time.Time
+	slot      int
+	// parts are all grants here, queued those without their first token, by rising key.
+	parts  []*part
+	queued []*part
+	// reserved is the memory of own grants in tokens.
+	reserved int
+	// decoding counts the grants with a first token by length class.
+	decoding [lengthClasses]int
+	advanced time.Time
+	// foreignPrefill and foreignUsed are what load reports show beyond own grants; foreignHeld is the
+	// memory of holdings without a grant, from the last comparison.
+	foreignPrefill float64
+	foreignUsed    int
+	foreignHeld    int
+	peaks          []peak
+	// correction is the ratio of measured to predicted times to first token.
+	correction float64
+	decodeRate float64
+	lastGrant  time.Time
+	breaker    breaker
+	// unsure is when a connection to the endpoint was lost; zero once it has announced itself since.
+	unsure  time.Time
+	ejected bool
+	tainted bool
+	// unknown has when a holding without a grant was first seen here.
+	unknown map[string]time.Time
+	// optimistic says that prompts count as cached after they ran; an engine that reported fewer
+	// cached tokens than expected is believed only through its cache events until then.
+	pessimisticUntil time.Time
+}
+
+// peak is the largest own work in a span of time that ends at the given time.
+type peak struct {
+	at      time.Time
+	prefill float64
+	used    int
+}
+
+// part is the share of a grant at one replica.
+type part struct {
+	grant   *grant
+	replica *replica
+	tokens  int
+	// prefill is the uncached share of the prompt, remaining what is left of it.
+	prefill   float64
+	remaining float64
+	holding   string
+}
+
+func (r *replica) engine() bool {
+	return r.announcement.Type != endpoint.Service
+}
+
+// takesWork says whether the endpoint may get grants as far as its own state and operators go.
+func (r *replica) takesWork() bool {
+	return r.announced && r.announcement.State == endpoint.Ready && !r.drained
+}
+
+func (r *replica) prefillRate(s *Settings) float64 {
+	rate := r.announcement.Load.PrefillRate
+	if rate <= 0 {
+		rate = s.PrefillRate
+	}
+	return rate / r.correction
+}
+
+func (r *replica) streamRate(s *Settings) float64 {
+	if r.decodeRate > 0 {
+		return r.decodeRate
+	}
+	return s.DecodeRate
+}
+
+// free returns the memory in tokens that no known work holds.
+func (r *replica) free() int {
+	return r.announcement.Memory - r.reserved - max(r.foreignUsed, r.foreignHeld)
+}
+
+// advance lets the queued prefills progress up to now, in order of priority.
+func (r *replica) advance(now time.Time, s *Settings) {
+	elapsed := now.Sub(r.advanced)
+	r.advanced = now
+	if elapsed <= 0 || len(r.queued) == 0 {
+		return
+	}
+	done := elapsed.Seconds() * r.prefillRate(s)
+	for _, p := range r.queued {
+		step := min(done, max(0, p.remaining-unfinishedShare*p.prefill))
+		p.remaining -= step
+		done -= step
+		if done <= 0 {
+			return
+		}
+	}
+}
+
+func (r *replica) queuedPrefill() float64 {
+	sum := 0.0
+	for _, p := range r.queued {
+		sum += p.remaining
+	}
+	return sum
+}
+
+func (r *replica) add(p *part, now time.Time) {
+	r.parts = append(r.parts, p)
+	r.reserved += p.tokens
+	if p.grant.prefilled {
+		r.decoding[p.grant.class]++
+	} else {
+		at := len(r.queued)
+		for at > 0 && r.queued[at-1].grant.key > p.grant.key {
+			at--
+			r.queued[at].grant.overtaken = true
+		}
+		r.queued = slices.Insert(r.queued, at, p)
+	}
+	r.notePeak(now)
+}
+
+func (r *replica) remove(p *part) {
+	r.parts = slices.DeleteFunc(r.parts, func(other *part) bool { return other == p })
+	r.reserved -= p.tokens
+	if p.grant.prefilled {
+		r.decoding[p.grant.class]--
+		return
+	}
+	r.queued = slices.DeleteFunc(r.queued, func(other *part) bool { return other == p })
+}
+
+// prefilled moves a part from the queued prefills to the running streams.
+func (r *replica) prefilled(p *part) {
+	r.queued = slices.DeleteFunc(r.queued, func(other *part) bool { return other == p })
+	r.decoding[p.grant.class]++
+}
+
+// notePeak keeps the largest own work, so that a load report from then is not taken for the work of
+// others.
+func (r *replica) notePeak(now time.Time) {
+	current := peak{at: now, prefill: r.queuedPrefill(), used: r.reserved}
+	if n := len(r.peaks); n > 0 && now.Sub(r.peaks[n-1].at) < endpoint.AnnounceInterval/4 {
+		last := &r.peaks[n-1]
+		last.prefill, last.used = max(last.prefill, current.prefill), max(last.used, current.used)
+	} else {
+		r.peaks = append(r.peaks, current)
+	}
+	for len(r.peaks) > 1 && now.Sub(r.peaks[1].at) > reportWindow {
+		r.peaks = r.peaks[1:]
+	}
+}
+
+// takeLoad derives the work of others from a load report: what it shows beyond the largest own work
+// in the time that the report can be from. It never lowers the own work.
+func (r *replica) takeLoad(now time.Time) {
+	r.notePeak(now)
+	prefill, used := 0.0, 0
+	for _, p := range r.peaks {
+		prefill, used = max(prefill, p.prefill), max(used, p.used)
+	}
+	load := r.announcement.Load
+	r.foreignPrefill = max(0, float64(load.QueuedPrefill)-prefill)
+	r.foreignUsed = max(0, load.Used-used)
+}
+
+// measurePrefill corrects the prefill rate by a time to first token.
+func (r *replica) measurePrefill(predicted, measured time.Duration) {
+	if predicted < minMeasured || measured <= 0 {
+		return
+	}
+	ratio := r.correction * measured.Seconds() / predicted.Seconds()
+	next := math.Pow(r.correction, 1-rateSmoothing) * math.Pow(ratio, rateSmoothing)
+	r.correction = min(maxCorrection, max(1.0/maxCorrection, next))
+}
+
+func (r *replica) measureDecode(tokens int, took time.Duration) {
+	// Fewer tokens than this say more about the network than about the engine.
+	const minTokens = 8
+	if tokens < minTokens || took <= 0 {
+		return
+	}
+	rate := float64(tokens) / took.Seconds()
+	if r.decodeRate == 0 {
+		r.decodeRate = rate
+		return
+	}
+	r.decodeRate += rateSmoothing * (rate - r.decodeRate)
+}
--- /dev/null
+++ b/internal/dispatch/route.go
@@ -0,0 +1,419 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/prefix"
+)
+
+const (
+	// taintedCost, in seconds, keeps work from replicas that would be ejected if that did not exceed
+	// half of the cell, as long as another one can start it.
+	taintedCost = 1e6
+	// waitMargin multiplies the estimated wait in the queue before it is compared with the time left;
+	// an estimate from a measured rate is off by about that much while the mix of lengths changes.
+	waitMargin = 1.25
+	// minRetryAfter and maxRetryAfter bound the wait that a refusal asks for.
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+// outcome is the result of one try to place a reservation: a grant, a refusal, or neither when it has
+// to wait.
+type outcome struct {
+	granted *grant
+	refusal *ReserveReply
+	// memory says that it waits for memory, safety that it waits for a replica without other suspects.
+	memory bool
+	safety bool
+}
+
+// choice is the best replica for a reservation that fits one replica.
+type choice struct {
+	replica *replica
+	cost    float64
+	// first and prefill are the expected time to first token and the uncached tokens.
+	first   float64
+	prefill float64
+	hit     int
+	// eligible counts the replicas that could ever run it, excluded those that were already tried.
+	eligible, excluded int
+	// service is the shortest time that any eligible replica needs without waiting.
+	service        float64
+	memory, safety bool
+}
+
+// place tries to grant a reservation now.
+func (c *cell) place(now time.Time, it *item) outcome {
+	fingerprint := it.request.Fingerprint
+	if now.Before(it.notBefore) {
+		return outcome{}
+	}
+	if c.quarantined(now, fingerprint) {
+		reply := refuse(Quarantine, 0, "the request crashed endpoints before and is quarantined")
+		return outcome{refusal: &reply}
+	}
+	if c.suspects.mustWait(fingerprint) {
+		return outcome{safety: true}
+	}
+	usable, largest := c.capacity()
+	where := c.suspects.placement(fingerprint, usable)
+	if largest > 0 && it.tokens > largest {
+		return c.placeGroup(now, it, &where)
+	}
+	best := c.choose(now, it, &where)
+	if best.replica != nil {
+		return outcome{granted: c.grantSingle(now, it, &best)}
+	}
+	return c.notPlaced(now, it, &best)
+}
+
+// capacity returns the number of replicas that may get work and the memory of the largest engine.
+func (c *cell) capacity() (usable, largest int) {
+	for _, r := range c.order {
+		if !r.takesWork() {
+			continue
+		}
+		if r.engine() {
+			largest = max(largest, r.announcement.Memory)
+		}
+		if !r.ejected {
+			usable++
+		}
+	}
+	return usable, largest
+}
+
+// notPlaced decides between waiting and refusal for a reservation that no replica can start.
+func (c *cell) notPlaced(now time.Time, it *item, best *choice) outcome {
+	if best.eligible > 0 || best.safety {
+		it.service = 0
+		if best.eligible > 0 {
+			it.service = seconds(best.service)
+		}
+		if now.Add(it.service).After(it.deadline) {
+			reply := c.tooLate(it, 0, it.service)
+			return outcome{refusal: &reply}
+		}
+		return outcome{memory: best.memory, safety: best.safety}
+	}
+	if best.excluded > 0 {
+		reply := refuse(NoEndpoint, minRetryAfter, "all %d ready endpoints of cell %s were tried", best.excluded, c.name)
+		return outcome{refusal: &reply}
+	}
+	if now.Sub(c.ready) < patience {
+		return outcome{}
+	}
+	reply := refuse(NoEndpoint, minRetryAfter, "cell %s has no ready endpoint", c.name)
+	return outcome{refusal: &reply}
+}
+
+// choose returns the replica with the lowest cost among those that can start the work now and are
+// expected to finish it in time. The cost in seconds is the own expected time to first token times its
+// weight, plus the delay added to each request already there times its weight.
+func (c *cell) choose(now time.Time, it *item, where *placement) choice {
+	best := choice{cost: math.Inf(1), service: math.Inf(1)}
+	request := &it.request
+	if len(request.Blocks) > 0 {
+		c.hits = c.index.Match(request.Blocks, c.hits)
+	}
+	left := it.deadline.Sub(now).Seconds()
+	restricted := where.suspect || where.only != nil
+	for _, r := range c.order {
+		if !r.takesWork() || r.ejected {
+			continue
+		}
+		if slices.Contains(request.Exclude, r.name) {
+			best.excluded++
+			continue
+		}
+		if restricted && !where.allows(r) {
+			best.safety = true
+			continue
+		}
+		if !r.engine() {
+			c.considerService(&best, r)
+			continue
+		}
+		if r.announcement.Memory < it.tokens {
+			continue
+		}
+		hit := 0
+		if len(request.Blocks) > 0 {
+			hit = c.hits[r.slot]
+		}
+		c.considerEngine(&best, now, it, r, hit, left)
+	}
+	return best
+}
+
+// considerService takes a plain service with fewer requests in flight than the best so far.
+func (c *cell) considerService(best *choice, r *replica) {
+	best.eligible++
+	best.service = 0
+	if len(r.parts) >= c.settings.ServiceConcurrency {
+		return
+	}
+	best.take(r, float64(len(r.parts)), 0, 0, 0)
+}
+
+func (c *cell) considerEngine(best *choice, now time.Time, it *item, r *replica, hit int, left float64) {
+	best.eligible++
+	r.advance(now, c.settings)
+	rate := r.prefillRate(c.settings)
+	cached := min(hit*prefix.BlockTokens, it.request.PromptTokens-1)
+	prefill := float64(it.request.PromptTokens - max(0, cached))
+	own := prefill / rate
+	decode := c.expectedDecode(it, r)
+	best.service = min(best.service, own+decode)
+	wait, behind := c.delays(r, it.key, rate)
+	first := wait + own
+	if r.free() < it.tokens {
+		best.memory = true
+		return
+	}
+	// A replica that holds the prefix may be waited for as long as the hit saves.
+	if wait > c.settings.Headroom.Seconds()+float64(max(0, cached))/rate || first+decode > left {
+		return
+	}
+	if c.heldBack(now, it, r, first) {
+		best.memory = true
+		return
+	}
+	best.take(r, first*c.settings.OwnWeight.of(it.class)+own*behind, first, prefill, hit)
+}
+
+// delays returns the seconds that work with the key waits at a replica, and the weighted number of
+// requests there that each second of its prefill delays.
+func (c *cell) delays(r *replica, key int64, rate float64) (wait, behind float64) {
+	ahead := r.foreignPrefill
+	for _, p := range r.queued {
+		if p.grant.key <= key {
+			ahead += p.remaining
+		} else {
+			behind += c.settings.OthersWeight.of(p.grant.class)
+		}
+	}
+	for class, count := range r.decoding {
+		behind += float64(count) * c.settings.DecodeInterference * c.settings.OthersWeight.of(LengthClass(class))
+	}
+	return ahead / rate, behind
+}
+
+// take keeps the replica if it is cheaper; equal ones are used in turn.
+func (b *choice) take(r *replica, cost, first, prefill float64, hit int) {
+	if r.tainted {
+		cost += taintedCost
+	}
+	if cost > b.cost || (cost == b.cost && !r.lastGrant.Before(b.replica.lastGrant)) {
+		return
+	}
+	b.replica, b.cost, b.first, b.prefill, b.hit = r, cost, first, prefill, hit
+}
+
+// expectedDecode is the time in seconds that the completion is expected to take.
+func (c *cell) expectedDecode(it *item, r *replica) float64 {
+	return min(float64(it.request.MaxTokens), c.meanOutput) / r.streamRate(c.settings)
+}
+
+// latestEnd is when work that starts its prefill now ends at the latest.
+func (c *cell) latestEnd(now time.Time, it *item, r *replica, first float64) time.Time {
+	return now.Add(seconds(first + float64(it.request.MaxTokens)/r.streamRate(c.settings)))
+}
+
+func (c *cell) grantSingle(now time.Time, it *item, best *choice) *grant {
+	r, request := best.replica, &it.request
+	tokens := it.tokens
+	if !r.engine() {
+		tokens = 0
+	}
+	g := &grant{
+		Grant: Grant{
+			ID:           request.AttemptID,
+			Members:      []GrantMember{{Endpoint: r.name, Address: r.announcement.Address, Tokens: tokens}},
+			Priority:     it.key,
+			Estimate:     seconds(best.first),
+			CachedTokens: best.hit * prefix.BlockTokens,
+		},
+		class: it.class, key: it.key, workspace: request.Workspace, fingerprint: request.Fingerprint,
+		blocks: request.Blocks, hit: best.hit, granted: now, event: now,
+		end: c.latestEnd(now, it, r, best.first), expected: now.Add(seconds(best.first + c.expectedDecode(it, r))),
+	}
+	g.parts = []*part{{grant: g, replica: r, tokens: tokens, prefill: best.prefill, remaining: best.prefill}}
+	c.addGrant(now, g)
+	return g
+}
+
+// admit decides whether a reservation that cannot start now may wait.
+func (c *cell) admit(now time.Time, it *item) *ReserveReply {
+	wait := c.queue.ahead(it, now) / c.serviceRate()
+	if _, largest := c.capacity(); largest > 0 && it.tokens > largest {
+		wait = max(wait, c.groupWait(now, it).Seconds())
+	}
+	it.estimate = seconds(wait) + it.service
+	late := seconds(wait*waitMargin)+it.service > it.deadline.Sub(now)
+	if late && now.Sub(c.created) >= patience {
+		reply := c.tooLate(it, seconds(wait), it.service)
+		return &reply
+	}
+	if c.full(it) {
+		c.shed(now)
+	}
+	if !c.full(it) {
+		return nil
+	}
+	after := min(maxRetryAfter, max(minRetryAfter, seconds(float64(c.queue.tokens)/c.serviceRate())))
+	reply := refuse(Overloaded, after, "%d reservations wait in cell %s (limit %d), %d of workspace %s (limit %d)",
+		c.queue.size, c.name, c.settings.QueueLimit, c.queue.perWorkspace[it.request.Workspace],
+		it.request.Workspace, c.settings.WorkspaceQueueLimit)
+	return &reply
+}
+
+func (c *cell) full(it *item) bool {
+	return c.queue.size >= c.settings.QueueLimit ||
+		c.queue.perWorkspace[it.request.Workspace] >= c.settings.WorkspaceQueueLimit
+}
+
+// shed refuses the waiting reservations that can no longer be in time.
+func (c *cell) shed(now time.Time) {
+	for _, id := range sortedKeys(c.items) {
+		it := c.items[id]
+		if it.reply == nil && it.pending == nil && now.Add(it.service).After(it.deadline) {
+			c.resolve(now, it, c.tooLate(it, 0, it.service))
+		}
+	}
+}
+
+func (c *cell) tooLate(it *item, wait, service time.Duration) ReserveReply {
+	after := min(maxRetryAfter, max(minRetryAfter, wait))
+	return refuse(TooLate, after, "the expected wait of %v and service of %v exceed the time left of the limit %v",
+		wait.Round(time.Millisecond), service.Round(time.Millisecond), it.request.TimeLeft.Round(time.Millisecond))
+}
+
+// serviceRate is the rate in tokens a second at which the cell takes work from its queue.
+func (c *cell) serviceRate() float64 {
+	if c.drain.windows >= minDrainWindows {
+		return max(1, c.drain.rate)
+	}
+	sum := 0.0
+	for _, r := range c.order {
+		if r.takesWork() && r.engine() {
+			sum += r.prefillRate(c.settings)
+		}
+	}
+	if sum == 0 {
+		// Plain services and cells without endpoints have no rate before one is measured.
+		return math.Inf(1)
+	}
+	return sum
+}
+
+// pump places waiting reservations in fair order until no more can start or maxScan were tried.
+func (c *cell) pump(now time.Time) {
+	if c.queue.size == 0 {
+		return
+	}
+	c.scan++
+	tried := 0
+	if c.hold != nil {
+		c.checkHold()
+	}
+	if c.hold != nil {
+		c.try(now, c.hold.item)
+		tried++
+	}
+	for tried < maxScan {
+		progress := false
+		for _, f := range c.queue.order(now) {
+			it := f.untried(c.scan)
+			if it == nil {
+				continue
+			}
+			progress = true
+			tried++
+			if c.try(now, it) || tried >= maxScan {
+				break
+			}
+		}
+		if !progress {
+			return
+		}
+	}
+}
+
+// untried returns the first reservation of the flow that the scan has not tried.
+func (f *flow) untried(scan uint64) *item {
+	for _, it := range f.items {
+		if it.scan != scan {
+			return it
+		}
+	}
+	return nil
+}
+
+// try places one waiting reservation and says whether it left the queue.
+func (c *cell) try(now time.Time, it *item) bool {
+	it.scan = c.scan
+	result := c.place(now, it)
+	it.safety = result.safety
+	switch {
+	case result.refusal != nil:
+		c.resolve(now, it, *result.refusal)
+		return true
+	case result.granted != nil:
+		c.drain.served += float64(it.cost)
+		c.queue.serve(it)
+		if c.hold != nil && c.hold.item == it {
+			c.hold = nil
+		}
+		if !result.granted.creating {
+			c.resolve(now, it, ReserveReply{Status: Granted, Grant: result.granted.Grant})
+		}
+		return true
+	case result.memory && c.hold == nil:
+		c.holdFor(now, it)
+	}
+	return false
+}
+
+// drainRate measures how many tokens a second leave the queue while it is not empty.
+type drainRate struct {
+	served  float64
+	since   time.Time
+	rate    float64
+	windows int
+}
+
+const (
+	drainWindow = time.Second
+	// minDrainWindows is the number of measured seconds before the rate is used.
+	minDrainWindows = 3
+	drainSmoothing  = 0.3
+)
+
+func (d *drainRate) tick(now time.Time, waiting bool) {
+	if !waiting || d.since.IsZero() {
+		*d = drainRate{since: now, rate: d.rate}
+		return
+	}
+	took := now.Sub(d.since)
+	if took < drainWindow {
+		return
+	}
+	rate := d.served / took.Seconds()
+	if d.windows == 0 {
+		d.rate = rate
+	}
+	d.rate += drainSmoothing * (rate - d.rate)
+	d.served, d.since = 0, now
+	d.windows++
+}
+
+func seconds(s float64) time.Duration {
+	if s > math.MaxInt64/float64(time.Second) {
+		return math.MaxInt64
+	}
+	return time.Duration(s * float64(time.Second))
+}
