Test crashing requests against three replicas

Cause: nothing showed that a caller who resends through several entries cannot kill all replicas of a cell. Change: a scenario with three engines, four entries that resend at once with reports up to 90 ms late, and innocent requests; the naive side is least-loaded placement. Conclusion: one replica survives, also when the request had finished before.

--- /dev/null
+++ b/internal/dispatch/crash_test.go
@@ -0,0 +1,254 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/matryer/is"
+)
+
+// policy is what the crash scenario needs of a dispatcher.
+type policy interface {
+	reserve(now time.Time, request ReserveRequest) ReserveReply
+	endAwait(now time.Time, attempt string, began bool) ReserveReply
+	report(now time.Time, event Event)
+	announce(now time.Time, a endpoint.Announcement)
+	tick(now time.Time)
+}
+
+// leastLoaded is the naive side: fewest grants on endpoints that have announced themselves lately.
+type leastLoaded struct {
+	seen   map[string]time.Time
+	grants map[string]string
+}
+
+func (l *leastLoaded) reserve(now time.Time, request ReserveRequest) ReserveReply {
+	best, fewest := "", 0
+	for name, seen := range l.seen {
+		count := 0
+		for _, on := range l.grants {
+			if on == name {
+				count++
+			}
+		}
+		tried := len(request.Exclude) > 0 && request.Exclude[0] == name
+		if !tried && now.Sub(seen) <= endpoint.DeadAfter && (best == "" || count < fewest || (count == fewest && name < best)) {
+			best, fewest = name, count
+		}
+	}
+	if best == "" {
+		return ReserveReply{Status: Refused, Reason: NoEndpoint}
+	}
+	l.grants[request.AttemptID] = best
+	return ReserveReply{Status: Granted, Grant: Grant{ID: request.AttemptID, Members: []GrantMember{{Endpoint: best}}}}
+}
+
+func (l *leastLoaded) endAwait(time.Time, string, bool) ReserveReply {
+	return ReserveReply{Status: Elsewhere}
+}
+
+func (l *leastLoaded) report(_ time.Time, event Event) { delete(l.grants, event.Grant) }
+
+func (l *leastLoaded) announce(now time.Time, a endpoint.Announcement) { l.seen[a.Name] = now }
+
+func (l *leastLoaded) tick(time.Time) {}
+
+// crashTask is one request that its caller or entry sends again until it ends.
+type crashTask struct {
+	fingerprint uint64
+	attempt     string
+	exclude     []string
+	running     string
+	started     time.Time
+	reserved    bool
+	done        bool
+}
+
+// crashScenario has three engines, a request that kills each engine 50 ms after it starts there and
+// that four entries send again as fast as they can, and innocent requests of 300 ms beside it.
+type crashScenario struct {
+	policy   policy
+	restart  time.Duration
+	now      time.Time
+	engines  []endpoint.Announcement
+	dead     map[string]time.Time
+	tasks    []*crashTask
+	reports  map[time.Time][]Event
+	attempts int
+	deaths   int
+	fewest   int
+}
+
+const crashing = 666
+
+func (s *crashScenario) run() {
+	s.now, s.dead, s.reports, s.fewest = epoch, map[string]time.Time{}, map[time.Time][]Event{}, len(s.engines)
+	for range 4 {
+		s.tasks = append(s.tasks, &crashTask{fingerprint: crashing})
+	}
+	for step := range 2000 {
+		s.announce(step)
+		if step%20 == 0 && step < 1000 {
+			s.tasks = append(s.tasks, &crashTask{fingerprint: uint64(1000 + step)})
+		}
+		for i, task := range s.tasks {
+			s.step(i, task)
+		}
+		for _, event := range s.reports[s.now] {
+			s.policy.report(s.now, event)
+		}
+		if step%10 == 0 {
+			s.policy.tick(s.now)
+		}
+		s.fewest = min(s.fewest, len(s.engines)-len(s.dead))
+		s.now = s.now.Add(10 * time.Millisecond)
+	}
+}
+
+func (s *crashScenario) announce(step int) {
+	for i := range s.engines {
+		e := &s.engines[i]
+		at, dead := s.dead[e.Name]
+		if dead && s.restart > 0 && s.now.Sub(at) >= s.restart {
+			e.Incarnation += "x"
+			delete(s.dead, e.Name)
+			s.policy.announce(s.now, *e)
+		}
+		if !dead && step%100 == i*30 {
+			s.policy.announce(s.now, *e)
+		}
+	}
+}
+
+// lose ends the attempt of a task; its entry asks again at once and reports up to 90 ms later.
+func (s *crashScenario) lose(i int, task *crashTask, event EventType) {
+	at := s.now.Add(time.Duration(i%10) * 10 * time.Millisecond)
+	s.reports[at] = append(s.reports[at], Event{Cell: testCell, Grant: task.attempt, Type: event})
+	*task = crashTask{fingerprint: task.fingerprint, exclude: []string{task.running}}
+	if i%2 == 0 {
+		// The caller itself sends again through another entry, which has tried nothing yet.
+		task.exclude = nil
+	}
+}
+
+func (s *crashScenario) step(i int, task *crashTask) {
+	if task.done {
+		return
+	}
+	if task.running == "" {
+		s.ask(task)
+		return
+	}
+	if at, dead := s.dead[task.running]; dead && at.After(task.started) {
+		s.lose(i, task, Died)
+	} else if dead {
+		s.lose(i, task, Failed)
+	} else if task.fingerprint == crashing && s.now.Sub(task.started) >= 50*time.Millisecond {
+		s.dead[task.running] = s.now
+		s.deaths++
+		s.lose(i, task, Died)
+	} else if s.now.Sub(task.started) >= 300*time.Millisecond {
+		s.policy.report(s.now, Event{Cell: testCell, Grant: task.attempt, Type: Finished})
+		task.done = true
+	}
+}
+
+func (s *crashScenario) ask(task *crashTask) {
+	var reply ReserveReply
+	if task.reserved {
+		reply = s.policy.endAwait(s.now, task.attempt, false)
+	} else {
+		s.attempts++
+		task.attempt = fmt.Sprintf("attempt-%d", s.attempts)
+		r := request(task.attempt, 100, 10)
+		r.Fingerprint, r.Exclude = task.fingerprint, task.exclude
+		reply = s.policy.reserve(s.now, r)
+	}
+	task.reserved = reply.Status == Queued
+	switch reply.Status {
+	case Granted:
+		task.running, task.started = reply.Grant.Members[0].Endpoint, s.now
+	case Refused:
+		task.exclude = nil
+	}
+}
+
+func (s *crashScenario) unfinished() int {
+	count := 0
+	for _, task := range s.tasks {
+		if task.fingerprint != crashing && !task.done {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a request that kills all three replicas while its caller sends it again through
+// several entries, and against innocent requests that are lost or quarantined with it.
+func TestCrashingRequestLeavesAReplica(t *testing.T) {
+	for name, test := range map[string]struct {
+		restart time.Duration
+		proven  bool
+	}{
+		"engines stay dead":                     {0, false},
+		"engines restart within a second":       {500 * time.Millisecond, false},
+		"engines restart after they count dead": {4 * time.Second, false},
+		"the request has finished before":       {0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			engines := func() []endpoint.Announcement {
+				return []endpoint.Announcement{engine(0, 100_000), engine(1, 100_000), engine(2, 100_000)}
+			}
+			naive := &crashScenario{
+				policy:  &leastLoaded{seen: map[string]time.Time{}, grants: map[string]string{}},
+				restart: test.restart, engines: engines(),
+			}
+			naive.run()
+			is.Equal(naive.fewest, 0) // least-loaded placement loses all replicas
+
+			c := testCellWith(testConfig())
+			if test.proven {
+				c.suspects.proved(epoch, crashing)
+			}
+			s := &crashScenario{policy: c, restart: test.restart, engines: engines()}
+			s.run()
+			t.Logf("deaths %d, fewest alive %d, attempts %d", s.deaths, s.fewest, s.attempts)
+			is.True(s.fewest >= 1)
+			is.True(s.deaths <= 2)
+			is.Equal(s.unfinished(), 0)
+			is.Equal(len(c.suspects.quarantined), 1)
+			is.True(c.quarantined(s.now, crashing))
+			is.Equal(len(c.suspects.byFingerprint), 0) // nothing else stays under suspicion
+		})
+	}
+}
+
+// Guards against a lost connection that counts as the death of an endpoint that still announces itself.
+func TestLostConnectionIsNoDeath(t *testing.T) {
+	is := is.New(t)
+	c := testCellWith(testConfig())
+	now := epoch
+	c.announce(now, engine(0, 100_000))
+	c.announce(now, engine(1, 100_000))
+	for i := range 6 {
+		r := request(fmt.Sprintf("a%d", i), 100, 10)
+		r.Fingerprint = crashing
+		reply := c.reserve(now, r)
+		for reply.Status == Queued {
+			now = now.Add(500 * time.Millisecond)
+			c.announce(now, engine(0, 100_000))
+			c.announce(now, engine(1, 100_000))
+			reply = c.endAwait(now, r.AttemptID, false)
+		}
+		is.Equal(reply.Status, Granted)
+		c.report(now, Event{Cell: testCell, Grant: r.AttemptID, Type: Died})
+	}
+	now = now.Add(2 * time.Second)
+	c.announce(now, engine(0, 100_000))
+	c.announce(now, engine(1, 100_000))
+	is.True(!c.quarantined(now, crashing))
+	is.Equal(len(c.suspects.byFingerprint), 0)
+}
