--- /dev/null
+++ b/internal/prefix/chain_test.go
@@ -0,0 +1,29 @@
+package prefix_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionpier/dandelionpier/internal/prefix"
+)
+
+// Guards against block hashes that depend on the pieces in which a prompt is read: entries and engines
+// would then disagree about the prefix cache.
+func TestChainEqualsBlocks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		prompt := rapid.SliceOfN(rapid.Byte(), 0, 20_000).Draw(t, "prompt")
+		chain := prefix.NewChain("oak")
+		for rest := prompt; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "piece")
+			_, _ = chain.Write(rest[:n])
+			rest = rest[n:]
+		}
+		want := prefix.Blocks("oak", prompt)
+		is.New(t).Equal(len(chain.Blocks()), len(want))
+		for i := range want {
+			is.New(t).Equal(chain.Blocks()[i], want[i])
+		}
+	})
+}
