entryd: hash the prompt's text in place, admit again after the body, keep the usage event for resumption

Cause: engines hash the decoded text of a prompt, not its JSON. A body may take minutes to arrive, in which a change can come into force. A stream that broke between its usage event and its end could not be resumed without repeating the event.

--- a/entryd/internal/api/api.go
+++ b/entryd/internal/api/api.go
@@ -58,9 +58,9 @@
 		filter.Lease(config.View, s.others),
 		filter.RateLimit(),
 		filter.InFlight(config.MaxInFlight))
-	record := filter.RecordConfig{Access: config.Access, Metrics: config.Metrics, Draining: config.Draining}
+	record := filter.Record(filter.RecordConfig{Access: config.Access, Metrics: config.Metrics, Draining: config.Draining})
 	handle := func(handler filter.Handler, filters []filter.Filter) http.Handler {
-		return filter.Record(record, filter.Chain(handler, filters...))
+		return record(filter.Chain(handler, filters...))
 	}
 
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
@@ -85,7 +85,7 @@
 }
 
 func (s *server) complete(w http.ResponseWriter, r *http.Request, x *exchange.Exchange) error {
-	body, err := readBody(w, r, x.Deadline)
+	body, err := s.receive(w, r, x)
 	if err != nil {
 		return err
 	}
@@ -93,7 +93,7 @@
 }
 
 func (s *server) call(w http.ResponseWriter, r *http.Request, x *exchange.Exchange) error {
-	body, err := readBody(w, r, x.Deadline)
+	body, err := s.receive(w, r, x)
 	if err != nil {
 		return err
 	}
@@ -132,6 +132,15 @@
 	return path
 }
 
+// receive reads the body and admits the request under the configuration that is in force after it.
+func (s *server) receive(w http.ResponseWriter, r *http.Request, x *exchange.Exchange) ([]byte, error) {
+	body, err := readBody(w, r, x.Deadline)
+	if err != nil {
+		return nil, err
+	}
+	return body, filter.Readmit(s.config.View, x)
+}
+
 // readBody reads the body once. With a Content-Length the memory is exactly its size.
 func readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, error) {
 	control := http.NewResponseController(w)
--- a/entryd/internal/cell/client.go
+++ b/entryd/internal/cell/client.go
@@ -166,6 +166,7 @@
 		if err != nil {
 			return reply, fault.Wrap(err, "await grant", lostQueue, request.Cell)
 		}
+		next.Ticket = reply.Ticket
 		reply = next
 	}
 	return reply, err
--- a/entryd/internal/cli/fakes_test.go
+++ b/entryd/internal/cli/fakes_test.go
@@ -76,7 +76,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.held+amount > p.limit {
-		return nil, fault.New("reserve", completion.Exceeded, "the limit is reached")
+		return nil, fault.New("reserve", ledger.Exceeded, "the limit is reached")
 	}
 	p.held += amount
 	return &fakeHold{purse: p, amount: amount}, nil
--- a/entryd/internal/cli/serve.go
+++ b/entryd/internal/cli/serve.go
@@ -194,6 +194,7 @@
 		Region: o.Region, Cells: e.cells, Purse: e.parts.Purse, View: view,
 		Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: o.EngineIdle, IdleConnTimeout: engineIdle, DisableCompression: true,
+			MaxResponseHeaderBytes: maxHeader,
 		},
 		Retries: retries, Observer: e.parts.Observer, Logger: e.logger,
 		Limits: completion.Limits{
@@ -233,6 +234,8 @@
 	errorLog, _ := zap.NewStdLogAt(e.logger, zap.DebugLevel)
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, IdleTimeout: idleTimeout, ErrorLog: errorLog,
+		// Each request sets its own, earlier deadline; this one replaces it before the next request.
+		WriteTimeout: e.options.MaxTimeLimit + finishGrace,
 	}
 }
 
--- a/entryd/internal/completion/attempt.go
+++ b/entryd/internal/completion/attempt.go
@@ -30,6 +30,8 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
+	// began says that the engine has sent an event.
+	began bool
 }
 
 var errTimeout = errors.New("the endpoint did not respond in time")
@@ -66,20 +68,18 @@
 // send dispatches the request and returns a response with status 200 that belongs to the attempt.
 func (a *attempt) send() (*http.Response, error) {
 	c := a.call
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { c.reached = true }}
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(a.ctx, trace), http.MethodPost,
 		"http://"+a.grant.Members[0].Address+c.path, bytes.NewReader(c.body))
 	if err != nil {
 		return nil, &failure{event: dispatch.Failed, err: err}
 	}
 	a.setHeaders(request.Header)
-	connected := c.reached
-	c.reached = false
 	response, err := c.server.config.Transport.RoundTrip(request)
-	reachedNow := c.reached
 	c.reached = c.reached || connected
 	if err != nil {
-		return nil, a.failed(err, reachedNow)
+		return nil, a.failed(err, connected)
 	}
 	if err := a.checkHead(response); err != nil {
 		_ = response.Body.Close()
@@ -132,13 +132,11 @@
 	status := response.StatusCode
 	h := response.Header
 	switch {
-	case status >= http.StatusInternalServerError, status == http.StatusTooManyRequests, status == http.StatusRequestTimeout:
-		return &failure{event: dispatch.Failed, err: fault.New("send request", stream.Reported, "the engine answered with status %d", status)}
-	case status >= http.StatusBadRequest:
+	case blamesRequest(status):
 		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 		return &failure{event: dispatch.Finished, final: true, err: rejected(status, text)}
 	case status != http.StatusOK:
-		return &failure{event: dispatch.Failed, cancel: true, err: fault.New("send request", stream.Garbage, "the engine answered with status %d", status)}
+		return &failure{event: dispatch.Failed, cancel: status < http.StatusBadRequest, err: fault.New("send request", stream.Reported, "the engine answered with status %d", status)}
 	case h.Get(endpoint.HeaderRequestID) != a.call.x.RequestID || h.Get(endpoint.HeaderAttemptID) != a.grant.ID:
 		return &failure{event: dispatch.Failed, cancel: true, err: fault.New("send request", stream.Crossed, "the response is of another request or attempt")}
 	}
@@ -152,6 +150,17 @@
 	return nil
 }
 
+// blamesRequest reports whether another engine would refuse the request as well. An engine that lacks
+// the model or the memory answers with another status.
+func blamesRequest(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return true
+	default:
+		return false
+	}
+}
+
 // rejected passes on an engine's refusal of the request itself.
 func rejected(status int, text []byte) refusal.Error {
 	message := "The engine rejected the request."
@@ -182,16 +191,27 @@
 	checker := &stream.Checker{RequestID: a.call.x.RequestID, AttemptID: a.grant.ID, Next: a.call.forwarded}
 	first := checker.Next
 	err = a.forward(stream.NewReader(response.Body, a.call.server.config.Limits.MaxEvent), checker)
+	return a.used(checker, first), err
+}
+
+// used is what a stream used. The figures of a resumed stream cover the events before it, which the
+// earlier attempts account for. Without figures, the prompt counts in full and each event as a token.
+func (a *attempt) used(checker *stream.Checker, first int) stream.Usage {
 	usage := checker.Usage
-	if events := checker.Next - first; !usage.Known && events > 0 {
-		// Without figures of the engine, the prompt counts in full and each event as one token.
+	switch events := checker.Next - first; {
+	case usage.Known:
+		usage.CompletionTokens = max(0, usage.CompletionTokens-first)
+	case events > 0:
 		usage.PromptTokens = a.call.reserve.PromptTokens
 		usage.CompletionTokens = events
 	}
-	return usage, err
+	return usage
 }
 
+// forward passes the events on. The event with the usage is the last one; it is held until the next
+// event, so that a stream that breaks between it and the end can still be resumed before it.
 func (a *attempt) forward(events *stream.Reader, checker *stream.Checker) error {
+	var held []byte
 	for {
 		event, err := events.Next()
 		if err != nil {
@@ -201,30 +221,46 @@
 		if err != nil {
 			return a.broken(err)
 		}
-		if class == stream.Ignored {
+		switch {
+		case class == stream.Ignored:
 			continue
-		}
-		if class == stream.Done && checker.Next == 0 {
+		case class == stream.Done && checker.Next == 0:
 			return a.broken(fault.New("read event", stream.Truncated, "the stream has no events"))
 		}
 		// The pause of a caller that does not read is not the engine's.
 		a.timer.Stop()
+		if held != nil {
+			if err := a.pass(held, stream.Chunk, true); err != nil {
+				return err
+			}
+			held = nil
+		}
+		if class == stream.Chunk && checker.Usage.Known {
+			held = bytes.Clone(event)
+			a.timer.Reset(a.call.server.config.Limits.Stall)
+			continue
+		}
 		if err := a.pass(event, class, events.Buffered()); err != nil {
 			return err
 		}
-		a.timer.Reset(a.call.server.config.Limits.Stall)
 		if class == stream.Done {
 			// The end of the body lets the connection be used again.
+			a.timer.Reset(endTimeout)
 			_, _ = events.Next()
 			return nil
 		}
+		a.timer.Reset(a.call.server.config.Limits.Stall)
 	}
 }
 
+// endTimeout bounds the wait for the end of a body after the end of its stream.
+const endTimeout = 100 * time.Millisecond
+
 // pass writes an event to the caller and flushes it, unless another one is already there.
 func (a *attempt) pass(event []byte, class stream.Class, more bool) error {
 	c := a.call
-	if !c.began {
+	if !a.began {
+		a.began = true
 		c.began = true
 		a.run.FirstToken()
 	}
--- a/entryd/internal/completion/call.go
+++ b/entryd/internal/completion/call.go
@@ -143,9 +143,11 @@
 // fail turns the last error into what the caller sees, with the outcome of all attempts.
 func (c *call) fail(err error) error {
 	var refused refusal.Error
-	if !errors.As(err, &refused) {
+	var failed *failure
+	passedOn := errors.As(err, &refused)
+	if !passedOn || c.attempts > 0 && !errors.As(err, &failed) && refused.Code == string(dispatch.NoEndpoint) {
 		refused = refusal.New(http.StatusBadGateway, "endpoint-failed", refusal.DidNotRun,
-			"The endpoint failed before the response was complete.")
+			"The endpoint failed before the response was complete, and no other one could take over.")
 	}
 	switch {
 	case c.ctx.Err() != nil:
@@ -159,7 +161,7 @@
 	case c.reached:
 		refused.Outcome = refusal.MayHaveRun
 	}
-	if c.x.Committed && c.ctx.Err() != context.Canceled {
+	if c.stream && c.x.Committed && !errors.Is(c.ctx.Err(), context.Canceled) {
 		c.sendError(refused)
 	}
 	return refused
--- a/entryd/internal/completion/request.go
+++ b/entryd/internal/completion/request.go
@@ -7,7 +7,6 @@
 	"net/http"
 
 	"github.com/dandelionpier/dandelionpier/entryd/internal/field"
-	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/refusal"
 )
@@ -24,13 +23,10 @@
 	Stream bool
 	// MaxTokens is the bound of the completion; 0 when the caller gave none.
 	MaxTokens int
-	// Prompt is the JSON text of the messages or the prompt, as it stands in the body.
-	Prompt []byte
-}
-
-// PromptTokens is the estimate of the prompt's length.
-func (r Request) PromptTokens() int {
-	return endpoint.Tokens(len(r.Prompt))
+	// PromptTokens is the estimate of the prompt's length.
+	PromptTokens int
+	// Blocks are the chained hashes of the prompt's prefix blocks.
+	Blocks []uint64
 }
 
 // maxMaxTokens bounds max_tokens; no model completes more.
@@ -56,16 +52,19 @@
 		return Request{}, invalid("", "The body is not valid JSON.")
 	case parser.request.Model == "":
 		return Request{}, invalid("model", "The field model is missing.")
-	case parser.request.Prompt == nil:
+	case parser.prompt == nil:
 		return Request{}, invalid(parser.promptField, "The field "+parser.promptField+" is missing.")
 	}
+	parser.request.PromptTokens, parser.request.Blocks = measure(parser.request.Model, parser.prompt)
 	return parser.request, nil
 }
 
 type parser struct {
 	promptField string
 	request     Request
-	seen        map[string]struct{}
+	// prompt is the JSON text of the messages or the prompt, as it stands in the body.
+	prompt []byte
+	seen   map[string]struct{}
 }
 
 func (p *parser) visit(key, value []byte) error {
@@ -89,7 +88,7 @@
 	case "n", "best_of":
 		return single(name, value)
 	default:
-		return p.prompt(value)
+		return p.setPrompt(value)
 	}
 }
 
@@ -135,21 +134,40 @@
 	return nil
 }
 
-func (p *parser) prompt(value []byte) error {
-	list := value[0] == '['
-	text := value[0] == '"'
+func (p *parser) setPrompt(value []byte) error {
 	switch {
-	case p.promptField == "messages" && !list:
+	case p.promptField == "messages" && value[0] != '[':
 		return invalid(p.promptField, "The field messages must be a list.")
-	case !list && !text:
-		return invalid(p.promptField, "The field prompt must be a string or a list.")
-	case list && field.Empty(value), text && len(value) == len(`""`):
+	case p.promptField == "prompt" && value[0] != '"':
+		return invalid(p.promptField, "The field prompt must be a string.")
+	}
+	if p.promptField == "messages" {
+		if err := checkMessages(value); err != nil {
+			return err
+		}
+	}
+	if len(value) == len(`""`) {
 		return invalid(p.promptField, "The field "+p.promptField+" is empty.")
 	}
-	p.request.Prompt = value
+	p.prompt = value
 	return nil
 }
 
+func checkMessages(list []byte) error {
+	count := 0
+	err := field.Elements(list, func(value []byte) error {
+		count++
+		if value[0] != '{' {
+			return invalid("messages", "Each of the messages must be an object.")
+		}
+		return nil
+	})
+	if err == nil && count == 0 {
+		return invalid("messages", "The field messages is empty.")
+	}
+	return err
+}
+
 func isNull(value []byte) bool {
 	return string(value) == "null"
 }
--- a/entryd/internal/completion/server.go
+++ b/entryd/internal/completion/server.go
@@ -17,7 +17,6 @@
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/ledger"
-	"github.com/dandelionpier/dandelionpier/internal/prefix"
 	"github.com/dandelionpier/dandelionpier/internal/refusal"
 	"github.com/dandelionpier/dandelionpier/internal/session"
 )
@@ -28,17 +27,8 @@
 	Release()
 }
 
-// Kind classifies an Error.
-type Kind string
-
-// Exceeded means that the spending limit does not cover an amount.
-const Exceeded Kind = "exceeded"
-
-// Error is the error type of this package.
-type Error = fault.Error[Kind]
-
-// Purse reserves budget. Any error refuses the request; one of kind Exceeded says that the limit does
-// not cover the amount.
+// Purse reserves budget. Any error refuses the request; one of kind ledger.Exceeded says that the limit
+// does not cover the amount.
 type Purse interface {
 	Reserve(ctx context.Context, workspace string, limit, amount int64) (Hold, error)
 }
@@ -107,7 +97,7 @@
 		return err
 	}
 	x.Model = request.Model
-	x.PromptTokens = request.PromptTokens()
+	x.PromptTokens = request.PromptTokens
 	model, ok := x.View.Configuration.Models[request.Model]
 	if !ok || !slices.Contains(x.Workspace.Models, request.Model) {
 		return refusal.New(http.StatusNotFound, "model-not-found", refusal.DidNotRun,
@@ -137,7 +127,7 @@
 			Priority:     x.Workspace.Priority,
 			PromptTokens: x.PromptTokens,
 			MaxTokens:    maxTokens,
-			Blocks:       prefix.Blocks(x.Workspace.Name+"/"+request.Model, request.Prompt),
+			Blocks:       request.Blocks,
 			Fingerprint:  fingerprint,
 		},
 	}
@@ -161,7 +151,7 @@
 
 // maxTokens is the bound of the completion, for which the worst-case cost is held.
 func (s *Server) maxTokens(request Request, model configuration.Model) (int, error) {
-	prompt := request.PromptTokens()
+	prompt := request.PromptTokens
 	left := model.MaxContext - prompt
 	switch {
 	case model.MaxContext > 0 && max(1, request.MaxTokens) > left:
@@ -183,7 +173,7 @@
 	switch {
 	case err == nil:
 		return hold, nil
-	case fault.Is(err, Exceeded):
+	case fault.Is(err, ledger.Exceeded):
 		return nil, refusal.New(http.StatusPaymentRequired, "spending-limit", refusal.DidNotRun,
 			"The request may cost up to %d micro-cents, which the spending limit of the workspace does not cover.", worst)
 	default:
--- a/entryd/internal/exchange/exchange.go
+++ b/entryd/internal/exchange/exchange.go
@@ -20,6 +20,8 @@
 	// View is the session's at admission.
 	View      session.View
 	Workspace configuration.Workspace
+	// KeyHash is the hexadecimal SHA-256 of the caller's key. It is not logged.
+	KeyHash string
 
 	// The fields below are for the access log and the metrics.
 
--- a/entryd/internal/field/field.go
+++ b/entryd/internal/field/field.go
@@ -5,6 +5,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
+	"strconv"
+	"unicode/utf16"
+	"unicode/utf8"
 
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 )
@@ -28,13 +32,17 @@
 // data, unless the key has escapes; the value is the JSON text. An error of visit ends the scan.
 // It does not allocate for valid data without escaped keys.
 func Scan(data []byte, visit func(key, value []byte) error) error {
-	const op = "read JSON object"
 	if !json.Valid(data) {
-		return fault.New(op, Syntax, "the text is not valid JSON")
+		return fault.New("read JSON object", Syntax, "the text is not valid JSON")
 	}
+	return Fields(data, visit)
+}
+
+// Fields is Scan for text that is known to be valid JSON, such as a value that Scan has given.
+func Fields(data []byte, visit func(key, value []byte) error) error {
 	i := space(data, 0)
 	if data[i] != '{' {
-		return fault.New(op, NotObject, "the text is not a JSON object")
+		return fault.New("read JSON object", NotObject, "the text is not a JSON object")
 	}
 	i = space(data, i+1)
 	for data[i] != '}' {
@@ -59,6 +67,27 @@
 	return nil
 }
 
+// Elements calls visit for each element of a JSON list that is known to be valid.
+func Elements(data []byte, visit func(value []byte) error) error {
+	i := space(data, 0)
+	if data[i] != '[' {
+		return fault.New("read JSON list", WrongType, "it must be a list")
+	}
+	i = space(data, i+1)
+	for data[i] != ']' {
+		start := i
+		i = value(data, i)
+		if err := visit(data[start:i]); err != nil {
+			return err
+		}
+		i = space(data, i)
+		if data[i] == ',' {
+			i = space(data, i+1)
+		}
+	}
+	return nil
+}
+
 // The functions below rely on the text being valid JSON.
 
 func space(data []byte, i int) int {
@@ -76,13 +105,23 @@
 	case '{', '[':
 		return nested(data, i)
 	default:
-		for i < len(data) && bytes.IndexByte([]byte(",]} \n\t\r"), data[i]) < 0 {
+		for i < len(data) && !ends(data[i]) {
 			i++
 		}
 		return i
 	}
 }
 
+// ends reports whether c ends a number or a literal.
+func ends(c byte) bool {
+	switch c {
+	case ',', ']', '}', ' ', '\n', '\t', '\r':
+		return true
+	default:
+		return false
+	}
+}
+
 func text(data []byte, i int) int {
 	i++
 	for {
@@ -178,8 +217,67 @@
 	}
 }
 
-// Empty reports whether a JSON list or object has no elements.
-func Empty(value []byte) bool {
-	i := space(value, 1)
-	return value[i] == ']' || value[i] == '}'
+// WriteText writes the text of a JSON string to w in pieces, without a copy of the whole. Errors of w
+// are ignored: it is a hash.
+func WriteText(w io.Writer, value []byte) error {
+	if value[0] != '"' {
+		return fault.New("read JSON string", WrongType, "it must be a string")
+	}
+	rest := value[1 : len(value)-1]
+	var character [utf8.UTFMax]byte
+	for len(rest) > 0 {
+		n := bytes.IndexByte(rest, '\\')
+		if n < 0 {
+			n = len(rest)
+		}
+		if n > 0 {
+			_, _ = w.Write(rest[:n])
+			rest = rest[n:]
+			continue
+		}
+		r, length := escape(rest)
+		_, _ = w.Write(utf8.AppendRune(character[:0], r))
+		rest = rest[length:]
+	}
+	return nil
+}
+
+// escape decodes the escape sequence at the start of valid JSON text, and its length.
+func escape(text []byte) (r rune, length int) {
+	switch text[1] {
+	case 'b':
+		return '\b', 2
+	case 'f':
+		return '\f', 2
+	case 'n':
+		return '\n', 2
+	case 'r':
+		return '\r', 2
+	case 't':
+		return '\t', 2
+	case 'u':
+		return unicodeEscape(text)
+	default:
+		return rune(text[1]), 2
+	}
+}
+
+const unicodeLength = len(`\u0000`)
+
+func unicodeEscape(text []byte) (r rune, length int) {
+	r = hex(text)
+	if !utf16.IsSurrogate(r) {
+		return r, unicodeLength
+	}
+	if rest := text[unicodeLength:]; len(rest) >= unicodeLength && rest[0] == '\\' && rest[1] == 'u' {
+		if pair := utf16.DecodeRune(r, hex(rest)); pair != utf8.RuneError {
+			return pair, 2 * unicodeLength
+		}
+	}
+	return utf8.RuneError, unicodeLength
+}
+
+func hex(text []byte) rune {
+	n, _ := strconv.ParseUint(string(text[2:unicodeLength]), 16, 32)
+	return rune(n)
 }
--- a/entryd/internal/filter/access.go
+++ b/entryd/internal/filter/access.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 
@@ -28,13 +29,13 @@
 				current = newKeyIndex(v.Configuration)
 				index.Store(current)
 			}
-			name, ok := current.find(r.Header.Values("Authorization"))
+			entry, ok := current.find(r.Header.Values("Authorization"))
 			if !ok {
-				return refusal.New(http.StatusUnauthorized, "invalid-key", refusal.DidNotRun,
-					"The header Authorization must be Bearer with a key of a workspace.")
+				return invalidKey()
 			}
 			x.View = v
-			x.Workspace = v.Configuration.Workspaces[name]
+			x.KeyHash = entry.hash
+			x.Workspace = v.Configuration.Workspaces[entry.workspace]
 			return next(w, r, x)
 		}
 	}
@@ -47,7 +48,7 @@
 }
 
 type keyEntry struct {
-	hash      []byte
+	hash      string
 	workspace string
 }
 
@@ -56,7 +57,7 @@
 	for name, workspace := range c.Workspaces {
 		for _, hash := range workspace.KeyHashes {
 			hash = strings.ToLower(hash)
-			index.workspaces[hash] = keyEntry{hash: []byte(hash), workspace: name}
+			index.workspaces[hash] = keyEntry{hash: hash, workspace: name}
 		}
 	}
 	return index
@@ -64,21 +65,41 @@
 
 // find hashes the key before it is compared, so that the time taken says nothing about stored keys;
 // the comparison of the hashes takes constant time.
-func (i *keyIndex) find(headers []string) (string, bool) {
+func (i *keyIndex) find(headers []string) (keyEntry, bool) {
 	if len(headers) != 1 {
-		return "", false
+		return keyEntry{}, false
 	}
 	scheme, key, _ := strings.Cut(headers[0], " ")
 	if !strings.EqualFold(scheme, "Bearer") || key == "" {
-		return "", false
+		return keyEntry{}, false
 	}
 	sum := sha256.Sum256([]byte(key))
 	hash := hex.EncodeToString(sum[:])
 	entry := i.workspaces[hash]
-	if subtle.ConstantTimeCompare(entry.hash, []byte(hash)) != 1 {
-		return "", false
+	if subtle.ConstantTimeCompare([]byte(entry.hash), []byte(hash)) != 1 {
+		return keyEntry{}, false
 	}
-	return entry.workspace, true
+	return entry, true
+}
+
+func invalidKey() refusal.Error {
+	return refusal.New(http.StatusUnauthorized, "invalid-key", refusal.DidNotRun,
+		"The header Authorization must be Bearer with a key of a workspace.")
+}
+
+// Readmit takes the newest view and checks lease and key again. A body can take minutes to arrive,
+// and a change that was accepted in between is in force for the request.
+func Readmit(view func() (session.View, error), x *exchange.Exchange) error {
+	v, err := view()
+	if err != nil {
+		return leaseExpired(nil)
+	}
+	workspace, ok := v.Configuration.Workspaces[x.Workspace.Name]
+	if !ok || !slices.ContainsFunc(workspace.KeyHashes, func(hash string) bool { return strings.EqualFold(hash, x.KeyHash) }) {
+		return invalidKey()
+	}
+	x.View, x.Workspace = v, workspace
+	return nil
 }
 
 // Lease refuses requests while the session's lease does not hold, and names other addresses.
--- a/entryd/internal/filter/record.go
+++ b/entryd/internal/filter/record.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,23 +28,25 @@
 	Draining func() bool
 }
 
-// Record turns a handler into an http.Handler: it gives the request its id, sends the handler's error
-// to the caller, and writes the access log and the metrics.
-func Record(config RecordConfig, handler Handler) http.Handler {
-	inFlight := config.Metrics.Gauge("entry_requests_in_flight")
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		x := &exchange.Exchange{RequestID: newRequestID(), Start: time.Now()}
-		w.Header().Set(endpoint.HeaderRequestID, x.RequestID)
-		if config.Draining() {
-			w.Header().Set("Connection", "close")
-		}
-		inFlight.Update(inFlight.Value() + 1)
-		err := guarded(config.Access, handler, w, r, x)
-		inFlight.Update(inFlight.Value() - 1)
-		finish(w, x, err)
-		config.Access.Info("Request", x.Fields(time.Now())...)
-		count(config.Metrics, x)
-	})
+// Record returns a function that turns a handler into an http.Handler: it gives the request its id,
+// sends the handler's error to the caller, and writes the access log and the metrics.
+func Record(config RecordConfig) func(Handler) http.Handler {
+	var inFlight atomic.Int64
+	config.Metrics.GaugeFunc("entry_requests_in_flight", inFlight.Load)
+	return func(handler Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			inFlight.Add(1)
+			defer inFlight.Add(-1)
+			x := &exchange.Exchange{RequestID: newRequestID(), Start: time.Now()}
+			w.Header().Set(endpoint.HeaderRequestID, x.RequestID)
+			if config.Draining() {
+				w.Header().Set("Connection", "close")
+			}
+			finish(w, x, guarded(config.Access, handler, w, r, x))
+			config.Access.Info("Request", x.Fields(time.Now())...)
+			count(config.Metrics, x)
+		})
+	}
 }
 
 // guarded keeps a fault in the handling of one request from ending the process.
--- a/entryd/internal/service/dispatch.go
+++ b/entryd/internal/service/dispatch.go
@@ -30,18 +30,24 @@
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
-const dialTimeout = 2 * time.Second
+const (
+	dialTimeout = 2 * time.Second
+	maxHeader   = 64 << 10
+)
 
 // onceTransport uses a fresh connection for each request: http.Transport sends a request again on its
 // own when a kept connection breaks.
 func onceTransport() *http.Transport {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	return &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeader}
 }
 
 func repeatableTransport() *http.Transport {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	return &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 16,
+		IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeader,
+	}
 }
 
 // forwarded are the caller's headers that the service gets. The bearer key and the headers that make
@@ -92,6 +98,9 @@
 	if got := answer.Header.Get(endpoint.HeaderRequestID); got != "" && got != requestID {
 		return Response{}, fault.New(op, Unusable, "the response is of request %.64q", got)
 	}
+	if answer.StatusCode < http.StatusOK {
+		return Response{}, fault.New(op, Unusable, "the response has status %d", answer.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, int64(s.config.MaxResponse)+1))
 	if err != nil {
 		return Response{}, fault.Wrap(err, op, NoResponse, "read body")
--- a/entryd/internal/service/service.go
+++ b/entryd/internal/service/service.go
@@ -21,6 +21,7 @@
 	"github.com/dandelionpier/dandelionpier/internal/claim"
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/refusal"
 	"github.com/dandelionpier/dandelionpier/internal/session"
@@ -192,7 +193,7 @@
 		return dispatch.Finished
 	case ctx.Err() != nil:
 		return dispatch.Cancelled
-	case connected:
+	case connected && fault.Is(err, NoResponse):
 		return dispatch.Died
 	default:
 		return dispatch.Failed
