Add burn rates of service-level objectives

Operators need to see how fast each workspace uses up its error budget, by length class.

burn.Recorder counts on an entry in rings of 13 slices for windows of 5 min, 1 h, 6 h and 3 d, for a bounded number of workspaces; burn.Service answers Burn.Report, Merge adds up entries, and reports are written as text, JSON lines and a PNG plot (package chart, apart from the entries' programs).

--- /dev/null
+++ b/internal/burn/burn_test.go
@@ -0,0 +1,176 @@
+package burn_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"image/png"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionpier/dandelionpier/internal/burn"
+	"github.com/dandelionpier/dandelionpier/internal/burn/chart"
+)
+
+// A fixed seed makes each run of the properties the same; -rapid.seed overrides it.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+type clock struct{ now time.Time }
+
+func newClock() *clock                   { return &clock{now: time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)} }
+func (c *clock) Now() time.Time          { return c.now }
+func (c *clock) advance(d time.Duration) { c.now = c.now.Add(d) }
+
+func newRecorder(c *clock, maxWorkspaces int) *burn.Recorder {
+	return burn.NewRecorder(burn.Config{Objectives: burn.DefaultObjectives(), MaxWorkspaces: maxWorkspaces, Now: c.Now})
+}
+
+func find(r burn.Report, workspace, class, metric string) burn.Series {
+	for _, s := range r.Series {
+		if s.Workspace == workspace && s.Class == class && s.Metric == metric {
+			return s
+		}
+	}
+	return burn.Series{}
+}
+
+// Guards against counts that are lost, kept beyond their window or counted twice, on one entry and
+// after merging: compared with a list of all observations.
+func TestCountsMatchNaive(t *testing.T) {
+	type observation struct {
+		at   time.Time
+		slow bool
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		c := newClock()
+		entries := []*burn.Recorder{newRecorder(c, 0), newRecorder(c, 0)}
+		var all []observation
+		for range rapid.IntRange(1, 60).Draw(t, "observations") {
+			c.advance(time.Duration(rapid.Int64Range(0, int64(8*time.Hour)).Draw(t, "gap")) >> rapid.IntRange(0, 16).Draw(t, "scale"))
+			slow := rapid.Bool().Draw(t, "slow")
+			ttft := 100 * time.Millisecond
+			if slow {
+				ttft = time.Second
+			}
+			entries[rapid.IntRange(0, 1).Draw(t, "entry")].Observe("w", "short", ttft, 0, true)
+			all = append(all, observation{c.now, slow})
+		}
+		got := find(burn.Merge(entries[0].Report(), entries[1].Report()), "w", "short", "ttft")
+		for i, window := range burn.Windows() {
+			width := int64(window) / 12
+			var want burn.Count
+			for _, o := range all {
+				if c.now.UnixNano()/width-o.at.UnixNano()/width > 12 {
+					continue
+				}
+				want.Total++
+				if o.slow {
+					want.Bad++
+				}
+			}
+			if got.Windows[i] != want {
+				t.Fatalf("window %s: %+v, want %+v", window, got.Windows[i], want)
+			}
+		}
+	})
+}
+
+// Guards against burn rates that do not follow the definition, for each metric.
+func TestRates(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	r := newRecorder(c, 0)
+	for i := range 100 {
+		r.Observe("w", "short", 100*time.Millisecond, 20*time.Millisecond, true)
+		if i%10 == 0 {
+			r.LongStarted()
+			r.Observe("w", "short", 400*time.Millisecond, 40*time.Millisecond, false)
+			r.LongEnded()
+			c.advance(time.Second)
+		}
+	}
+	report := r.Report()
+	for metric, want := range map[string]string{
+		"ttft":        "1.82", // 10 of 110 over 5 %
+		"inter-token": "1.82",
+		"slowdown":    "20.00", // 10 of 10 over 5 %
+		"success":     "90.91", // 10 of 110 over 0.1 %
+	} {
+		rates := report.Rates(find(report, "w", "short", metric))
+		is.Equal(fmt.Sprintf("%.2f", rates[0]), want) // metric
+	}
+	is.Equal(report.Worst(1)[0].Metric, "success")
+}
+
+// Guards against memory that grows with the number of workspaces, and against a full recorder that
+// never takes a new workspace again.
+func TestWorkspacesAreBounded(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	r := newRecorder(c, 2)
+	for _, workspace := range []string{"a", "b", "c", "d"} {
+		r.Observe(workspace, "short", time.Second, 0, true)
+	}
+	is.Equal(find(r.Report(), burn.OtherWorkspace, "short", "success").Windows[0].Total, uint32(2))
+	c.advance(100 * time.Hour)
+	r.Observe("c", "short", time.Second, 0, true)
+	is.Equal(find(r.Report(), "c", "short", "success").Windows[0].Total, uint32(1))
+}
+
+// Guards against allocations on the path of each request.
+func TestObserveDoesNotAllocate(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	r := newRecorder(c, 1)
+	observe := func() {
+		c.advance(time.Minute)
+		r.Observe("w", "short", time.Second, time.Second, true)
+		r.Observe("beyond the bound", "long", time.Second, time.Second, false)
+	}
+	observe()
+	is.Equal(testing.AllocsPerRun(100, observe), 0.0)
+}
+
+// Guards against reports that cannot be written or read.
+func TestFormats(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	r := newRecorder(c, 0)
+	r.Observe("sawmill", "short", time.Second, 0, true)
+	r.Observe("sawmill", "long", time.Second, 0, true)
+	var reply burn.ReportReply
+	is.NoErr(burn.NewService(r).Report(burn.ReportRequest{Workspace: "sawmill"}, &reply))
+	var text, lines, image bytes.Buffer
+	is.NoErr(reply.Report.WriteText(&text))
+	is.Equal(strings.Split(text.String(), "\n")[1], "sawmill    short  ttft     0.95    20.00  20.00  20.00  20.00  1")
+	is.NoErr(reply.Report.WriteJSON(&lines))
+	var first struct {
+		Metric string             `json:"metric"`
+		Burn   map[string]float64 `json:"burn"`
+	}
+	is.NoErr(json.NewDecoder(&lines).Decode(&first))
+	is.Equal(first.Metric, "ttft")
+	is.Equal(fmt.Sprintf("%.2f %.2f", first.Burn["5m"], first.Burn["3d"]), "20.00 20.00")
+	is.NoErr(chart.WritePNG(&image, reply.Report.Total()))
+	_, err := png.Decode(&image)
+	is.NoErr(err)
+	is.NoErr(chart.WritePNG(&image, burn.Report{}))
+}
+
+func BenchmarkObserve(b *testing.B) {
+	c := newClock()
+	r := newRecorder(c, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Observe("w", "short", 100*time.Millisecond, 20*time.Millisecond, true)
+	}
+}
--- /dev/null
+++ b/internal/burn/report.go
@@ -0,0 +1,172 @@
+package burn
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+)
+
+// Series are the counts of one workspace, class and metric, by window.
+type Series struct {
+	Workspace string              `json:"workspace"`
+	Class     string              `json:"class"`
+	Metric    string              `json:"metric"`
+	Windows   [len(windows)]Count `json:"windows"`
+}
+
+// Report is what one entry, or several of them, counted.
+type Report struct {
+	Time       time.Time   `json:"time"`
+	Objectives []Objective `json:"objectives"`
+	Series     []Series    `json:"series"`
+}
+
+func (r *Report) sort() {
+	slices.SortFunc(r.Series, func(a, b Series) int {
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Metric, b.Metric))
+	})
+}
+
+// Merge adds up the counts of several entries. Objectives and time are those of the newest report.
+func Merge(reports ...Report) Report {
+	var merged Report
+	index := make(map[Series]int) // by a series without counts
+	for _, report := range reports {
+		if report.Time.After(merged.Time) {
+			merged.Time, merged.Objectives = report.Time, report.Objectives
+		}
+		for _, line := range report.Series {
+			key := line
+			key.Windows = [len(windows)]Count{}
+			i, known := index[key]
+			if !known {
+				index[key] = len(merged.Series)
+				merged.Series = append(merged.Series, line)
+				continue
+			}
+			for w := range line.Windows {
+				merged.Series[i].Windows[w] = merged.Series[i].Windows[w].plus(line.Windows[w])
+			}
+		}
+	}
+	merged.sort()
+	return merged
+}
+
+// Total returns the report with the workspaces added up.
+func (r Report) Total() Report {
+	parts := make([]Report, 0, len(r.Series))
+	for _, line := range r.Series {
+		line.Workspace = "(all)"
+		parts = append(parts, Report{Time: r.Time, Objectives: r.Objectives, Series: []Series{line}})
+	}
+	return Merge(parts...)
+}
+
+// For returns the report of one workspace.
+func (r Report) For(workspace string) Report {
+	var kept []Series
+	for _, line := range r.Series {
+		if line.Workspace == workspace {
+			kept = append(kept, line)
+		}
+	}
+	r.Series = kept
+	return r
+}
+
+// Rates returns the burn rates of a series by window: the share of bad requests over the share that
+// the objective allows. At rate 1 the error budget of a window is used up at its end. A window
+// without requests has rate 0.
+func (r Report) Rates(line Series) []float64 {
+	rates := make([]float64, len(windows))
+	target := r.target(line)
+	for i, count := range line.Windows {
+		if count.Total > 0 && target < 1 {
+			rates[i] = float64(count.Bad) / float64(count.Total) / (1 - target)
+		}
+	}
+	return rates
+}
+
+func (r Report) target(line Series) float64 {
+	for _, objective := range r.Objectives {
+		if objective.Class != line.Class {
+			continue
+		}
+		for m := range metrics {
+			if m.String() == line.Metric {
+				return objective.target(m)
+			}
+		}
+	}
+	return 1
+}
+
+// Worst returns the n series with the highest burn rate in any window, worst first.
+func (r Report) Worst(n int) []Series {
+	worst := slices.Clone(r.Series)
+	slices.SortStableFunc(worst, func(a, b Series) int {
+		return cmp.Compare(slices.Max(r.Rates(b)), slices.Max(r.Rates(a)))
+	})
+	return worst[:min(n, len(worst))]
+}
+
+// WriteText writes a table of burn rates, worst first, with the requests of the longest window.
+func (r Report) WriteText(w io.Writer) error {
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprint(out, "WORKSPACE\tCLASS\tMETRIC\tTARGET")
+	for _, window := range windows {
+		fmt.Fprint(out, "\t"+WindowName(window))
+	}
+	fmt.Fprintln(out, "\tREQUESTS")
+	for _, line := range r.Worst(len(r.Series)) {
+		fmt.Fprintf(out, "%s\t%s\t%s\t%g", line.Workspace, line.Class, line.Metric, r.target(line))
+		for _, rate := range r.Rates(line) {
+			fmt.Fprintf(out, "\t%.2f", rate)
+		}
+		fmt.Fprintf(out, "\t%d\n", line.Windows[len(windows)-1].Total)
+	}
+	return fault.Wrap(out.Flush(), "write report", Invalid, "text")
+}
+
+// WindowName returns the usual short name of a window, such as 5m or 3d.
+func WindowName(window time.Duration) string {
+	const day = 24 * time.Hour
+	switch {
+	case window%day == 0:
+		return fmt.Sprintf("%dd", window/day)
+	case window%time.Hour == 0:
+		return fmt.Sprintf("%dh", window/time.Hour)
+	default:
+		return fmt.Sprintf("%dm", window/time.Minute)
+	}
+}
+
+// jsonLine is a series with its burn rates, for programs.
+type jsonLine struct {
+	Series
+	Target float64            `json:"target"`
+	Burn   map[string]float64 `json:"burn"`
+}
+
+// WriteJSON writes one JSON object a series, worst first.
+func (r Report) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	for _, line := range r.Worst(len(r.Series)) {
+		rates := make(map[string]float64, len(windows))
+		for i, rate := range r.Rates(line) {
+			rates[WindowName(windows[i])] = rate
+		}
+		if err := encoder.Encode(jsonLine{Series: line, Target: r.target(line), Burn: rates}); err != nil {
+			return fault.Wrap(err, "write report", Invalid, "JSON")
+		}
+	}
+	return nil
+}
