--- a/controld/internal/operator/operator.go
+++ b/controld/internal/operator/operator.go
@@ -84,6 +84,7 @@
 	a := &API{config: config, router: mux.NewRouter()}
 	a.router.HandleFunc("/v1/commands", a.commands).Methods(http.MethodPost)
 	a.router.HandleFunc("/v1/queries", a.queries).Methods(http.MethodPost)
+	a.router.HandleFunc("/v1/reports/burn", a.burnReport).Methods(http.MethodGet)
 	a.router.Use(a.authenticate)
 	return a
 }
--- a/controld/internal/operator/operator_test.go
+++ b/controld/internal/operator/operator_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/dandelionpier/dandelionpier/controld/internal/operator"
+	"github.com/dandelionpier/dandelionpier/internal/burn"
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
 	"github.com/dandelionpier/dandelionpier/internal/control"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
@@ -94,6 +95,7 @@
 	return control.QueryReply{Configuration: &state, Revision: state.Revision, History: q.history, Members: q.members}, nil
 }
 
+// peers answers Dispatch.Endpoints.
 type peers func(ctx context.Context, address, cell string, reply *dispatch.EndpointsReply) error
 
 func (p peers) Call(ctx context.Context, address, _ string, args, reply any) error {
@@ -311,6 +313,36 @@
 	}
 }
 
+type burnPeers map[string]burn.Report
+
+func (p burnPeers) Call(_ context.Context, address, method string, _, reply any) error {
+	report, ok := p[address]
+	if !ok || method != burn.ReportMethod {
+		return errors.New("connection refused")
+	}
+	reply.(*burn.ReportReply).Report = report
+	return nil
+}
+
+// Guards against a burn report that counts some entries only and does not say so.
+func TestBurnReport(t *testing.T) {
+	is := is.New(t)
+	q := newQuorum()
+	q.members = members("a", "b", "c")
+	line := burn.Series{Workspace: "shop", Class: "short", Metric: "ttft"}
+	line.Windows[0] = burn.Count{Total: 10, Bad: 1}
+	report := burn.Report{Time: time.Unix(1, 0), Objectives: burn.DefaultObjectives(), Series: []burn.Series{line}}
+	api := newAPI(q, burnPeers{"a:1": report, "c:1": report}, "", nil)
+	request := httptest.NewRequest(http.MethodGet, "/v1/reports/burn?workspace=shop", nil)
+	request.Header.Set("Authorization", "Bearer "+operatorKey)
+	recorder := httptest.NewRecorder()
+	api.ServeHTTP(recorder, request)
+	var reply language.BurnReply
+	is.NoErr(json.NewDecoder(recorder.Body).Decode(&reply))
+	is.Equal(reply.Report.Series[0].Windows[0], burn.Count{Total: 20, Bad: 2})
+	is.Equal(reply.Missing, []language.Missing{{Part: "instance b", Error: "connection refused"}})
+}
+
 // Guards against answers without a bound at the 6,500 workspaces of the two-year target.
 func TestManyWorkspaces(t *testing.T) {
 	is := is.New(t)
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -126,6 +126,21 @@
 	is.Equal(find(r.Report(), "c", "short", "success").Windows[0].Total, uint32(1))
 }
 
+// Guards against a reply that grows with the number of workspaces, or hides that it is cut.
+func TestReplyIsBounded(t *testing.T) {
+	is := is.New(t)
+	r := newRecorder(newClock(), burn.MaxSeries)
+	for i := range burn.MaxSeries {
+		r.Observe(fmt.Sprint(i), "short", time.Second, 0, true)
+	}
+	var reply, total burn.ReportReply
+	is.NoErr(burn.NewService(r).Report(burn.ReportRequest{}, &reply))
+	is.Equal(len(reply.Report.Series), burn.MaxSeries)
+	is.Equal(reply.LeftOut, burn.MaxSeries) // each workspace has the metrics ttft and success
+	is.NoErr(burn.NewService(r).Report(burn.ReportRequest{Total: true}, &total))
+	is.Equal(find(total.Report, "(all)", "short", "ttft").Windows[0].Total, uint32(burn.MaxSeries))
+}
+
 // Guards against allocations on the path of each request.
 func TestObserveDoesNotAllocate(t *testing.T) {
 	is := is.New(t)
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -81,6 +81,15 @@
 	return r
 }
 
+// keepBusiest keeps the n series with most requests in the longest window.
+func (r *Report) keepBusiest(n int) {
+	slices.SortStableFunc(r.Series, func(a, b Series) int {
+		return cmp.Compare(b.Windows[len(windows)-1].Total, a.Windows[len(windows)-1].Total)
+	})
+	r.Series = r.Series[:n]
+	r.sort()
+}
+
 // Rates returns the burn rates of a series by window: the share of bad requests over the share that
 // the objective allows. At rate 1 the error budget of a window is used up at its end. A window
 // without requests has rate 0.
--- a/internal/language/wire.go
+++ b/internal/language/wire.go
@@ -1,6 +1,10 @@
 package language
 
-import "encoding/json"
+import (
+	"encoding/json"
+
+	"github.com/dandelionpier/dandelionpier/internal/burn"
+)
 
 // CommandRequest is the body of POST /v1/commands.
 type CommandRequest struct {
@@ -56,6 +60,12 @@
 	Error string `json:"error"`
 }
 
+// BurnReply answers GET /v1/reports/burn with the merged reports of the entries.
+type BurnReply struct {
+	Report  burn.Report `json:"report"`
+	Missing []Missing   `json:"missing,omitempty"`
+}
+
 // ErrorReply is the body of a response with an error status.
 type ErrorReply struct {
 	Error string `json:"error"`
--- a/pierctl/internal/cli/cli.go
+++ b/pierctl/internal/cli/cli.go
@@ -117,6 +117,12 @@
 			{
 				Name: "query", Usage: "answer a query", ArgsUsage: "[QUERY]", Flags: []cli.Flag{fileFlag()}, OnUsageError: usageError, Action: p.query,
 			},
+			{
+				Name: "report", Usage: "report on the deployment", OnUsageError: usageError,
+				Commands: []*cli.Command{{
+					Name: "burn", Usage: "report how fast error budgets burn", Flags: burnFlags(), OnUsageError: usageError, Action: p.burn,
+				}},
+			},
 			{Name: "version", Usage: "print the version", Action: p.version},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
@@ -264,18 +270,18 @@
 	if err != nil {
 		return err
 	}
-	p.note(reply)
+	if len(reply.Rows) < reply.Total {
+		fmt.Fprintf(p.errs, "%d of %d rows\n", len(reply.Rows), reply.Total)
+	}
+	p.note(reply.Missing)
 	return fault.Wrap(output.Rows(p.out, s.Output, reply), "write rows", Failed, "output")
 }
 
 // note writes to standard error what the answer lacks.
-func (p *program) note(reply language.QueryReply) {
-	if len(reply.Rows) < reply.Total {
-		fmt.Fprintf(p.errs, "%d of %d rows\n", len(reply.Rows), reply.Total)
-	}
-	for _, missing := range reply.Missing {
+func (p *program) note(missing []language.Missing) {
+	for _, part := range missing {
 		p.code = exitPartial
-		fmt.Fprintf(p.errs, "missing: %s: %s\n", missing.Part, missing.Error)
+		fmt.Fprintf(p.errs, "missing: %s: %s\n", part.Part, part.Error)
 	}
 }
 
--- a/pierctl/internal/client/client.go
+++ b/pierctl/internal/client/client.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/dandelionpier/dandelionpier/internal/fault"
@@ -86,6 +88,16 @@
 	return reply, err
 }
 
+// Burn asks for the merged burn report of the entries; an empty workspace means all, which total
+// adds up.
+func (c *Client) Burn(ctx context.Context, workspace string, total bool) (language.BurnReply, error) {
+	query := url.Values{"workspace": {workspace}, "total": {strconv.FormatBool(total)}}
+	path := "/v1/reports/burn?" + query.Encode()
+	var reply language.BurnReply
+	err := c.send(ctx, http.MethodGet, path, nil, &reply)
+	return reply, err
+}
+
 // send tries the addresses in turn, and first the leader that an answer names.
 func (c *Client) send(ctx context.Context, method, path string, request, reply any) error {
 	const op = "ask control instances"
