--- a/standin/internal/engine/group.go
+++ b/standin/internal/engine/group.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/dandelionpier/dandelionpier/standin/internal/model"
@@ -20,19 +21,21 @@
 )
 
 // lead keeps the members' holdings alive while the attempt runs and releases them at its end. The
-// attempt fails when a member no longer has its holding or cannot be reached.
-func lead(ctx context.Context, client *http.Client, attempt *model.Attempt, group []member) {
+// attempt fails when a member no longer has its holding or cannot be reached. The prefill occupies
+// every member for the given simulated time.
+func lead(ctx context.Context, client *http.Client, attempt *model.Attempt, group []member, prefill time.Duration) {
 	for _, m := range group {
-		go m.keep(context.WithoutCancel(ctx), client, attempt)
+		go m.keep(context.WithoutCancel(ctx), client, attempt, prefill)
 	}
 }
 
-func (m member) keep(ctx context.Context, client *http.Client, attempt *model.Attempt) {
+func (m member) keep(ctx context.Context, client *http.Client, attempt *model.Attempt, prefill time.Duration) {
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
 	failures := 0
+	suffix := "/renew?occupy-ms=" + strconv.FormatInt(prefill.Milliseconds(), 10)
 	for {
-		status, err := m.call(ctx, client, http.MethodPost, "/renew")
+		status, err := m.call(ctx, client, http.MethodPost, suffix)
 		switch {
 		case err != nil:
 			failures++
@@ -40,6 +43,7 @@
 			failures = maxRenewFailures
 		default:
 			failures = 0
+			suffix = "/renew"
 		}
 		if failures >= maxRenewFailures {
 			attempt.Fail(fmt.Sprintf("member %s lost holding %q (status %d, %v)", m.address, m.holding, status, err))
--- a/standin/internal/engine/platform.go
+++ b/standin/internal/engine/platform.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -45,8 +46,15 @@
 	respond(w, e.model.Release(mux.Vars(r)["id"]))
 }
 
+// renew starts the TTL of a holding anew. The head of a group adds occupy-ms, the simulated time for
+// which the group's prefill occupies this engine.
 func (e *Engine) renew(w http.ResponseWriter, r *http.Request) {
-	respond(w, e.model.Renew(mux.Vars(r)["id"]))
+	id := mux.Vars(r)["id"]
+	err := e.model.Renew(id)
+	if ms, parseErr := strconv.Atoi(r.URL.Query().Get("occupy-ms")); err == nil && parseErr == nil {
+		err = e.model.Occupy(id, time.Duration(ms)*time.Millisecond)
+	}
+	respond(w, err)
 }
 
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
--- a/standin/internal/model/engine.go
+++ b/standin/internal/model/engine.go
@@ -142,6 +142,8 @@
 	prefill  []chunk
 	decode   []*Attempt
 	duration time.Duration
+	// occupied is the simulated time given to the prefill of groups that other engines lead.
+	occupied time.Duration
 	// cost is the number of prefill tokens, those of a group divided by its size.
 	cost float64
 }
@@ -152,7 +154,7 @@
 }
 
 func (s step) empty() bool {
-	return len(s.prefill) == 0 && len(s.decode) == 0
+	return len(s.prefill) == 0 && len(s.decode) == 0 && s.occupied == 0
 }
 
 // begin admits waiting attempts and plans the next step.
@@ -179,7 +181,8 @@
 	if len(s.decode) > 0 {
 		seconds += 1 / e.config.DecodeRate
 	}
-	s.duration = e.simulated(time.Duration(seconds * float64(time.Second)))
+	s.occupied = e.occupation()
+	s.duration = e.simulated(time.Duration(seconds*float64(time.Second)) + s.occupied)
 	return s
 }
 
@@ -188,15 +191,18 @@
 	return time.Duration(float64(d) / e.config.Speed)
 }
 
-// admit moves waiting attempts into the batch in order. It stops at the first that does not fit, so
-// that no later arrival of lower rank takes the memory that the first one waits for.
+// admit moves waiting attempts into the batch in order. Behind the first that does not fit, only
+// attempts with a holding are admitted, so that no later arrival takes the memory that it waits for.
 func (e *Engine) admit() {
-	for len(e.waiting) > 0 && len(e.running) < e.config.MaxRunning {
-		a := e.waiting[0]
-		if !e.reserve(a) {
-			return
+	blocked := false
+	for i := 0; i < len(e.waiting) && len(e.running) < e.config.MaxRunning; {
+		a := e.waiting[i]
+		if (blocked && a.held == 0) || !e.reserve(a) {
+			blocked = true
+			i++
+			continue
 		}
-		e.waiting = slices.Delete(e.waiting, 0, 1)
+		e.waiting = slices.Delete(e.waiting, i, i+1)
 		e.running = insert(e.running, a)
 	}
 }
--- a/standin/internal/model/holding.go
+++ b/standin/internal/model/holding.go
@@ -13,6 +13,8 @@
 type holding struct {
 	endpoint.Holding
 	timer *time.Timer
+	// occupied is the simulated time that the prefill of the holding's group still needs here.
+	occupied time.Duration
 }
 
 // Hold reserves memory until it is released or its TTL passes. A repeated call with the same id and
@@ -75,6 +77,32 @@
 	return nil
 }
 
+// Occupy makes the engine spend a simulated time on the prefill of a group whose head is another
+// engine. Each step takes at most the time of one chunk from it.
+func (e *Engine) Occupy(id string, d time.Duration) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h, found := e.holdings[id]
+	if !found {
+		return fault.New("occupy engine", Unknown, "holding %q does not exist", id)
+	}
+	h.occupied = d
+	e.poke()
+	return nil
+}
+
+// occupation takes the time of at most one chunk from the holdings.
+func (e *Engine) occupation() time.Duration {
+	limit := time.Duration(float64(e.config.ChunkTokens) / e.config.PrefillRate * float64(time.Second))
+	total := time.Duration(0)
+	for _, h := range e.holdings {
+		d := min(h.occupied, limit-total)
+		h.occupied -= d
+		total += d
+	}
+	return total
+}
+
 // Release frees a holding, or cancels the attempt of that id.
 func (e *Engine) Release(id string) error {
 	e.mu.Lock()
