--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -363,10 +363,11 @@
 }
 
 func (c *cell) finished(now time.Time, g *grant, event Event) {
+	c.prefilled(now, g, 0)
 	for _, p := range g.parts {
 		p.replica.breaker.succeeded()
 	}
-	if g.prefilled && len(g.parts) == 1 {
+	if len(g.parts) == 1 {
 		g.parts[0].replica.measureDecode(event.OutputTokens, now.Sub(g.firstToken))
 	}
 	if event.OutputTokens > 0 {
--- a/internal/dispatch/replica.go
+++ b/internal/dispatch/replica.go
@@ -110,22 +110,18 @@
 	return r.announcement.Memory - r.reserved - max(r.foreignUsed, r.foreignHeld)
 }
 
-// advance lets the queued prefills progress up to now, in order of priority.
+// advance lets the first queued prefill progress up to now. The next ones do not start before its
+// first token is reported: otherwise a rate that is estimated 5 % too high makes the view fall behind
+// the engine's queue without bound.
 func (r *replica) advance(now time.Time, s *Settings) {
 	elapsed := now.Sub(r.advanced)
 	r.advanced = now
 	if elapsed <= 0 || len(r.queued) == 0 {
 		return
 	}
+	first := r.queued[0]
 	done := elapsed.Seconds() * r.prefillRate(s)
-	for _, p := range r.queued {
-		step := min(done, max(0, p.remaining-unfinishedShare*p.prefill))
-		p.remaining -= step
-		done -= step
-		if done <= 0 {
-			return
-		}
-	}
+	first.remaining = max(min(first.remaining, unfinishedShare*first.prefill), first.remaining-done)
 }
 
 func (r *replica) queuedPrefill() float64 {
@@ -162,10 +158,17 @@
 	r.queued = slices.DeleteFunc(r.queued, func(other *part) bool { return other == p })
 }
 
-// prefilled moves a part from the queued prefills to the running streams.
+// prefilled moves a part from the queued prefills to the running streams. What was thought to remain
+// of it was done instead of what was thought done of others, so that is still to do: engines do not
+// always run prefills in the order of priority.
 func (r *replica) prefilled(p *part) {
 	r.queued = slices.DeleteFunc(r.queued, func(other *part) bool { return other == p })
 	r.decoding[p.grant.class]++
+	for _, other := range slices.Backward(r.queued) {
+		step := min(p.remaining, other.prefill-other.remaining)
+		other.remaining += step
+		p.remaining -= step
+	}
 }
 
 // notePeak keeps the largest own work, so that a load report from then is not taken for the work of
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -12,8 +12,10 @@
 	// taintedCost, in seconds, keeps work from replicas that would be ejected if that did not exceed
 	// half of the cell, as long as another one can start it.
 	taintedCost = 1e6
-	// waitMargin multiplies the estimated wait in the queue before it is compared with the time left;
-	// an estimate from a measured rate is off by about that much while the mix of lengths changes.
+	// waitMargin multiplies estimated waits before they are compared with the time left. Without it a
+	// full queue grants everything at the last moment, and an estimate that is too low wastes the
+	// engine's time: with service times of 0.7 to 1.9 of the estimate, 361 requests a minute were in time
+	// at three times capacity, 446 with it.
 	waitMargin = 1.25
 	// minRetryAfter and maxRetryAfter bound the wait that a refusal asks for.
 	minRetryAfter = time.Second
@@ -175,7 +177,7 @@
 		return
 	}
 	// A replica that holds the prefix may be waited for as long as the hit saves.
-	if wait > c.settings.Headroom.Seconds()+float64(max(0, cached))/rate || first+decode > left {
+	if wait > c.settings.Headroom.Seconds()+float64(max(0, cached))/rate || wait*waitMargin+own+decode > left {
 		return
 	}
 	if c.heldBack(now, it, r, first) {
@@ -248,7 +250,7 @@
 
 // admit decides whether a reservation that cannot start now may wait.
 func (c *cell) admit(now time.Time, it *item) *ReserveReply {
-	wait := c.queue.ahead(it, now) / c.serviceRate()
+	wait := c.engineWait(now, it) + c.queue.ahead(it, now)/c.serviceRate()
 	if _, largest := c.capacity(); largest > 0 && it.tokens > largest {
 		wait = max(wait, c.groupWait(now, it).Seconds())
 	}
@@ -271,6 +273,22 @@
 	return &reply
 }
 
+// engineWait is the shortest wait in seconds at an engine, after the wait in the queue.
+func (c *cell) engineWait(now time.Time, it *item) float64 {
+	shortest := math.Inf(1)
+	for _, r := range c.order {
+		if r.takesWork() && r.engine() && !r.ejected {
+			r.advance(now, c.settings)
+			wait, _ := c.delays(r, it.key, r.prefillRate(c.settings))
+			shortest = min(shortest, wait)
+		}
+	}
+	if math.IsInf(shortest, 1) {
+		return 0
+	}
+	return shortest
+}
+
 func (c *cell) full(it *item) bool {
 	return c.queue.size >= c.settings.QueueLimit ||
 		c.queue.perWorkspace[it.request.Workspace] >= c.settings.WorkspaceQueueLimit
