--- /dev/null
+++ b/internal/dispatch/breaker_test.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against breakers that eject more than half of a cell, and against one that never lets a probe
+// through. Ejecting whatever is open, the naive side, exceeds half in some runs.
+func TestBreakersLeaveHalfOfTheCell(t *testing.T) {
+	naiveExceeded := false
+	rapid.Check(t, func(t *rapid.T) {
+		c, now := testCellWith(testConfig()), epoch
+		count := rapid.IntRange(1, 6).Draw(t, "engines")
+		for i := range count {
+			c.announce(now, engine(i, 1_000_000))
+		}
+		for i := range 60 {
+			id := fmt.Sprintf("a%d", i)
+			reply := c.reserve(now, request(id, 100, 10))
+			event := rapid.SampledFrom([]EventType{Failed, Failed, Failed, Died, Finished, Cancelled}).Draw(t, "event")
+			if reply.Status == Granted {
+				c.report(now, Event{Cell: testCell, Grant: id, Type: event})
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			live := rapid.IntRange(0, count-1).Draw(t, "announces")
+			for j := range count {
+				a := engine(j, 1_000_000)
+				if j != live || i%4 == 0 {
+					c.announce(now, a)
+				}
+			}
+			c.tick(now)
+			usable, ejected, open := 0, 0, 0
+			for _, r := range c.order {
+				if !r.takesWork() {
+					continue
+				}
+				usable++
+				if r.ejected {
+					ejected++
+				}
+				if !r.breaker.allows(now) {
+					open++
+				}
+			}
+			if ejected > usable/2 {
+				t.Fatalf("%d of %d replicas are ejected", ejected, usable)
+			}
+			naiveExceeded = naiveExceeded || open > usable/2
+		}
+	})
+	is := is.New(t)
+	is.True(naiveExceeded)
+}
+
+// Guards against a breaker that opens too early, gets more than one probe, or does not back off.
+func TestBreakerProbes(t *testing.T) {
+	is := is.New(t)
+	s, b, now := DefaultSettings(), breaker{}, epoch
+	for i := range s.BreakerFailures {
+		is.True(b.allows(now)) // closed until enough consecutive failures
+		b.failed(now, fmt.Sprint(i), &s, 0.5)
+	}
+	is.True(!b.allows(now))
+	now = now.Add(s.BreakerBackOff)
+	is.True(b.allows(now))
+	b.granted(now, "probe")
+	is.True(!b.allows(now)) // one probe at a time
+	b.failed(now, "probe", &s, 0.5)
+	is.True(!b.allows(now.Add(s.BreakerBackOff)))
+	now = now.Add(2 * s.BreakerBackOff)
+	b.granted(now, "second")
+	b.released("second") // ended without a verdict
+	is.True(b.allows(now))
+	b.succeeded()
+	is.True(b.allows(now))
+}
--- /dev/null
+++ b/internal/dispatch/group_test.go
@@ -0,0 +1,200 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/bits"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// exhaustive calls try for each set of replicas.
+func exhaustive(replicas []*replica, try func(set []*replica)) {
+	for mask := 1; mask < 1<<len(replicas); mask++ {
+		set := make([]*replica, 0, bits.OnesCount(uint(mask)))
+		for i, r := range replicas {
+			if mask&(1<<i) != 0 {
+				set = append(set, r)
+			}
+		}
+		try(set)
+	}
+}
+
+func sumOf(set []*replica, value func(*replica) int) int {
+	sum := 0
+	for _, r := range set {
+		sum += max(0, value(r))
+	}
+	return sum
+}
+
+// Guards against a group that is larger than needed, one that is missed although its memory is free, a
+// start estimate later than the first possible one, and shares that do not fit their members.
+func TestGroupsAgainstAllSubsets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, now := testCellWith(testConfig()), epoch
+		for i := range rapid.IntRange(1, 7).Draw(t, "engines") {
+			c.announce(now, engine(i, rapid.IntRange(1, 20).Draw(t, "memory")*100))
+			r := c.order[i]
+			for j := range rapid.IntRange(0, 3).Draw(t, "grants") {
+				tokens := rapid.IntRange(0, max(0, r.free())).Draw(t, "tokens")
+				g := &grant{Grant: Grant{ID: fmt.Sprint(i, j)}, end: now.Add(time.Duration(rapid.IntRange(2, 20).Draw(t, "end")) * time.Second)}
+				g.parts = []*part{{grant: g, replica: r, tokens: tokens}}
+				c.addGrant(now, g)
+			}
+		}
+		it := c.newItem(now, request("a", rapid.IntRange(1, 9000).Draw(t, "need"), 0))
+		_, candidates := c.groupCandidates(it)
+		memory := func(r *replica) int { return r.announcement.Memory }
+		wantSize := 0
+		exhaustive(candidates, func(set []*replica) {
+			if sumOf(set, memory) >= it.tokens && (wantSize == 0 || len(set) < wantSize) {
+				wantSize = len(set)
+			}
+		})
+		size, _ := smallestGroup(candidates, it.tokens)
+		if size != wantSize {
+			t.Fatalf("the smallest group has %d members, want %d", size, wantSize)
+		}
+		if size == 0 {
+			return
+		}
+		free, earliest := false, now.Add(time.Hour)
+		exhaustive(candidates, func(set []*replica) {
+			if len(set) != size {
+				return
+			}
+			free = free || sumOf(set, (*replica).free) >= it.tokens
+			for _, r := range candidates {
+				for _, end := range append([]time.Time{now}, ends(r)...) {
+					at := func(r *replica) int { return r.free() + freed(r, end) }
+					if sumOf(set, at) >= it.tokens && end.Before(earliest) {
+						earliest = end
+					}
+				}
+			}
+		})
+		members := freeGroup(candidates, size, it.tokens, (*replica).free)
+		if (members != nil) != free {
+			t.Fatalf("group %v, want one: %v", members, free)
+		}
+		if _, start := earliestGroup(now, candidates, size, it.tokens, latestEnd); !start.Equal(earliest) {
+			t.Fatalf("starts after %v, want %v", start.Sub(now), earliest.Sub(now))
+		}
+		if members == nil {
+			return
+		}
+		total := 0
+		for i, share := range shares(members, it.tokens) {
+			total += share
+			if share < 0 || share > members[i].free() {
+				t.Fatalf("share %d of %s does not fit its %d free tokens", share, members[i].name, members[i].free())
+			}
+		}
+		if total != it.tokens {
+			t.Fatalf("shares add up to %d of %d tokens", total, it.tokens)
+		}
+	})
+}
+
+func ends(r *replica) []time.Time {
+	var all []time.Time
+	for _, p := range r.parts {
+		all = append(all, p.grant.end)
+	}
+	return all
+}
+
+func freed(r *replica, at time.Time) int {
+	sum := 0
+	for _, p := range r.parts {
+		if !p.grant.end.After(at) {
+			sum += p.tokens
+		}
+	}
+	return sum
+}
+
+// groupWaits floods two engines with single requests that hold memory for two seconds, with a group
+// that needs all of both among them, and returns when the group and how many others were granted
+// within two minutes. Without holds, free memory always goes to whatever fits.
+func groupWaits(holds bool) (group time.Duration, others int) {
+	c := testCellWith(testConfig())
+	if !holds {
+		// A hold that keeps nothing and never ends takes the place of real ones.
+		c.hold = &hold{item: &item{flow: &flow{}, notBefore: epoch.Add(time.Hour)}}
+	}
+	running := map[string]time.Time{}
+	for step := range 1200 {
+		now := epoch.Add(time.Duration(step) * 100 * time.Millisecond)
+		if step%10 == 0 {
+			c.announce(now, engine(0, 1000))
+			c.announce(now, engine(1, 1000))
+		}
+		if step%2 == 0 {
+			r := request(fmt.Sprintf("a%d", step), 300, 60)
+			r.Workspace = fmt.Sprintf("workspace-%d", step%5)
+			r.TimeLeft = 10 * time.Second
+			c.reserve(now, r)
+		}
+		if step == 50 {
+			r := request("group", 1900, 100)
+			r.TimeLeft = 10 * time.Minute
+			c.reserve(now, r)
+		}
+		for _, id := range sortedKeys(c.items) {
+			c.beginAwait(now, id)
+			c.endAwait(now, id, true)
+		}
+		for _, id := range sortedKeys(c.grants) {
+			if id == "group" {
+				return now.Sub(epoch.Add(5 * time.Second)), others
+			}
+			if running[id].IsZero() {
+				running[id] = now
+				others++
+			}
+			c.report(now, Event{Cell: testCell, Grant: id, Type: Alive, Prefilled: true})
+			if now.Sub(running[id]) >= 2*time.Second {
+				c.report(now, Event{Cell: testCell, Grant: id, Type: Finished})
+			}
+		}
+		c.tick(now)
+	}
+	return 0, others
+}
+
+// Guards against a group that starves behind single requests. The naive side gives free memory to
+// whatever fits and never starts it.
+func TestGroupDoesNotStarve(t *testing.T) {
+	is := is.New(t)
+	never, others := groupWaits(false)
+	is.Equal(never, time.Duration(0))
+	is.True(others > 100)
+	wait, others := groupWaits(true)
+	t.Logf("the group started after %v, with %d others before it", wait, others)
+	is.True(wait > 0 && wait <= 12*time.Second)
+	is.True(others > 0)
+}
+
+// Guards against backfill that delays a waiting group, and against the refusal of work that ends
+// before the group starts.
+func TestBackfillEndsBeforeTheGroup(t *testing.T) {
+	is := is.New(t)
+	c := testCellWith(testConfig())
+	c.announce(epoch, engine(0, 1000))
+	c.announce(epoch, engine(1, 1000))
+	is.Equal(c.reserve(epoch, request("running", 100, 600)).Status, Granted) // ends after 20 s
+	is.Equal(c.reserve(epoch, request("group", 1500, 100)).Status, Queued)
+	is.Equal(c.hold.start, c.grants["running"].end)
+	is.Equal(c.reserve(epoch, request("short", 100, 100)).Status, Granted) // ends after 4 s
+	is.Equal(c.reserve(epoch, request("late", 100, 800)).Status, Queued)   // would end after 27 s
+	c.report(epoch, Event{Cell: testCell, Grant: "running", Type: Finished})
+	c.report(epoch, Event{Cell: testCell, Grant: "short", Type: Finished})
+	is.True(c.grants["group"] != nil)
+	is.True(c.grants["late"] == nil)
+	is.Equal(len(c.calls), 1) // the creation of the group's holdings
+}
