Count an engine's chunk, keep groups out of the drain rate, release useless holds

Cause: a short prompt behind a running long prefill was expected to start at once; a waiting group alone made the measured drain rate of the cell fall, so others were refused as too late; a hold stayed while something else than memory kept its reservation from starting; ended attempts that had not yet freed their memory counted as work of others. Change: the wait includes one chunk of a running prefill; only work that fits one replica counts for the drain rate and ahead of others; holds whose memory is free are released. Conclusion: the differential test of routing includes the chunk and passes.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -216,7 +216,8 @@
 }
 
 // compared takes the holdings of an engine that no grant explains. One that stays without a grant for
-// GrantTTL is an orphan: by then its entry would have reported it, also to a new dispatcher.
+// GrantTTL is an orphan: by then its entry would have reported it, also to a new dispatcher. Attempts
+// that have just ended are about to free their memory and are not counted as taken.
 func (c *cell) compared(now time.Time, name, incarnation string, unknown []endpoint.Holding) {
 	r := c.replicas[name]
 	if r == nil || r.announcement.Incarnation != incarnation {
@@ -230,7 +231,9 @@
 			first = now
 		}
 		seen[h.ID] = first
-		r.foreignHeld += h.Tokens
+		if _, ended := c.ended[h.ID]; !ended {
+			r.foreignHeld += h.Tokens
+		}
 		if now.Sub(first) >= GrantTTL {
 			c.callCancel(r, h.ID)
 			c.callDelete(r, h.ID)
--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -541,11 +541,24 @@
 		c.expireItem(now, c.items[id])
 	}
 	c.queue.forget()
-	c.drain.tick(now, c.queue.size > 0)
+	c.drain.tick(now, c.saturated())
 	c.eject(now)
 	c.pump(now)
 }
 
+// saturated says that work waits that one replica could run.
+func (c *cell) saturated() bool {
+	_, largest := c.capacity()
+	for _, f := range c.queue.flows {
+		for _, it := range f.items {
+			if it.tokens <= largest || largest == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // expireItem drops reservations that nobody awaits, and refuses those that can no longer be in time.
 func (c *cell) expireItem(now time.Time, it *item) {
 	if it.awaiting == 0 && now.Sub(it.lastAwait) > ticketTTL {
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -97,6 +97,9 @@
 	OwnWeight ClassWeights `yaml:"own-weight"`
 	// OthersWeight multiplies the delay that the placement adds to each request already there.
 	OthersWeight ClassWeights `yaml:"others-weight"`
+	// ChunkTokens is the part of a prefill that an engine finishes before it turns to work of a higher
+	// priority.
+	ChunkTokens int `yaml:"chunk-tokens" validate:"gte=0"`
 	// DecodeInterference is the share of a prefill's time by which running streams are delayed.
 	DecodeInterference float64 `yaml:"decode-interference" validate:"gte=0,lte=1"`
 	// Headroom is the largest expected wait at an engine; work that would wait longer stays in the
@@ -129,6 +132,7 @@
 	return Settings{
 		OwnWeight:           ClassWeights{Short: 1, Medium: 1, Long: 1},
 		OthersWeight:        ClassWeights{Short: 1, Medium: 1, Long: 1},
+		ChunkTokens:         2048,
 		DecodeInterference:  0.5,
 		Headroom:            500 * time.Millisecond,
 		AgeingFactor:        2,
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -216,6 +216,9 @@
 		return
 	}
 	members, start := earliestGroup(now, candidates, size, it.tokens, latestEnd)
+	if start.Equal(now) {
+		return
+	}
 	c.hold = &hold{item: it, members: members, start: start}
 	it.estimate = start.Sub(now) + it.service
 }
@@ -277,6 +280,15 @@
 	return c.latestEnd(now, it, r, first).After(c.hold.start)
 }
 
+// releaseUseless drops the hold when its memory is free and its reservation still could not start:
+// something else than memory is in the way.
+func (c *cell) releaseUseless() {
+	h := c.hold
+	if h != nil && freeGroup(h.members, len(h.members), h.item.tokens, (*replica).free) != nil {
+		c.hold = nil
+	}
+}
+
 // checkHold drops a hold that no longer serves its reservation.
 func (c *cell) checkHold() {
 	h := c.hold
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -30,8 +30,7 @@
 	key    flowKey
 	weight float64
 	// start is the start tag of the next reservation.
-	start  float64
-	tokens int
+	start float64
 	// items are in order of engine priority, so that short prompts of a workspace pass its long ones
 	// until those have aged.
 	items []*item
@@ -58,7 +57,6 @@
 	f.weight = float64(max(1, it.request.Weight))
 	at, _ := slices.BinarySearchFunc(f.items, it, compareItems)
 	f.items = slices.Insert(f.items, at, it)
-	f.tokens += it.cost
 	q.tokens += it.cost
 	q.size++
 	q.perWorkspace[key.workspace]++
@@ -77,7 +75,6 @@
 		return
 	}
 	f.items = slices.Delete(f.items, at, at+1)
-	f.tokens -= it.cost
 	q.tokens -= it.cost
 	q.size--
 	q.perWorkspace[f.key.workspace]--
@@ -119,6 +116,17 @@
 	return max(0, f.key.class-int(now.Sub(oldest)/q.step))
 }
 
+// cost returns the tokens that wait in a flow, in reservations of at most limit tokens.
+func (f *flow) cost(limit int) float64 {
+	sum := 0
+	for _, it := range f.items {
+		if it.tokens <= limit {
+			sum += it.cost
+		}
+	}
+	return float64(sum)
+}
+
 // order returns the waiting flows, the next to be served first.
 func (q *fairQueue) order(now time.Time) []*flow {
 	flows := make([]*flow, 0, len(q.flows))
@@ -140,15 +148,16 @@
 	return flows
 }
 
-// ahead returns the tokens that are served before a reservation that would join now.
-func (q *fairQueue) ahead(it *item, now time.Time) float64 {
+// ahead returns the tokens that are served before a reservation that would join now. Reservations of
+// more than limit tokens do not count: they wait for a group, and others pass them.
+func (q *fairQueue) ahead(it *item, now time.Time, limit int) float64 {
 	key := flowKey{workspace: it.request.Workspace, class: it.request.Priority}
 	weight := float64(max(1, it.request.Weight))
 	start, own := q.virtual, 0
 	if f := q.flows[key]; f != nil {
 		start = max(start, f.start)
 		for _, other := range f.items {
-			if other != it && compareItems(other, it) < 0 {
+			if other != it && other.tokens <= limit && compareItems(other, it) < 0 {
 				own += other.cost
 			}
 		}
@@ -161,9 +170,9 @@
 		}
 		switch class := q.class(f, now); {
 		case class < key.class:
-			tokens += float64(f.tokens)
+			tokens += f.cost(limit)
 		case class == key.class:
-			tokens += min(float64(f.tokens), max(0, tag-f.start)*f.weight)
+			tokens += min(f.cost(limit), max(0, tag-f.start)*f.weight)
 		}
 	}
 	return tokens
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -190,14 +190,16 @@
 // delays returns the seconds that work with the key waits at a replica, and the weighted number of
 // requests there that each second of its prefill delays.
 func (c *cell) delays(r *replica, key int64, rate float64) (wait, behind float64) {
-	ahead := r.foreignPrefill
+	ahead, chunk := r.foreignPrefill, 0.0
 	for _, p := range r.queued {
 		if p.grant.key <= key {
 			ahead += p.remaining
-		} else {
-			behind += c.settings.OthersWeight.of(p.grant.class)
+			continue
 		}
+		behind += c.settings.OthersWeight.of(p.grant.class)
+		chunk = max(chunk, min(p.remaining, float64(c.settings.ChunkTokens)))
 	}
+	ahead += chunk
 	for class, count := range r.decoding {
 		behind += float64(count) * c.settings.DecodeInterference * c.settings.OthersWeight.of(LengthClass(class))
 	}
@@ -250,8 +252,14 @@
 
 // admit decides whether a reservation that cannot start now may wait.
 func (c *cell) admit(now time.Time, it *item) *ReserveReply {
-	wait := c.engineWait(now, it) + c.queue.ahead(it, now)/c.serviceRate()
-	if _, largest := c.capacity(); largest > 0 && it.tokens > largest {
+	_, largest := c.capacity()
+	limit := largest
+	group := largest > 0 && it.tokens > largest
+	if group {
+		limit = math.MaxInt
+	}
+	wait := c.engineWait(now, it) + c.queue.ahead(it, now, limit)/c.serviceRate()
+	if group {
 		wait = max(wait, c.groupWait(now, it).Seconds())
 	}
 	it.estimate = seconds(wait) + it.service
@@ -260,10 +268,8 @@
 		reply := c.tooLate(it, seconds(wait), it.service)
 		return &reply
 	}
-	if c.full(it) {
-		c.shed(now)
-	}
-	if !c.full(it) {
+	if c.queue.size < c.settings.QueueLimit &&
+		c.queue.perWorkspace[it.request.Workspace] < c.settings.WorkspaceQueueLimit {
 		return nil
 	}
 	after := min(maxRetryAfter, max(minRetryAfter, seconds(float64(c.queue.tokens)/c.serviceRate())))
@@ -289,21 +295,6 @@
 	return shortest
 }
 
-func (c *cell) full(it *item) bool {
-	return c.queue.size >= c.settings.QueueLimit ||
-		c.queue.perWorkspace[it.request.Workspace] >= c.settings.WorkspaceQueueLimit
-}
-
-// shed refuses the waiting reservations that can no longer be in time.
-func (c *cell) shed(now time.Time) {
-	for _, id := range sortedKeys(c.items) {
-		it := c.items[id]
-		if it.reply == nil && it.pending == nil && now.Add(it.service).After(it.deadline) {
-			c.resolve(now, it, c.tooLate(it, 0, it.service))
-		}
-	}
-}
-
 func (c *cell) tooLate(it *item, wait, service time.Duration) ReserveReply {
 	after := min(maxRetryAfter, max(minRetryAfter, wait))
 	return refuse(TooLate, after, "the expected wait of %v and service of %v exceed the time left of the limit %v",
@@ -341,6 +332,7 @@
 	if c.hold != nil {
 		c.try(now, c.hold.item)
 		tried++
+		c.releaseUseless()
 	}
 	for tried < maxScan {
 		progress := false
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -27,7 +27,7 @@
 	}
 	cached := max(0, min(hit*prefix.BlockTokens, it.request.PromptTokens-1))
 	own := float64(it.request.PromptTokens-cached) / rate
-	ahead, behind, reserved := r.foreignPrefill, 0.0, 0
+	ahead, behind, chunk, reserved := r.foreignPrefill, 0.0, 0.0, 0
 	for _, g := range c.grants {
 		for _, p := range g.parts {
 			if p.replica != r {
@@ -42,9 +42,11 @@
 				ahead += p.remaining
 			default:
 				behind += weight
+				chunk = max(chunk, min(p.remaining, float64(c.settings.ChunkTokens)))
 			}
 		}
 	}
+	ahead += chunk
 	first := ahead/rate + own
 	fits := r.announcement.Memory-reserved-max(r.foreignUsed, r.foreignHeld) >= it.tokens
 	soon := ahead/rate <= c.settings.Headroom.Seconds()+float64(cached)/rate
