Let the crash scenario start with all engines known

Cause: copies of the crashing request that four entries send at once all went to the only engine announced so far, so the limit on copies was not tested: a trial with a limit of 3 instead of 1 passed. Change: all engines are announced before the first request. Conclusion: the scenario covers copies sent at the same time.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -85,6 +85,9 @@
 
 func (s *crashScenario) run() {
 	s.now, s.dead, s.reports, s.fewest = epoch, map[string]time.Time{}, map[time.Time][]Event{}, len(s.engines)
+	for _, e := range s.engines {
+		s.policy.announce(s.now, e)
+	}
 	for range 4 {
 		s.tasks = append(s.tasks, &crashTask{fingerprint: crashing})
 	}
