--- /dev/null
+++ b/entryd/internal/cli/connect.go
@@ -0,0 +1,135 @@
+package cli
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/entryd/internal/cell"
+	"github.com/dandelionpier/dandelionpier/entryd/internal/completion"
+	"github.com/dandelionpier/dandelionpier/entryd/internal/options"
+	"github.com/dandelionpier/dandelionpier/entryd/internal/service"
+	"github.com/dandelionpier/dandelionpier/internal/control"
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/ledger"
+	"github.com/dandelionpier/dandelionpier/internal/metrics"
+	"github.com/dandelionpier/dandelionpier/internal/peer"
+	"github.com/dandelionpier/dandelionpier/internal/session"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// Listen means that an address could not be listened on.
+	Listen Kind = "listen"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Keeper holds the session with the control leader, as session.Keeper does.
+type Keeper interface {
+	View() (session.View, error)
+	Drain()
+}
+
+// Parts are what serve connects to the caller's API.
+type Parts struct {
+	Keeper   Keeper
+	Claims   service.Claims
+	Purse    completion.Purse
+	Observer completion.Observer
+	// Dispatcher is served to the other entries as Dispatch.
+	Dispatcher cell.Dispatcher
+	// Runs are the background loops of the parts. Their contexts end, in this order, after the last
+	// request; each must return before the next one is ended.
+	Runs []func(ctx context.Context) error
+}
+
+// Site is what the parts need to know of this process.
+type Site struct {
+	Options *options.Options
+	Member  session.Member
+	Pool    *peer.Pool
+	Metrics *metrics.Registry
+	Logger  *zap.Logger
+}
+
+// Connector makes the parts.
+type Connector func(site Site) (Parts, error)
+
+// Connect makes the parts of the running system.
+func Connect(site Site) (Parts, error) {
+	client := control.NewClient(control.ClientConfig{Addresses: site.Options.Control, Caller: site.Pool})
+	keeper := session.NewKeeper(session.KeeperConfig{Member: site.Member, Leader: client, Logger: site.Logger})
+	purse := ledger.NewPurse(ledger.PurseConfig{
+		Entry:       site.Member.Instance,
+		Incarnation: site.Member.Incarnation,
+		Bank:        client,
+		Logger:      site.Logger,
+	})
+	dispatcher := newDispatcher(site, client, keeper)
+	return Parts{
+		Keeper:     keeper,
+		Claims:     client,
+		Purse:      purseAdapter{purse},
+		Observer:   discard{},
+		Dispatcher: dispatcher.Service(),
+		Runs:       []func(context.Context) error{dispatcher.Run, purse.Run, keeper.Run},
+	}, nil
+}
+
+// quarantineTimeout bounds the report of a request that crashes endpoints.
+const quarantineTimeout = 10 * time.Second
+
+func newDispatcher(site Site, client *control.Client, keeper *session.Keeper) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{
+		Instance: site.Member.Instance,
+		Owns: func(cell string) bool {
+			view, _ := keeper.View()
+			member, ok := view.Dispatcher(cell)
+			return ok && member.Instance == site.Member.Instance
+		},
+		Holdings: endpoint.NewClient(endpoint.ClientConfig{}),
+		Settings: site.Options.DispatchSettings(),
+		Logger:   site.Logger,
+		Quarantined: func(fingerprint uint64) bool {
+			view, _ := keeper.View()
+			return view.Quarantined[fingerprint]
+		},
+		Quarantine: func(fingerprint uint64) {
+			ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
+			defer cancel()
+			err := client.Quarantine(ctx, control.QuarantineRequest{Fingerprint: fingerprint})
+			if err != nil {
+				site.Logger.Error("Could not record a quarantined request", zap.Error(err))
+			}
+		},
+		EndpointDrained: func(endpoint string) bool {
+			view, _ := keeper.View()
+			return view.Configuration.Endpoints[endpoint].Drain
+		},
+	})
+}
+
+// purseAdapter returns holds as the interface that package completion declares.
+type purseAdapter struct {
+	purse *ledger.Purse
+}
+
+func (a purseAdapter) Reserve(ctx context.Context, workspace string, limit, amount int64) (completion.Hold, error) {
+	hold, err := a.purse.Reserve(ctx, workspace, limit, amount)
+	if err != nil {
+		return nil, err
+	}
+	return hold, nil
+}
+
+// discard drops service-level observations.
+type discard struct{}
+
+func (discard) Observe(string, string, time.Duration, time.Duration, bool) {}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -52,27 +52,71 @@
 	Revision uint64
 	// MembershipVersion is the version of the member list that the entry knows.
 	MembershipVersion uint64
+	// QuarantineVersion is the sum of the quarantined fingerprints that the entry knows.
+	QuarantineVersion uint64
 	// Leave ends the session.
 	Leave bool
 }
 
+// MaxChunkBytes bounds a SnapshotReply. net/rpc keeps a buffer of the largest reply for each
+// connection, so a whole configuration of 6,500 workspaces in one reply would cost the leader
+// 2 MB for each session.
+const MaxChunkBytes = 32 << 10
+
+// SnapshotRequest asks for a part of the encoded configuration.
+type SnapshotRequest struct {
+	// Revision is that of the parts fetched before; 0 for the first.
+	Revision uint64
+	Offset   int
+}
+
+// SnapshotReply is a part of the encoded configuration. Another Revision than the one asked for means
+// that the configuration has moved on and the entry starts again.
+type SnapshotReply struct {
+	NotLeader bool
+	Leader    string
+	Revision  uint64
+	Total     int
+	Data      []byte
+}
+
+// WatchTime is how long the leader holds a watch without a change.
+const WatchTime = 10 * time.Second
+
+// WatchRequest waits until something differs from what the entry knows.
+type WatchRequest struct {
+	Revision          uint64
+	MembershipVersion uint64
+	QuarantineVersion uint64
+}
+
+// WatchReply answers a WatchRequest. It grants no lease.
+type WatchReply struct {
+	// NotLeader says that the instance does not lead; Leader then is the peer address to try, if known.
+	NotLeader bool
+	Leader    string
+	Changed   bool
+}
+
 // HeartbeatReply is the leader's answer.
 type HeartbeatReply struct {
-	// Accepted is false when the instance does not lead; Leader then is the peer address to try, if known.
-	Accepted bool
-	Leader   string
+	// NotLeader says that the instance does not lead; Leader then is the peer address to try, if known.
+	NotLeader bool
+	Leader    string
 	// Term is the leader's term and the fencing token of orders.
 	Term uint64
 	// Lease counts from the moment at which the heartbeat was sent.
 	Lease time.Duration
 	// Revision is the newest accepted revision. The entry's lease is valid only once it has applied it.
 	Revision uint64
-	// Revisions follow the entry's revision; Snapshot replaces them when they are no longer kept.
-	Revisions []configuration.Revision
-	Snapshot  *configuration.Configuration
+	// Revisions follow the entry's revision. FetchSnapshot says that they are no longer kept: the entry
+	// fetches the whole configuration and asks again.
+	Revisions     []configuration.Revision
+	FetchSnapshot bool
 	// MembershipVersion and Members are set when the entry's list is old.
 	MembershipVersion uint64
 	Members           []Member
-	// Quarantined are the fingerprints of requests that crash endpoints.
-	Quarantined []uint64
+	// Quarantined are the fingerprints of requests that crash endpoints, set when QuarantineChanged.
+	Quarantined       []uint64
+	QuarantineChanged bool
 }
