--- /dev/null
+++ b/entryd/internal/cell/cell_test.go
@@ -0,0 +1,247 @@
+package cell_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/entryd/internal/cell"
+	"github.com/dandelionpier/dandelionpier/entryd/internal/stream"
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/refusal"
+	"github.com/dandelionpier/dandelionpier/internal/session"
+)
+
+// remote is the only other entry; it dispatches for all cells.
+type remote struct {
+	mu       sync.Mutex
+	reserve  func(ctx context.Context, reply *dispatch.ReserveReply) error
+	await    func(ctx context.Context, reply *dispatch.ReserveReply) error
+	events   []dispatch.Event
+	batches  int
+	failures int
+	polls    []dispatch.EndpointView
+	calls    int
+}
+
+func (r *remote) Call(ctx context.Context, _, _ string, args, reply any) error {
+	switch request := args.(type) {
+	case dispatch.ReserveRequest:
+		r.calls++
+		return r.reserve(ctx, reply.(*dispatch.ReserveReply))
+	case dispatch.AwaitRequest:
+		return r.await(ctx, reply.(*dispatch.ReserveReply))
+	case dispatch.ReportRequest:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.failures > 0 {
+			r.failures--
+			return errors.New("connection lost")
+		}
+		r.events = append(r.events, request.Events...)
+		r.batches++
+	case dispatch.EndpointsRequest:
+		reply.(*dispatch.EndpointsReply).Endpoints = r.polls
+	}
+	return nil
+}
+
+func silent(ctx context.Context, _ *dispatch.ReserveReply) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func newClient(r *remote) *cell.Client {
+	return cell.New(cell.Config{
+		Instance: "entry-1", Incarnation: "1", Caller: r, Logger: zap.NewNop(),
+		View: func() (session.View, error) {
+			return session.View{Members: []session.Member{
+				{Instance: "entry-1", Region: "norte", Draining: true}, {Instance: "entry-2", Region: "norte", Peer: "peer"},
+			}}, nil
+		},
+	})
+}
+
+func attempts() func() string {
+	n := 0
+	return func() string {
+		n++
+		return fmt.Sprint("r-", n)
+	}
+}
+
+func announcement(name string, running int) endpoint.Announcement {
+	return endpoint.Announcement{
+		Name: name, Address: name, Region: "norte", Type: endpoint.Engine, Models: []string{"oak"}, Memory: 100,
+		State: endpoint.Ready, Load: endpoint.Load{Running: running},
+	}
+}
+
+var request = dispatch.ReserveRequest{RequestID: "r", Cell: "oak/norte", PromptTokens: 10, MaxTokens: 10}
+
+// Guards against a request that waits for a lost dispatcher for more than 50 ms, and against a choice
+// of endpoints that are dead, draining, too small, ejected or tried before.
+func TestReserveWithoutDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := &remote{reserve: silent}
+		client := newClient(r)
+		client.Announce(announcement("dead", 0))
+		time.Sleep(endpoint.DeadAfter + time.Millisecond)
+		for name, change := range map[string]func(a *endpoint.Announcement){
+			"good":     func(*endpoint.Announcement) {},
+			"draining": func(a *endpoint.Announcement) { a.State = endpoint.Draining },
+			"leaving":  func(a *endpoint.Announcement) { a.State = endpoint.Leaving },
+			"small":    func(a *endpoint.Announcement) { a.Memory = 19 },
+			"tried":    func(*endpoint.Announcement) {},
+			"other":    func(a *endpoint.Announcement) { a.Models = []string{"pine"} },
+		} {
+			a := announcement(name, 0)
+			change(&a)
+			client.Announce(a)
+		}
+		tried := request
+		tried.Exclude = []string{"tried"}
+		for range 20 {
+			began := time.Now()
+			grant, err := client.Reserve(t.Context(), tried, attempts())
+			is.NoErr(err)
+			is.Equal(grant.Members[0].Endpoint, "good")
+			is.Equal(grant.ID, "r-2")
+			is.Equal(time.Since(began), 50*time.Millisecond)
+		}
+	})
+}
+
+// Guards against a selection that ignores the load or sends all requests to one endpoint.
+func TestTwoChoices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		client := newClient(&remote{reserve: silent})
+		client.Announce(announcement("idle-1", 0))
+		client.Announce(announcement("idle-2", 0))
+		client.Announce(announcement("busy", 1000))
+		counts := make(map[string]int)
+		for range 30 {
+			grant, err := client.Reserve(t.Context(), request, attempts())
+			is.NoErr(err)
+			counts[grant.Members[0].Endpoint]++
+		}
+		// Both choices fall on the busy endpoint in one of nine cases.
+		is.True(counts["busy"] < 12)
+		is.True(counts["idle-1"] > 0 && counts["idle-2"] > 0)
+	})
+}
+
+// Guards against a queued reservation that is lost, granted twice, or waits past the time limit.
+func TestQueue(t *testing.T) {
+	granted := dispatch.ReserveReply{Status: dispatch.Granted, Grant: dispatch.Grant{ID: "g"}}
+	queued := dispatch.ReserveReply{Status: dispatch.Queued, Ticket: "t"}
+	reply := func(replies ...dispatch.ReserveReply) func(context.Context, *dispatch.ReserveReply) error {
+		return func(_ context.Context, out *dispatch.ReserveReply) error {
+			*out, replies = replies[0], replies[1:]
+			return nil
+		}
+	}
+	for name, test := range map[string]struct {
+		remote *remote
+		calls  int
+		code   string
+	}{
+		"granted at once":   {&remote{reserve: reply(granted)}, 1, ""},
+		"granted later":     {&remote{reserve: reply(queued), await: reply(queued, queued, granted)}, 1, ""},
+		"queue lost":        {&remote{reserve: reply(queued, granted), await: silent}, 2, ""},
+		"ticket unknown":    {&remote{reserve: reply(queued, granted), await: reply(dispatch.ReserveReply{Status: dispatch.Elsewhere})}, 2, ""},
+		"refused in queue":  {&remote{reserve: reply(queued), await: reply(dispatch.ReserveReply{Status: dispatch.Refused, Reason: dispatch.TooLate})}, 1, "too-late"},
+		"nobody dispatches": {&remote{reserve: reply(dispatch.ReserveReply{Status: dispatch.Elsewhere}, dispatch.ReserveReply{Status: dispatch.Elsewhere}, dispatch.ReserveReply{Status: dispatch.Elsewhere})}, 3, "no-endpoint"},
+		"time limit": {&remote{reserve: reply(queued), await: func(ctx context.Context, out *dispatch.ReserveReply) error {
+			time.Sleep(time.Second)
+			*out = queued
+			return nil
+		}}, 1, "time-limit"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				grant, err := newClient(test.remote).Reserve(ctx, request, attempts())
+				is.Equal(test.remote.calls, test.calls)
+				if test.code == "" {
+					is.NoErr(err)
+					is.Equal(grant.ID, "g")
+					return
+				}
+				var refused refusal.Error
+				is.True(errors.As(err, &refused))
+				is.Equal(refused.Code, test.code)
+				is.Equal(refused.Outcome, refusal.DidNotRun)
+			})
+		})
+	}
+}
+
+// Guards against events that are lost with a failed report, out of order, or sent one by one, and
+// against grants that expire while their requests run.
+func TestReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := &remote{failures: 1}
+		client := newClient(r)
+		ctx, cancel := context.WithCancel(t.Context())
+		end := make(chan struct{})
+		go func() {
+			defer close(end)
+			_ = client.Run(ctx)
+		}()
+		first := client.Start(request, dispatch.Grant{ID: "a"})
+		second := client.Start(request, dispatch.Grant{ID: "b"})
+		first.FirstToken()
+		time.Sleep(2500 * time.Millisecond)
+		first.End(dispatch.Finished, stream.Usage{Known: true, CachedTokens: 3})
+		second.End(dispatch.Died, stream.Usage{})
+		cancel()
+		<-end
+		var got []string
+		for _, event := range r.events {
+			if event.Grant == "a" {
+				got = append(got, string(event.Type))
+			}
+		}
+		is.Equal(got, []string{"first-token", "alive", "alive", "finished"})
+		is.Equal(r.events[len(r.events)-1].Type, dispatch.Died)
+		is.True(r.batches <= 4)
+	})
+}
+
+// Guards against a list of endpoints that is missing when the dispatcher of a cell in use is lost.
+func TestPolledEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		open := dispatch.EndpointView{Announcement: announcement("open", 0), Open: true}
+		r := &remote{reserve: silent, polls: []dispatch.EndpointView{{Announcement: announcement("polled", 0)}, open}}
+		client := newClient(r)
+		ctx, cancel := context.WithCancel(t.Context())
+		end := make(chan struct{})
+		go func() {
+			defer close(end)
+			_ = client.Run(ctx)
+		}()
+		_, err := client.Reserve(ctx, request, attempts())
+		is.True(err != nil)
+		time.Sleep(1100 * time.Millisecond)
+		grant, err := client.Reserve(ctx, request, attempts())
+		is.NoErr(err)
+		is.Equal(grant.Members[0].Endpoint, "polled")
+		cancel()
+		<-end
+	})
+}
--- /dev/null
+++ b/entryd/internal/stream/stream_test.go
@@ -0,0 +1,131 @@
+package stream_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionpier/dandelionpier/entryd/internal/stream"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261204")
+	os.Exit(m.Run())
+}
+
+// pieces gives a body in reads of the drawn lengths.
+type pieces struct {
+	t    *rapid.T
+	body io.Reader
+}
+
+func (p pieces) Read(b []byte) (int, error) {
+	return p.body.Read(b[:min(len(b), rapid.IntRange(1, 7).Draw(p.t, "read"))])
+}
+
+// Guards against events that are split, joined or changed by the lengths of the reads.
+func TestReaderSplits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		end := rapid.SampledFrom([]string{"\n\n", "\r\n\r\n"})
+		var want []string
+		for _, text := range rapid.SliceOfN(rapid.StringMatching(`[a-z:]{1,40}`), 0, 5).Draw(t, "events") {
+			want = append(want, "data: "+text+end.Draw(t, "end"))
+		}
+		r := stream.NewReader(pieces{t, strings.NewReader(strings.Join(want, ""))}, 64)
+		for _, event := range want {
+			got, err := r.Next()
+			is.NoErr(err)
+			is.Equal(string(got), event)
+		}
+		_, err := r.Next()
+		is.Equal(err, io.EOF)
+	})
+}
+
+// Guards against memory without bound and against a cut body that is taken for a complete one.
+func TestReaderErrors(t *testing.T) {
+	for name, test := range map[string]struct {
+		body io.Reader
+		want stream.Kind
+	}{
+		"oversized": {strings.NewReader("data: " + strings.Repeat("x", 100)), stream.Oversized},
+		"truncated": {strings.NewReader("data: a\n"), stream.Truncated},
+		"broken":    {iotest.ErrReader(io.ErrUnexpectedEOF), stream.Broken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := stream.NewReader(test.body, 50).Next()
+			is.New(t).True(fault.Is(err, test.want))
+		})
+	}
+}
+
+// Guards against events of another attempt or position that pass.
+func TestChecker(t *testing.T) {
+	chunk := func(request, attempt string, index int) string {
+		return fmt.Sprintf(`data: {"request_id":%q,"attempt_id":%q,"index":%d}`, request, attempt, index) + "\n\n"
+	}
+	for name, test := range map[string]struct {
+		event string
+		class stream.Class
+		want  stream.Kind
+	}{
+		"next":           {chunk("r", "r-1", 4), stream.Chunk, ""},
+		"done":           {"data: [DONE]\n\n", stream.Done, ""},
+		"no space":       {"data:[DONE]\r\n\r\n", stream.Done, ""},
+		"comment":        {": ping\n\n", stream.Ignored, ""},
+		"named event":    {"event: message\nid: 3\n" + chunk("r", "r-1", 4), stream.Chunk, ""},
+		"duplicate":      {chunk("r", "r-1", 3), 0, stream.Reordered},
+		"skipped":        {chunk("r", "r-1", 5), 0, stream.Reordered},
+		"other request":  {chunk("q", "r-1", 4), 0, stream.Crossed},
+		"other attempt":  {chunk("r", "r-2", 4), 0, stream.Crossed},
+		"no ids":         {"data: {}\n\n", 0, stream.Crossed},
+		"not JSON":       {"data: {\n\n", 0, stream.Garbage},
+		"not an object":  {"data: 3\n\n", 0, stream.Garbage},
+		"other line":     {"hello\n\n", 0, stream.Garbage},
+		"two data lines": {"data: {}\ndata: {}\n\n", 0, stream.Garbage},
+		"error":          {`data: {"error":{}}` + "\n\n", 0, stream.Reported},
+		"negative usage": {`data: {"usage":{"prompt_tokens":-1}}` + "\n\n", 0, stream.Garbage},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := stream.Checker{RequestID: "r", AttemptID: "r-1", Next: 4}
+			class, err := c.Check([]byte(test.event))
+			if test.want != "" {
+				is.True(fault.Is(err, test.want))
+				return
+			}
+			is.NoErr(err)
+			is.Equal(class, test.class)
+		})
+	}
+}
+
+// Guards against allocations for each token of a stream. Under the race detector the scanner pool of
+// encoding/json drops one item in four, which is four allocations; without it the figure is 0.
+func TestEventsDoNotAllocate(t *testing.T) {
+	is := is.New(t)
+	var body bytes.Buffer
+	for i := range 1000 {
+		fmt.Fprintf(&body, `data: {"id":"c","request_id":"r","attempt_id":"r-1","index":%d,"choices":[{"index":0,"delta":{"content":"a"}}]}`+"\n\n", i)
+	}
+	r := stream.NewReader(&body, 1<<20)
+	c := stream.Checker{RequestID: "r", AttemptID: "r-1"}
+	got := testing.AllocsPerRun(900, func() {
+		event, err := r.Next()
+		is.NoErr(err)
+		_, err = c.Check(event)
+		is.NoErr(err)
+	})
+	is.True(got <= 2)
+}
