entryd: measure the hop, the memory of long prompts and the allocations of a token

Cause: design section 11 sets goals for what an entry adds. Change: BenchmarkHop compares 1, 100 and 1,000 streams directly and through an entry, BenchmarkMemory holds twenty prompts of 4 MB in flight, BenchmarkToken counts allocations of a streamed token. The dispatcher of a cell is the one that session.View names.

--- a/entryd/internal/cell/client.go
+++ b/entryd/internal/cell/client.go
@@ -12,7 +12,6 @@
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/peer"
-	"github.com/dandelionpier/dandelionpier/internal/rendezvous"
 	"github.com/dandelionpier/dandelionpier/internal/session"
 )
 
@@ -172,23 +171,9 @@
 	return reply, err
 }
 
-// dispatcher returns the entry that dispatches for the cell: the live, non-draining one with the
-// highest rendezvous score.
 func (c *Client) dispatcher(cell string) (session.Member, bool) {
 	view, _ := c.config.View()
-	names := make([]string, 0, len(view.Members))
-	for _, member := range view.Members {
-		if !member.Draining {
-			names = append(names, member.Instance)
-		}
-	}
-	first := rendezvous.First(cell, names)
-	for _, member := range view.Members {
-		if member.Instance == first && !member.Draining {
-			return member, true
-		}
-	}
-	return session.Member{}, false
+	return view.Dispatcher(cell)
 }
 
 // call runs a method at a dispatcher, in this process where it is this instance.
--- /dev/null
+++ b/entryd/internal/cli/hop_test.go
@@ -0,0 +1,281 @@
+package cli
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+)
+
+const (
+	hopTokens = 30
+	// hopPace is the time between two tokens of one stream at the scale target (design section 4).
+	hopPace = 33 * time.Millisecond
+)
+
+// pacedEngine sends hopTokens events, each with the time at which it was written.
+func pacedEngine(b *testing.B) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request, attempt := r.Header.Get(endpoint.HeaderRequestID), r.Header.Get(endpoint.HeaderAttemptID)
+		w.Header().Set(endpoint.HeaderRequestID, request)
+		w.Header().Set(endpoint.HeaderAttemptID, attempt)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.Copy(io.Discard, r.Body)
+		control := http.NewResponseController(w)
+		ticker := time.NewTicker(hopPace)
+		defer ticker.Stop()
+		var event []byte
+		for i := range hopTokens {
+			usage := ""
+			if i == hopTokens-1 {
+				usage = `,"usage":{"prompt_tokens":1000,"completion_tokens":30,"cached_tokens":0}`
+			}
+			event = fmt.Appendf(event[:0], `data: {"request_id":%q,"attempt_id":%q,"index":%d%s,"choices":[{"delta":{"content":"token"}}],"written":%d}`+"\n\n",
+				request, attempt, i, usage, time.Now().UnixNano())
+			if i == hopTokens-1 {
+				event = append(event, "data: [DONE]\n\n"...)
+			}
+			_, _ = w.Write(event)
+			_ = control.Flush()
+			<-ticker.C
+		}
+	}))
+	b.Cleanup(server.Close)
+	return server.URL
+}
+
+// hop measures streams against one address.
+type hop struct {
+	client *http.Client
+	url    string
+	body   string
+	mu     sync.Mutex
+	// first is the time from sending the request to the first event, tokens the age of the later
+	// events when the caller reads them; both in microseconds.
+	first, tokens *hdrhistogram.Histogram
+}
+
+func (h *hop) stream() error {
+	request, err := http.NewRequest(http.MethodPost, h.url+"/v1/chat/completions", strings.NewReader(h.body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	began := time.Now()
+	response, err := h.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	lines := bufio.NewReader(response.Body)
+	for events := 0; ; {
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			return err
+		}
+		if bytes.HasPrefix(line, []byte("data: [DONE]")) {
+			_, err := io.Copy(io.Discard, lines)
+			return err
+		}
+		_, written, ok := bytes.Cut(line, []byte(`"written":`))
+		if !ok {
+			continue
+		}
+		now := time.Now()
+		sent, err := strconv.ParseInt(string(bytes.TrimRight(written, "}\n")), 10, 64)
+		if err != nil {
+			return err
+		}
+		h.mu.Lock()
+		if events == 0 {
+			_ = h.first.RecordValue(now.Sub(began).Microseconds())
+		} else {
+			_ = h.tokens.RecordValue(now.Sub(time.Unix(0, sent)).Microseconds())
+		}
+		h.mu.Unlock()
+		events++
+	}
+}
+
+// round starts the streams evenly over the length of one stream and waits for all.
+func (h *hop) round(streams int) error {
+	errs := make(chan error, streams)
+	ticker := time.NewTicker(hopTokens * hopPace / time.Duration(streams))
+	defer ticker.Stop()
+	for range streams {
+		go func() { errs <- h.stream() }()
+		<-ticker.C
+	}
+	for range streams {
+		if err := <-errs; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// BenchmarkHop compares streams to an engine directly and through an entry. The figures are in
+// microseconds; the difference is what one hop adds.
+func BenchmarkHop(b *testing.B) {
+	for _, streams := range []int{1, 100, 1000} {
+		engine := pacedEngine(b)
+		s := start(b, engine)
+		for _, way := range []struct{ name, url string }{{"direct", engine}, {"entry", "http://" + s.listening.Caller}} {
+			b.Run(fmt.Sprintf("streams=%d/%s", streams, way.name), func(b *testing.B) {
+				h := &hop{
+					client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams}},
+					url:    way.url,
+					body:   strings.Replace(streamBody, "Which", strings.Repeat("saw ", 1000), 1),
+					first:  hdrhistogram.New(1, 10_000_000, 3),
+					tokens: hdrhistogram.New(1, 10_000_000, 3),
+				}
+				if err := h.round(streams); err != nil {
+					b.Fatal(err)
+				}
+				h.first.Reset()
+				h.tokens.Reset()
+				b.ResetTimer()
+				for range b.N {
+					if err := h.round(streams); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(h.first.ValueAtQuantile(50)), "ttft-p50-us")
+				b.ReportMetric(float64(h.first.ValueAtQuantile(99)), "ttft-p99-us")
+				b.ReportMetric(float64(h.tokens.ValueAtQuantile(50)), "token-p50-us")
+				b.ReportMetric(float64(h.tokens.ValueAtQuantile(99)), "token-p99-us")
+			})
+		}
+	}
+}
+
+// repeated is a prompt of any length that takes no memory at the caller.
+type repeated struct{}
+
+func (repeated) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = "saw blade "[i%10]
+	}
+	return len(p), nil
+}
+
+// BenchmarkMemory measures the memory of prompts of a million tokens in flight, per byte of prompt:
+// live is the heap after a collection while the engine works on them, allocated all that was
+// allocated for them.
+func BenchmarkMemory(b *testing.B) {
+	const prompts, size = 20, 4_000_000
+	const before, after = `{"model":"oak","max_tokens":10,"stream":true,"prompt":"`, `"}`
+	for _, way := range []struct {
+		name   string
+		length int64
+	}{{"content-length", int64(len(before) + size + len(after))}, {"chunked", -1}} {
+		b.Run(way.name, func(b *testing.B) {
+			entered, leave := make(chan struct{}), make(chan struct{})
+			s := start(b, engine(b, func(_ http.ResponseWriter, _ *http.Request, e events) {
+				entered <- struct{}{}
+				<-leave
+				e.finish(0, 1)
+			}))
+			var live, allocated uint64
+			for range b.N {
+				base := memory()
+				done := make(chan error, prompts)
+				for range prompts {
+					go func() {
+						body := io.MultiReader(strings.NewReader(before), io.LimitReader(repeated{}, size), strings.NewReader(after))
+						done <- s.post(body, way.length)
+					}()
+				}
+				for range prompts {
+					<-entered
+				}
+				held := memory()
+				live += held.HeapAlloc - base.HeapAlloc
+				allocated += held.TotalAlloc - base.TotalAlloc
+				for range prompts {
+					leave <- struct{}{}
+				}
+				for range prompts {
+					if err := <-done; err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+			total := float64(b.N * prompts * size)
+			b.ReportMetric(float64(live)/total, "live-bytes/prompt-byte")
+			b.ReportMetric(float64(allocated)/total, "allocated-bytes/prompt-byte")
+		})
+	}
+}
+
+func memory() runtime.MemStats {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats
+}
+
+func (s *site) post(body io.Reader, length int64) error {
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.listening.Caller+"/v1/completions", body)
+	if err != nil {
+		return err
+	}
+	request.ContentLength = length
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err == nil && !bytes.HasSuffix(text, []byte("[DONE]\n\n")) {
+		return fmt.Errorf("status %d: %.200s", response.StatusCode, text)
+	}
+	return err
+}
+
+// BenchmarkToken measures one streamed token through an entry: engine, entry and caller together.
+func BenchmarkToken(b *testing.B) {
+	b.ReportAllocs()
+	var event []byte
+	s := start(b, engine(b, func(w http.ResponseWriter, _ *http.Request, e events) {
+		control := http.NewResponseController(w)
+		for i := range b.N {
+			event = append(event[:0], `data: {"request_id":"`...)
+			event = append(append(event, e.request...), `","attempt_id":"`...)
+			event = append(append(event, e.attempt...), `","choices":[{"delta":{"content":"token"}}],"index":`...)
+			event = append(strconv.AppendInt(event, int64(i), 10), "}\n\n"...)
+			_, _ = w.Write(event)
+			_ = control.Flush()
+		}
+		e.finish(b.N, b.N)
+	}))
+	conn, err := net.Dial("tcp", s.listening.Caller)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	body := `{"model":"oak","stream":true,"prompt":"a"}`
+	b.ResetTimer()
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX-Time-Limit: 900\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, conn); err != nil {
+		b.Fatal(err)
+	}
+}
