--- /dev/null
+++ b/controld/internal/controller/orders.go
@@ -0,0 +1,380 @@
+package controller
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/logging"
+	"github.com/dandelionpier/dandelionpier/internal/session"
+)
+
+const (
+	defaultOrderTimeout = time.Second
+	defaultLeaderLease  = session.LeaseLength
+	defaultMaxLoads     = 4
+	// defaultSweep bounds how long a state that no announcement shows can go unseen; at 7,700
+	// engines it means 257 requests a second.
+	defaultSweep = 30 * time.Second
+	stateTimeout = time.Second
+	// maxCalls bounds the concurrent requests to engines.
+	maxCalls = 64
+	// lackBefore is how long a model must lack replicas before another engine is given to it. It covers
+	// a new dispatcher that has not heard of all endpoints yet, and the restart of an endpoint.
+	lackBefore = 10 * time.Second
+	// loadMemory is how long an engine that does not answer after an order to load counts as loading.
+	loadMemory = 5 * time.Minute
+)
+
+// OrdersConfig sets up Orders.
+type OrdersConfig struct {
+	Lease         Lease
+	Configuration Configuration
+	Fleet         Fleet
+	Engines       Engines
+	// Roles chooses roles for engines without a setting of the operators; may be nil.
+	Roles interface{ Choices() map[string]string }
+	// OrderTimeout is the time from sending an order to its deadline; 0 means 1 s. It must be shorter
+	// than the leader's lease.
+	OrderTimeout time.Duration
+	// LeaderLease is the length of the leader's lease, by which a new leader knows when the old one's
+	// ended; 0 means session.LeaseLength.
+	LeaderLease time.Duration
+	// MaxLoads is the number of engines that the weight store can serve at a time; 0 means 4.
+	MaxLoads int
+	// Sweep is the time within which the state of each engine is read; 0 means 30 s.
+	Sweep  time.Duration
+	Now    func() time.Time
+	Logger *zap.Logger
+}
+
+// load is an order to load that was sent.
+type load struct {
+	target target
+	at     time.Time
+}
+
+// Orders compares the wanted with the observed state of the engines and orders what differs. Each
+// round waits for the answers to its orders, or for their deadlines, so that an engine has at most
+// one order at a time.
+type Orders struct {
+	config OrdersConfig
+
+	// The following belong to the goroutine that runs the rounds.
+	term      uint64
+	termSince time.Time
+	polledAt  map[string]time.Time
+	loads     map[string]load
+	loading   map[string]bool
+	lacking   map[string]time.Time // by model, since when
+}
+
+// NewOrders returns the controller.
+func NewOrders(config OrdersConfig) *Orders {
+	config.OrderTimeout = cmp.Or(config.OrderTimeout, defaultOrderTimeout)
+	config.LeaderLease = cmp.Or(config.LeaderLease, defaultLeaderLease)
+	config.MaxLoads = cmp.Or(config.MaxLoads, defaultMaxLoads)
+	config.Sweep = cmp.Or(config.Sweep, defaultSweep)
+	return &Orders{
+		config: config, polledAt: make(map[string]time.Time), loads: make(map[string]load),
+		loading: make(map[string]bool), lacking: make(map[string]time.Time),
+	}
+}
+
+// order is an order that a round has decided on.
+type order struct {
+	engine engine
+	target target
+	load   bool
+}
+
+// Round observes the engines and sends the orders that are due.
+func (o *Orders) Round(ctx context.Context) {
+	if !o.leads() {
+		return
+	}
+	views, complete := o.config.Fleet.Endpoints(ctx)
+	conf := o.config.Configuration.Configuration()
+	var roles map[string]string
+	if o.config.Roles != nil {
+		roles = o.config.Roles.Choices()
+	}
+	engines := o.announced(views)
+	for i := range engines {
+		engines[i].drained = conf.Endpoints[engines[i].name].Drain
+	}
+	mayAssign := o.lacks(conf, engines, complete)
+	o.poll(ctx, engines, plan(conf, roles, engines, mayAssign))
+	o.send(ctx, o.decide(conf, engines, plan(conf, roles, engines, mayAssign)))
+}
+
+// lacks notes since when models lack replicas, and returns whether a model may be given engines.
+func (o *Orders) lacks(conf configuration.Configuration, engines []engine, complete bool) func(model string) bool {
+	now := o.config.Now()
+	count := make(map[string]int)
+	for _, model := range servingOf(conf.Models, engines) {
+		count[model]++
+	}
+	for name, model := range conf.Models {
+		_, known := o.lacking[name]
+		switch {
+		case count[name] >= model.Replicas:
+			delete(o.lacking, name)
+		case !known:
+			o.lacking[name] = now
+		}
+	}
+	unsettled := now.Sub(o.termSince) < loadMemory && unknownLoad(conf.Models, engines)
+	return func(model string) bool {
+		since, known := o.lacking[model]
+		return known && complete && !unsettled && now.Sub(since) >= lackBefore
+	}
+}
+
+// leads starts anew with each term: what an earlier term of this instance remembered is old.
+func (o *Orders) leads() bool {
+	remaining, term := o.config.Lease.LeaderLease()
+	if remaining <= 0 {
+		o.term = 0
+		return false
+	}
+	if term != o.term {
+		o.term, o.termSince = term, o.config.Now()
+		clear(o.polledAt)
+		clear(o.loads)
+		clear(o.loading)
+		clear(o.lacking)
+	}
+	for name, sent := range o.loads {
+		if o.config.Now().Sub(sent.at) > loadMemory {
+			delete(o.loads, name)
+		}
+	}
+	return true
+}
+
+// announced lists the engines with the state that they announce, sorted by name.
+func (o *Orders) announced(views []dispatch.EndpointView) []engine {
+	byName := make(map[string]engine, len(views))
+	for _, view := range views {
+		a := view.Announcement
+		if a.Type != endpoint.Engine || a.State == endpoint.Leaving {
+			continue
+		}
+		byName[a.Name] = engine{
+			name: a.Name, address: a.Address, region: a.Region, checksFencing: a.ChecksFencing, announced: a.State,
+			ordered: o.loads[a.Name].target,
+			state: endpoint.PlatformState{
+				Models: a.Models, Version: a.Version, Adapters: a.Adapters, Role: a.Role, Loading: o.loading[a.Name],
+			},
+		}
+	}
+	return sortedByName(byName)
+}
+
+// poll reads the state of the engines that may need an order, of all others with the same model, and
+// of those that were not read for the sweep interval.
+func (o *Orders) poll(ctx context.Context, engines []engine, wanted map[string]target) {
+	now := o.config.Now()
+	differing := make(map[string]bool)
+	for _, e := range engines {
+		if t, ok := wanted[e.name]; ok && (!e.agrees(t) || e.state.Loading) {
+			differing[t.model] = true
+			for _, model := range e.state.Models {
+				differing[model] = true
+			}
+		}
+	}
+	each(engines, func(e *engine) {
+		due := !now.Before(o.polledAt[e.name].Add(o.config.Sweep)) || differing[wanted[e.name].model] ||
+			slices.ContainsFunc(e.state.Models, func(model string) bool { return differing[model] })
+		if !due {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+		defer cancel()
+		state, err := o.config.Engines.State(ctx, e.address)
+		if err != nil {
+			o.config.Logger.Warn("Cannot read the state of an endpoint", zap.String(logging.Endpoint, e.name), zap.Error(err))
+			return
+		}
+		e.state, e.polled = state, true
+	})
+	for i := range engines {
+		if engines[i].polled {
+			o.remember(&engines[i], now)
+		}
+	}
+}
+
+// remember keeps what later rounds need of an observation. An order to load is forgotten once the
+// engine has ended a load or has the ordered state.
+func (o *Orders) remember(e *engine, now time.Time) {
+	o.polledAt[e.name] = now
+	ended := o.loading[e.name] && !e.state.Loading
+	if ended || (!e.state.Loading && !e.needsLoad(e.ordered)) {
+		delete(o.loads, e.name)
+		e.ordered = target{}
+	}
+	o.loading[e.name] = e.state.Loading
+}
+
+// decide returns the orders of this round: only to engines whose state was read in it, within the
+// bound on loads, and none that takes the last ready replica of a model.
+func (o *Orders) decide(conf configuration.Configuration, engines []engine, wanted map[string]target) []order {
+	var orders []order
+	loads := o.runningLoads(engines)
+	taken := make(map[string]bool)
+	for _, e := range engines {
+		t, ok := wanted[e.name]
+		if !ok || !e.polled || e.state.Loading || !o.mayOrder(e) {
+			continue
+		}
+		if e.agrees(t) && !o.unfenced(e) {
+			continue
+		}
+		next := order{engine: e, target: t, load: e.needsLoad(t)}
+		// An order that is sent again is counted in loads already.
+		again := e.ordered.model != ""
+		if next.load && ((loads >= o.config.MaxLoads && !again) || takesLast(conf, e, engines, taken)) {
+			continue
+		}
+		if next.load {
+			taken[e.name] = true
+		}
+		if next.load && !again {
+			loads++
+		}
+		orders = append(orders, next)
+	}
+	return orders
+}
+
+// mayOrder reports whether orders of an earlier leader can no longer overtake one of this leader's.
+// An engine that checks the token refuses them. For one that does not, the old lease must have
+// ended, and the deadline of an order that was sent at its end must have passed.
+func (o *Orders) mayOrder(e engine) bool {
+	if e.state.FencingToken > o.term {
+		o.config.Logger.Warn("A newer leader gave orders", zap.String(logging.Endpoint, e.name), zap.Uint64("fencing-token", e.state.FencingToken))
+		return false
+	}
+	if e.checksFencing {
+		return true
+	}
+	wait := o.config.LeaderLease + session.SkewAllowance + o.config.OrderTimeout
+	return !o.config.Now().Before(o.termSince.Add(wait))
+}
+
+// unfenced reports whether the engine would still carry out orders of an earlier leader, although
+// it can refuse them. An order that changes nothing tells it the new token.
+func (o *Orders) unfenced(e engine) bool {
+	return e.checksFencing && e.state.FencingToken < o.term
+}
+
+func (o *Orders) runningLoads(engines []engine) int {
+	count := 0
+	for _, e := range engines {
+		if e.state.Loading || e.ordered.model != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// takesLast reports whether an order to load would leave a declared model that the engine serves
+// without a ready replica. An engine that serves none now can always be taken.
+func takesLast(conf configuration.Configuration, e engine, engines []engine, taken map[string]bool) bool {
+	for _, model := range e.state.Models {
+		if _, declared := conf.Models[model]; !declared || !e.ready(model) {
+			continue
+		}
+		others := slices.ContainsFunc(engines, func(other engine) bool {
+			return other.name != e.name && !taken[other.name] && other.ready(model)
+		})
+		if !others {
+			return true
+		}
+	}
+	return false
+}
+
+// send gives the orders and waits until each is answered or its deadline has passed.
+func (o *Orders) send(ctx context.Context, orders []order) {
+	var mu sync.Mutex
+	each(orders, func(next *order) {
+		// The lease is read immediately before each order: planning may have taken long.
+		// The deadline counts from before that, so that it does not outlast the lease.
+		now := o.config.Now()
+		remaining, term := o.config.Lease.LeaderLease()
+		if remaining < o.config.OrderTimeout || term != o.term {
+			return
+		}
+		if next.load {
+			mu.Lock()
+			o.loads[next.engine.name] = load{target: next.target, at: now}
+			mu.Unlock()
+		}
+		err := o.give(ctx, *next, now.Add(o.config.OrderTimeout))
+		logger := o.config.Logger.With(zap.String(logging.Endpoint, next.engine.name), zap.String("model", next.target.model), zap.String("version", next.target.version))
+		if err == nil {
+			logger.Info("Gave an order", zap.Bool("load", next.load))
+			return
+		}
+		logger.Warn("An order was not accepted", zap.Error(err))
+		if fault.Is(err, Refused) {
+			mu.Lock()
+			delete(o.loads, next.engine.name)
+			mu.Unlock()
+		}
+	})
+}
+
+func (o *Orders) give(ctx context.Context, next order, deadline time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, o.config.OrderTimeout)
+	defer cancel()
+	models := next.engine.state.Models
+	if !slices.Contains(models, next.target.model) {
+		models = []string{next.target.model}
+	}
+	return o.config.Engines.Order(ctx, next.engine.address, endpoint.Order{
+		ID:           rand.Text(),
+		FencingToken: o.term,
+		Deadline:     deadline.UnixMilli(),
+		Models:       models,
+		Version:      next.target.version,
+		Adapters:     next.target.adapters,
+		Role:         cmp.Or(next.target.role, next.engine.state.Role),
+	})
+}
+
+// each calls do for each item, at most maxCalls at a time, and waits for all.
+func each[T any](items []T, do func(*T)) {
+	var calls sync.WaitGroup
+	permits := make(chan struct{}, maxCalls)
+	for i := range items {
+		permits <- struct{}{}
+		calls.Go(func() {
+			defer func() { <-permits }()
+			do(&items[i])
+		})
+	}
+	calls.Wait()
+}
+
+func sortedByName(byName map[string]engine) []engine {
+	engines := make([]engine, 0, len(byName))
+	for _, e := range byName {
+		engines = append(engines, e)
+	}
+	slices.SortFunc(engines, func(a, b engine) int { return cmp.Compare(a.name, b.name) })
+	return engines
+}
