Give the controllers the operators' view of the fleet

The controllers need all endpoints, and must know when a part of them is out of sight.

API.Endpoints returns each endpoint once and whether all dispatchers answered.

--- a/controld/internal/operator/fleet.go
+++ b/controld/internal/operator/fleet.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/control"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/language"
 	"github.com/dandelionpier/dandelionpier/internal/rendezvous"
@@ -113,3 +114,14 @@
 	slices.Sort(cells)
 	return slices.Compact(cells)
 }
+
+// Endpoints returns the endpoints of all cells, each once, for the controllers. When a dispatcher does
+// not answer, or the control quorum does not, complete is false.
+func (a *API) Endpoints(ctx context.Context) (views []dispatch.EndpointView, complete bool) {
+	state, err := a.query(ctx, control.QueryRequest{Configuration: true, Members: true})
+	if err != nil {
+		return nil, false
+	}
+	seen := a.askFleet(ctx, cellsOf(*state.Configuration, state.Members), state.Members)
+	return endpointsOf(seen), len(seen.missing) == 0
+}
--- a/controld/internal/operator/operator_test.go
+++ b/controld/internal/operator/operator_test.go
@@ -313,6 +313,28 @@
 	}
 }
 
+// Guards against controllers that act on a part of the fleet as if it were all of it.
+func TestEndpoints(t *testing.T) {
+	is := is.New(t)
+	q := newQuorum()
+	q.members = members("a")
+	q.state.Models["ash"] = configuration.Model{Name: "ash"}
+	failing := ""
+	api := newAPI(q, peers(func(_ context.Context, _, cell string, reply *dispatch.EndpointsReply) error {
+		if cell == failing {
+			return errors.New("connection refused")
+		}
+		reply.Endpoints = []dispatch.EndpointView{{Announcement: endpoint.Announcement{Name: "e1", Models: []string{"oak", "ash"}}}}
+		return nil
+	}), "", nil)
+	views, complete := api.Endpoints(t.Context())
+	is.Equal(len(views), 1) // e1 is in two cells
+	is.True(complete)
+	failing = "oak/north"
+	_, complete = api.Endpoints(t.Context())
+	is.True(!complete)
+}
+
 type burnPeers map[string]burn.Report
 
 func (p burnPeers) Call(_ context.Context, address, method string, _, reply any) error {
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"image/png"
+	"net"
+	"net/rpc"
 	"strings"
 	"testing"
 	"time"
@@ -155,15 +157,22 @@
 	is.Equal(testing.AllocsPerRun(100, observe), 0.0)
 }
 
-// Guards against reports that cannot be written or read.
+// Guards against reports that net/rpc does not carry, or that cannot be written or read.
 func TestFormats(t *testing.T) {
 	is := is.New(t)
 	c := newClock()
 	r := newRecorder(c, 0)
 	r.Observe("sawmill", "short", time.Second, 0, true)
 	r.Observe("sawmill", "long", time.Second, 0, true)
+	server := rpc.NewServer()
+	is.NoErr(server.RegisterName(burn.ServiceName, burn.NewService(r)))
+	near, far := net.Pipe()
+	go server.ServeConn(far)
+	client := rpc.NewClient(near)
+	defer client.Close()
 	var reply burn.ReportReply
-	is.NoErr(burn.NewService(r).Report(burn.ReportRequest{Workspace: "sawmill"}, &reply))
+	is.NoErr(client.Call(burn.ReportMethod, burn.ReportRequest{Workspace: "sawmill"}, &reply))
+	is.Equal(reply.Report, r.Report())
 	var text, lines, image bytes.Buffer
 	is.NoErr(reply.Report.WriteText(&text))
 	is.Equal(strings.Split(text.String(), "\n")[1], "sawmill    short  ttft     0.95    20.00  20.00  20.00  20.00  1")
