Tell resends from other commands by all that the operator sent

The digest covered the text only: the same id with another expected revision or from another operator got the first result. A command id that was used before was reported as a translation error. The tests now run against the replicated state machine itself. The quorum's last contact is a duration.

--- a/controld/internal/operator/command.go
+++ b/controld/internal/operator/command.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"net/http"
 	"regexp"
+	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -82,9 +84,8 @@
 		return language.CommandReply{}, err
 	}
 	base := *state.Configuration
-	digest := sha256.Sum256([]byte(request.Text))
 	submit := control.SubmitRequest{
-		CommandID: request.CommandID, Author: author, Expected: base.Revision, Check: t.Check, Digest: digest[:],
+		CommandID: request.CommandID, Author: author, Expected: base.Revision, Check: t.Check, Digest: digest(author, request),
 	}
 	if request.Expected != nil {
 		submit.Expected = *request.Expected
@@ -95,7 +96,7 @@
 	}
 	submit.Changes = changes
 	if invalid != nil {
-		submit.Changes = []configuration.Change{{}}
+		submit.Changes = noChange
 	}
 	reply, err := a.config.Submitter.Submit(ctx, submit)
 	if err != nil {
@@ -105,7 +106,7 @@
 		return language.CommandReply{}, &notLeader{leader: reply.Leader}
 	}
 	result := commandReply(reply)
-	if invalid != nil && reply.Status == control.Rejected {
+	if invalid != nil && refusesNoChange(base, reply) {
 		result.Message = invalid.Error()
 	}
 	if invalid == nil && reply.Status == control.Valid {
@@ -114,6 +115,27 @@
 	return result, nil
 }
 
+// noChange stands for a transaction that cannot be translated. It is never valid.
+var noChange = []configuration.Change{{}}
+
+// refusesNoChange reports whether the reply is about noChange and not, for example, about a command
+// id that was used before.
+func refusesNoChange(base configuration.Configuration, reply control.SubmitReply) bool {
+	_, err := base.With(noChange)
+	return reply.Status == control.Rejected && err != nil && reply.Message == err.Error()
+}
+
+// digest identifies what the operator sent, so that a resend is told from another command with the
+// same id. The revision in force when the request arrives is no part of it.
+func digest(author string, request language.CommandRequest) []byte {
+	expected := "newest"
+	if request.Expected != nil {
+		expected = strconv.FormatUint(*request.Expected, 10)
+	}
+	sum := sha256.Sum256([]byte(strings.Join([]string{author, expected, request.Text}, "\x00")))
+	return sum[:]
+}
+
 func commandReply(reply control.SubmitReply) language.CommandReply {
 	since := reply.Since
 	since = since[max(0, len(since)-maxSince):]
--- a/controld/internal/operator/operator_test.go
+++ b/controld/internal/operator/operator_test.go
@@ -33,66 +33,55 @@
 	callerKey   = "caller-secret"
 )
 
-// quorum is a control quorum in memory: results by command id, then the expected revision, then
-// the changes.
+// quorum is the replicated state machine without its log.
 type quorum struct {
 	mu      sync.Mutex
 	leader  string
-	state   configuration.Configuration
-	history []configuration.Revision
-	results map[string]control.SubmitReply
+	machine *control.Machine
 	members []session.Member
 }
 
 func newQuorum() *quorum {
-	return &quorum{results: make(map[string]control.SubmitReply), state: configuration.Configuration{
-		Workspaces: map[string]configuration.Workspace{"shop": {
-			Name: "shop", KeyHashes: []string{language.HashKey(callerKey)},
-		}},
-		Models: map[string]configuration.Model{"oak": {Name: "oak", Version: "2"}},
-	}}
+	q := &quorum{machine: control.NewMachine()}
+	q.accept(
+		configuration.Change{Workspace: &configuration.Workspace{Name: "shop", KeyHashes: []string{language.HashKey(callerKey)}}},
+		configuration.Change{Model: &configuration.Model{Name: "oak", Version: "2"}},
+	)
+	return q
 }
 
-func (q *quorum) Submit(_ context.Context, r control.SubmitRequest) (control.SubmitReply, error) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.leader != "" {
-		return control.SubmitReply{NotLeader: true, Leader: q.leader}, nil
-	}
-	if first, ok := q.results[r.CommandID]; ok {
-		return first, nil
-	}
-	reply := q.decide(r)
-	if reply.Status == control.Accepted || reply.Status == control.Rejected {
-		q.results[r.CommandID] = reply
-	}
-	return reply, nil
+func (q *quorum) accept(changes ...configuration.Change) {
+	expected := q.machine.Configuration().Revision
+	q.apply(control.SubmitRequest{CommandID: fmt.Sprint("setup-", expected), Expected: expected, Changes: changes})
 }
 
-func (q *quorum) decide(r control.SubmitRequest) control.SubmitReply {
-	if r.Expected != q.state.Revision {
-		return control.SubmitReply{Status: control.Conflict, Revision: q.state.Revision, Since: q.history[r.Expected:]}
-	}
-	revision := configuration.Revision{Number: r.Expected + 1, Author: r.Author, Time: 1, Changes: r.Changes}
-	next, err := q.state.WithRevision(revision)
+func (q *quorum) apply(r control.SubmitRequest) control.SubmitReply {
+	data, err := control.Command{Time: 1, Submit: &r}.Encode()
 	if err != nil {
-		return control.SubmitReply{Status: control.Rejected, Revision: q.state.Revision, Message: err.Error()}
+		panic(err)
 	}
-	if r.Check {
-		return control.SubmitReply{Status: control.Valid, Revision: q.state.Revision}
-	}
-	q.state, q.history = next, append(q.history, revision)
-	return control.SubmitReply{Status: control.Accepted, Revision: next.Revision, InForce: true}
+	return q.machine.Apply(0, data).(control.SubmitReply)
 }
 
-func (q *quorum) Query(context.Context, control.QueryRequest) (control.QueryReply, error) {
+func (q *quorum) Submit(_ context.Context, r control.SubmitRequest) (control.SubmitReply, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	switch {
+	case q.leader != "":
+		return control.SubmitReply{NotLeader: true, Leader: q.leader}, nil
+	case r.Check:
+		return q.machine.Check(r), nil
+	default:
+		return q.apply(r), nil
+	}
+}
+
+func (q *quorum) Query(context.Context, control.QueryRequest) (control.QueryReply, error) {
 	if q.leader != "" {
 		return control.QueryReply{NotLeader: true, Leader: q.leader}, nil
 	}
-	state := q.state
-	return control.QueryReply{Configuration: &state, Revision: state.Revision, History: q.history, Members: q.members}, nil
+	state := q.machine.Configuration()
+	return control.QueryReply{Configuration: &state, Revision: state.Revision, History: q.machine.History(10), Members: q.members}, nil
 }
 
 // peers answers Dispatch.Endpoints.
@@ -182,15 +171,18 @@
 	code, other := command(t, api, "delete-again", "unset workspace shop")
 	is.Equal(code, http.StatusUnprocessableEntity)
 	is.True(strings.Contains(other.Message, `workspace "shop" does not exist`))
+	code, other = command(t, api, "delete-shop", "unset workspace mill")
+	is.Equal(code, http.StatusUnprocessableEntity)
+	is.True(strings.Contains(other.Message, "command id was used before"))
 }
 
 // Guards against a lost update, and against a conflict that does not say who changed what.
 func TestConflict(t *testing.T) {
 	is := is.New(t)
 	api := newAPI(newQuorum(), nil, "", nil)
-	code, _ := command(t, api, "first-write", "set workspace shop priority 4", 0)
+	code, _ := command(t, api, "first-write", "set workspace shop priority 4", 1)
 	is.Equal(code, http.StatusOK)
-	code, reply := command(t, api, "second-write", "set workspace shop priority 5", 0)
+	code, reply := command(t, api, "second-write", "set workspace shop priority 5", 1)
 	is.Equal(code, http.StatusConflict)
 	is.Equal(len(reply.Since), 1)
 	is.Equal(reply.Since[0].Author, "itziar")
@@ -206,7 +198,7 @@
 	is.Equal(reply.Status, string(control.Valid))
 	is.Equal(len(reply.Changes), 2)
 	is.True(strings.HasPrefix(reply.Changes[1], "+ set model oak version 2 adapters none replicas 3"))
-	is.Equal(q.state.Revision, uint64(0))
+	is.Equal(q.machine.Configuration().Revision, uint64(1))
 }
 
 // Guards against malformed requests that reach the quorum.
@@ -241,8 +233,8 @@
 	following.leader = "peer-of-leader"
 	code, reply := command(t, newAPI(following, nil, leader.Listener.Addr().String(), nil), "forwarded", "set model oak replicas 9")
 	is.Equal(code, http.StatusOK)
-	is.Equal(reply.Revision, uint64(1))
-	is.Equal(leading.state.Models["oak"].Replicas, 9)
+	is.Equal(reply.Revision, uint64(2))
+	is.Equal(leading.machine.Configuration().Models["oak"].Replicas, 9)
 
 	var circular *operator.API
 	follower := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { circular.ServeHTTP(w, r) }))
@@ -318,7 +310,7 @@
 	is := is.New(t)
 	q := newQuorum()
 	q.members = members("a")
-	q.state.Models["ash"] = configuration.Model{Name: "ash"}
+	q.accept(configuration.Change{Model: &configuration.Model{Name: "ash"}})
 	failing := ""
 	api := newAPI(q, peers(func(_ context.Context, _, cell string, reply *dispatch.EndpointsReply) error {
 		if cell == failing {
@@ -369,10 +361,11 @@
 func TestManyWorkspaces(t *testing.T) {
 	is := is.New(t)
 	q := newQuorum()
+	var changes []configuration.Change
 	for i := range 6500 {
-		name := fmt.Sprintf("w%04d", i)
-		q.state.Workspaces[name] = configuration.Workspace{Name: name, Priority: i % 10}
+		changes = append(changes, configuration.Change{Workspace: &configuration.Workspace{Name: fmt.Sprintf("w%04d", i), Priority: i % 10}})
 	}
+	q.accept(changes...)
 	api := newAPI(q, nil, "", nil)
 	reply := query(t, api, "show workspaces")
 	is.Equal(len(reply.Rows), 200)
--- a/controld/internal/operator/rows.go
+++ b/controld/internal/operator/rows.go
@@ -201,7 +201,7 @@
 func quorumRows(state control.QueryReply) (rows [][]any) {
 	for _, v := range state.Voters {
 		rows = append(rows, []any{
-			v.ID, v.Address, v.Voter, v.Leader, int64(v.Match), v.Reached, time.UnixMilli(v.LastSeen).UTC(),
+			v.ID, v.Address, v.Voter, v.Leader, int64(v.Match), v.Reached, language.Seconds(time.Duration(v.LastSeen) * time.Millisecond),
 		})
 	}
 	return rows
--- a/internal/language/subject.go
+++ b/internal/language/subject.go
@@ -81,7 +81,7 @@
 		text("id"), text("address"), flag("voter"), flag("leader"),
 		{Name: "match", Type: TypeInteger},
 		flag("reached"),
-		{Name: "last-seen", Type: TypeTime},
+		{Name: "last-seen", Type: TypeDuration},
 	}},
 	"revision": {Columns: []Column{
 		{Name: "revision", Type: TypeInteger}, {Name: "term", Type: TypeInteger}, text("leader"),
