Give the controllers the leader's own view of the fleet

API.Endpoints asked the quorum over the network for the whole configuration each round, though the controllers run beside it. operator.Fleet reads configuration and members in place; without any session the view counts as incomplete.

--- a/controld/internal/operator/fleet.go
+++ b/controld/internal/operator/fleet.go
@@ -7,7 +7,6 @@
 	"sync"
 
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
-	"github.com/dandelionpier/dandelionpier/internal/control"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/language"
 	"github.com/dandelionpier/dandelionpier/internal/rendezvous"
@@ -31,7 +30,7 @@
 
 // askFleet asks the dispatcher of each cell for its view. A cell whose dispatcher does not answer
 // within fleetTimeout is named in missing.
-func (a *API) askFleet(ctx context.Context, cells []string, members []session.Member) fleet {
+func askFleet(ctx context.Context, peers Caller, cells []string, members []session.Member) fleet {
 	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
 	defer cancel()
 	var (
@@ -44,7 +43,7 @@
 		calls.Go(func() {
 			permits <- struct{}{}
 			defer func() { <-permits }()
-			reply, err := a.askCell(ctx, cell, members)
+			reply, err := askCell(ctx, peers, cell, members)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -62,10 +61,10 @@
 
 // askCell asks the entries in the order in which they are likely to dispatch for the cell, until one
 // does. The first entry that does not answer ends the search with an error: it may be the dispatcher.
-func (a *API) askCell(ctx context.Context, cell string, members []session.Member) (dispatch.EndpointsReply, error) {
+func askCell(ctx context.Context, peers Caller, cell string, members []session.Member) (dispatch.EndpointsReply, error) {
 	for _, member := range dispatcherOrder(cell, members) {
 		var reply dispatch.EndpointsReply
-		err := a.config.Peers.Call(ctx, member.Peer, "Dispatch.Endpoints", dispatch.EndpointsRequest{Cell: cell}, &reply)
+		err := peers.Call(ctx, member.Peer, "Dispatch.Endpoints", dispatch.EndpointsRequest{Cell: cell}, &reply)
 		if err != nil {
 			return dispatch.EndpointsReply{}, fmt.Errorf("instance %s at %s: %w", member.Instance, member.Peer, err)
 		}
@@ -115,13 +114,28 @@
 	return slices.Compact(cells)
 }
 
-// Endpoints returns the endpoints of all cells, each once, for the controllers. When a dispatcher does
-// not answer, or the control quorum does not, complete is false.
-func (a *API) Endpoints(ctx context.Context) (views []dispatch.EndpointView, complete bool) {
-	state, err := a.query(ctx, control.QueryRequest{Configuration: true, Members: true})
-	if err != nil {
-		return nil, false
-	}
-	seen := a.askFleet(ctx, cellsOf(*state.Configuration, state.Members), state.Members)
-	return endpointsOf(seen), len(seen.missing) == 0
+// FleetConfig sets up a Fleet.
+type FleetConfig struct {
+	Peers Caller
+	// Configuration and Members are those of the control leader.
+	Configuration func() configuration.Configuration
+	Members       func() []session.Member
+}
+
+// Fleet is the control leader's view of the endpoints.
+type Fleet struct {
+	config FleetConfig
+}
+
+// NewFleet returns the view.
+func NewFleet(config FleetConfig) *Fleet {
+	return &Fleet{config: config}
+}
+
+// Endpoints returns the endpoints of all cells, each once. When a dispatcher does not answer, or no
+// entry has a session, complete is false.
+func (f *Fleet) Endpoints(ctx context.Context) (views []dispatch.EndpointView, complete bool) {
+	members := f.config.Members()
+	seen := askFleet(ctx, f.config.Peers, cellsOf(f.config.Configuration(), members), members)
+	return endpointsOf(seen), len(members) > 0 && len(seen.missing) == 0
 }
--- a/controld/internal/operator/operator_test.go
+++ b/controld/internal/operator/operator_test.go
@@ -309,21 +309,27 @@
 func TestEndpoints(t *testing.T) {
 	is := is.New(t)
 	q := newQuorum()
-	q.members = members("a")
 	q.accept(configuration.Change{Model: &configuration.Model{Name: "ash"}})
-	failing := ""
-	api := newAPI(q, peers(func(_ context.Context, _, cell string, reply *dispatch.EndpointsReply) error {
-		if cell == failing {
-			return errors.New("connection refused")
-		}
-		reply.Endpoints = []dispatch.EndpointView{{Announcement: endpoint.Announcement{Name: "e1", Models: []string{"oak", "ash"}}}}
-		return nil
-	}), "", nil)
-	views, complete := api.Endpoints(t.Context())
+	failing, entries := "", members("a")
+	fleet := operator.NewFleet(operator.FleetConfig{
+		Configuration: q.machine.Configuration,
+		Members:       func() []session.Member { return entries },
+		Peers: peers(func(_ context.Context, _, cell string, reply *dispatch.EndpointsReply) error {
+			if cell == failing {
+				return errors.New("connection refused")
+			}
+			reply.Endpoints = []dispatch.EndpointView{{Announcement: endpoint.Announcement{Name: "e1", Models: []string{"oak", "ash"}}}}
+			return nil
+		}),
+	})
+	views, complete := fleet.Endpoints(t.Context())
 	is.Equal(len(views), 1) // e1 is in two cells
 	is.True(complete)
 	failing = "oak/north"
-	_, complete = api.Endpoints(t.Context())
+	_, complete = fleet.Endpoints(t.Context())
+	is.True(!complete)
+	entries = nil
+	_, complete = fleet.Endpoints(t.Context())
 	is.True(!complete)
 }
 
