--- a/standin/internal/engine/engine.go
+++ b/standin/internal/engine/engine.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/refusal"
 	"github.com/dandelionpier/dandelionpier/standin/internal/faults"
 	"github.com/dandelionpier/dandelionpier/standin/internal/model"
@@ -190,3 +191,13 @@
 	}
 	refusal.New(status, code, outcome, "%s", err.Error()).Write(w)
 }
+
+// refuseSubmit answers with an error of Submit. A holding that has expired is no fault of the
+// request, so it gets a status after which another attempt makes sense.
+func refuseSubmit(w http.ResponseWriter, err error) {
+	if fault.Is(err, model.Unknown) {
+		refusal.New(http.StatusServiceUnavailable, "unknown-holding", refusal.DidNotRun, "%s", err.Error()).Write(w)
+		return
+	}
+	refuse(w, err, refusal.DidNotRun)
+}
--- a/standin/internal/engine/platform.go
+++ b/standin/internal/engine/platform.go
@@ -46,11 +46,15 @@
 	respond(w, e.model.Release(mux.Vars(r)["id"]))
 }
 
-// renew starts the TTL of a holding anew. The head of a group adds occupy-ms, the simulated time for
+// renew starts the TTL of a holding anew, with the ttl-ms of the body if there is one. The head of a group adds occupy-ms, the simulated time for
 // which the group's prefill occupies this engine.
 func (e *Engine) renew(w http.ResponseWriter, r *http.Request) {
 	id := mux.Vars(r)["id"]
-	err := e.model.Renew(id)
+	var h endpoint.Holding
+	if r.ContentLength != 0 && !decode(w, r, &h) {
+		return
+	}
+	err := e.model.Renew(id, h.TTL)
 	if ms, parseErr := strconv.Atoi(r.URL.Query().Get("occupy-ms")); err == nil && parseErr == nil {
 		err = e.model.Occupy(id, time.Duration(ms)*time.Millisecond)
 	}
--- a/standin/internal/model/holding.go
+++ b/standin/internal/model/holding.go
@@ -65,14 +65,17 @@
 	e.poke()
 }
 
-// Renew starts the TTL of a holding anew.
-func (e *Engine) Renew(id string) error {
+// Renew starts the TTL of a holding anew; 0 milliseconds keep the length it had.
+func (e *Engine) Renew(id string, milliseconds int64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	h, found := e.holdings[id]
 	if !found {
 		return fault.New("renew holding", Unknown, "holding %q does not exist", id)
 	}
+	if milliseconds > 0 {
+		h.TTL = milliseconds
+	}
 	h.timer.Reset(ttl(h.TTL))
 	return nil
 }
