settings: report keys and positions of inline structs

Settings that embed a struct with yaml inline got no position (line 1, column 1) and a path with the struct's name for an invalid value, and the list of known keys lacked the embedded ones. Paths and lists now treat them as keys of the parent.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -64,8 +64,14 @@
 	return v
 }
 
+// inline stands for an embedded struct in paths; its keys belong to the parent.
+const inline = "<inline>"
+
 func yamlName(field reflect.StructField) string {
-	name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	name, rest, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	if name == "" && rest == "inline" {
+		return inline
+	}
 	return name
 }
 
@@ -96,6 +102,10 @@
 		if name == "" || name == "-" {
 			continue
 		}
+		if name == inline {
+			names = append(names, keys(t.Field(i).Type)...)
+			continue
+		}
 		names = append(names, name)
 		for _, child := range keys(t.Field(i).Type) {
 			names = append(names, name+"."+child)
@@ -107,6 +117,7 @@
 func invalidError(name string, data []byte, failures validator.ValidationErrors) error {
 	failure := failures[0]
 	_, path, _ := strings.Cut(failure.Namespace(), ".")
+	path = strings.ReplaceAll(path, inline+".", "")
 	line, column := position(data, path)
 	return fault.New("check settings", Invalid, "%s:%d:%d: %s is %v; %s",
 		name, line, column, path, failure.Value(), expectation(failure))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -14,7 +14,12 @@
 	Listen string `yaml:"listen" validate:"required,hostname_port"`
 }
 
+type Shared struct {
+	Count int `yaml:"count" validate:"min=0"`
+}
+
 type sample struct {
+	Shared  `yaml:",inline"`
 	Name    string        `yaml:"name" validate:"required"`
 	Limit   int           `yaml:"limit" validate:"min=1,max=10"`
 	Timeout time.Duration `yaml:"timeout" validate:"gt=0"`
@@ -37,6 +42,8 @@
 		"out of range":  {"name: a\nlimit: 11\n", []string{"f.yaml:2:1", "limit is 11", "at most 10"}},
 		"missing value": {"limit: 3\n", []string{"name", "required"}},
 		"nested value":  {"name: a\nhttp:\n  listen: nowhere\n", []string{"f.yaml:3:3", "http.listen", "127.0.0.1:8080"}},
+		"inline value":  {"name: a\ncount: -1\n", []string{"f.yaml:2:1: count is -1"}},
+		"inline key":    {"name: a\ncuont: 1\n", []string{"f.yaml:2:1", "cuont", "count"}},
 		"not yaml":      {"name: [a\n", []string{"f.yaml:"}},
 		"zero duration": {"name: a\ntimeout: 0s\n", []string{"f.yaml:2:1", "more than 0"}},
 	} {
