standin: count computed, cached and wasted tokens

The load tool needs the tokens that an engine computed for attempts that ended early, and each engine's share of the work, for policies that hide which engine ran a request. GET /standin/totals returns them.

--- a/standin/internal/engine/engine.go
+++ b/standin/internal/engine/engine.go
@@ -101,6 +101,7 @@
 	r.HandleFunc("/platform/state", e.getState).Methods(http.MethodGet)
 	r.HandleFunc("/platform/kv/{attempt}", e.exportKV).Methods(http.MethodGet)
 	r.HandleFunc("/platform/kv/{attempt}", e.importKV).Methods(http.MethodPut)
+	r.HandleFunc("/standin/totals", e.getTotals).Methods(http.MethodGet)
 	if e.config.Options.Admin {
 		r.Handle("/standin/faults", e.faults).Methods(http.MethodPost, http.MethodDelete)
 	}
@@ -161,6 +162,10 @@
 	writeJSON(w, http.StatusOK, e.platformState())
 }
 
+func (e *Engine) getTotals(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.model.Totals())
+}
+
 func writeJSON(w http.ResponseWriter, status int, value any) {
 	payload, err := json.Marshal(value)
 	if err != nil {
--- a/standin/internal/model/attempt.go
+++ b/standin/internal/model/attempt.go
@@ -47,6 +47,7 @@
 	cached      int
 	prefillLeft int
 	generated   int
+	spent       int
 	admitted    bool
 	started     bool
 	done        bool
--- a/standin/internal/model/engine.go
+++ b/standin/internal/model/engine.go
@@ -80,6 +80,27 @@
 	draining bool
 	exports  *exports
 	reports  reports
+	totals   Totals
+}
+
+// Totals count work since the start.
+type Totals struct {
+	// Attempts counts those that ended, Cancelled those of them that ended early.
+	Attempts  int `json:"attempts"`
+	Cancelled int `json:"cancelled"`
+	// Prefill and Output are the tokens computed, Cached the prompt tokens found in the prefix cache.
+	Prefill int `json:"prefill"`
+	Output  int `json:"output"`
+	Cached  int `json:"cached"`
+	// Wasted are the tokens computed for attempts that ended early.
+	Wasted int `json:"wasted"`
+}
+
+// Totals returns the work done so far.
+func (e *Engine) Totals() Totals {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.totals
 }
 
 // New returns an engine; Run has to be called for it to make progress.
@@ -258,6 +279,8 @@
 			continue
 		}
 		a.prefillLeft -= c.tokens
+		a.spent += c.tokens
+		e.totals.Prefill += c.tokens
 		e.share(a, now)
 		if a.prefillLeft > 0 {
 			continue
@@ -298,6 +321,8 @@
 	first := !a.started
 	a.started = true
 	a.generated++
+	a.spent++
+	e.totals.Output++
 	if a.generated >= a.MaxTokens {
 		e.end(a, nil)
 		return
@@ -315,6 +340,12 @@
 	}
 	a.done = true
 	a.err = err
+	e.totals.Attempts++
+	e.totals.Cached += a.cached
+	if err != nil {
+		e.totals.Cancelled++
+		e.totals.Wasted += a.spent
+	}
 	if a.stop != nil {
 		a.stop()
 	}
--- a/standin/internal/model/engine_test.go
+++ b/standin/internal/model/engine_test.go
@@ -175,6 +175,9 @@
 				used, _ := e.Used()
 				is.Equal(used, 0)
 				is.Equal(len(e.Holdings()), 0)
+				totals := e.Totals()
+				is.Equal(totals.Attempts, 2)
+				is.Equal(totals.Wasted > 0, totals.Cancelled == 2) // b never ran
 			})
 		})
 	}
