loadtool: add run and summarise

loadtool run plays an experiment (open-loop Poisson arrivals, length classes, workspaces of unequal size) against the entries, or against the engines with round robin, least outstanding or power of two choices over 16 simulated entries. It checks that each response is complete and belongs to its prompt, and reports time to first token by class, slowdown by long requests, goodput, refusals, wasted tokens, imbalance and memory held, as JSON, table and plot.

--- a/loadtool/internal/cli/cli.go
+++ b/loadtool/internal/cli/cli.go
@@ -29,6 +29,6 @@
 	return &cli.Command{
 		Name:     "loadtool",
 		Usage:    "measure a dandelionpier deployment",
-		Commands: []*cli.Command{demo.Command(), sessions.Command()},
+		Commands: []*cli.Command{runCommand(), summariseCommand(), demo.Command(), sessions.Command()},
 	}
 }
--- /dev/null
+++ b/loadtool/internal/experiment/experiment.go
@@ -0,0 +1,119 @@
+// Package experiment reads experiments and draws their arrivals.
+package experiment
+
+import (
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/settings"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// Conflict means that two options do not fit together.
+const Conflict Kind = "conflict"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Experiment is a load. All times are simulated; the bench runs Speed times as fast.
+type Experiment struct {
+	Name     string        `yaml:"name" validate:"required"`
+	Seeds    []uint64      `yaml:"seeds" validate:"required,min=1"`
+	Duration time.Duration `yaml:"duration" validate:"gt=0"`
+	// WarmUp is the first part of Duration, whose requests are not counted.
+	WarmUp time.Duration `yaml:"warm-up" validate:"gte=0"`
+	Speed  float64       `yaml:"speed" validate:"gt=0"`
+	Model  string        `yaml:"model" validate:"required"`
+	// Rate is in requests a second. If it is 0, Utilisation of Capacity sets it.
+	Rate        float64  `yaml:"rate" validate:"gte=0"`
+	Utilisation float64  `yaml:"utilisation" validate:"gte=0"`
+	Capacity    Capacity `yaml:"capacity"`
+	// TimeLimit is the time limit of each request.
+	TimeLimit time.Duration `yaml:"time-limit" validate:"gt=0"`
+	// CompareWithoutLong repeats each seed without the requests of long classes, to measure the slowdown
+	// that they cause.
+	CompareWithoutLong bool        `yaml:"compare-without-long"`
+	Classes            []Class     `yaml:"classes" validate:"required,min=1,dive"`
+	Workspaces         []Workspace `yaml:"workspaces" validate:"required,min=1,dive"`
+}
+
+// Capacity describes the engines, for Utilisation.
+type Capacity struct {
+	Engines     int     `yaml:"engines" validate:"gte=0"`
+	PrefillRate float64 `yaml:"prefill-rate" validate:"gte=0"`
+	DecodeRate  float64 `yaml:"decode-rate" validate:"gte=0"`
+	ChunkTokens int     `yaml:"chunk-tokens" validate:"gte=0"`
+}
+
+// Class is a length class. Lengths are drawn with equal probability for each order of magnitude.
+type Class struct {
+	Name   string  `yaml:"name" validate:"required"`
+	Share  float64 `yaml:"share" validate:"gt=0"`
+	Prompt Range   `yaml:"prompt"`
+	Output Range   `yaml:"output"`
+	Long   bool    `yaml:"long"`
+}
+
+// Range bounds a number of tokens.
+type Range struct {
+	Min int `yaml:"min" validate:"gte=1"`
+	Max int `yaml:"max" validate:"gtefield=Min"`
+}
+
+// Workspace is a source of requests.
+type Workspace struct {
+	Name  string  `yaml:"name" validate:"required"`
+	Key   string  `yaml:"key" validate:"required"`
+	Share float64 `yaml:"share" validate:"gt=0"`
+	// Prefix is the length in tokens of the text with which its longer prompts begin.
+	Prefix int `yaml:"prefix" validate:"gte=0"`
+}
+
+// Load reads an experiment.
+func Load(path string) (Experiment, error) {
+	e := Experiment{Speed: 1, TimeLimit: 120 * time.Second}
+	if err := settings.Load(path, &e); err != nil {
+		return e, err
+	}
+	return e, e.check()
+}
+
+func (e Experiment) check() error {
+	const op = "check experiment"
+	if e.Rate == 0 && (e.Utilisation == 0 || e.Capacity.effectiveRate() == 0) {
+		return fault.New(op, Conflict, "rate, or utilisation and capacity, must be set")
+	}
+	if e.WarmUp >= e.Duration {
+		return fault.New(op, Conflict, "warm-up is %v; it must be less than duration, which is %v", e.WarmUp, e.Duration)
+	}
+	return nil
+}
+
+// effectiveRate is the prompt tokens a second of all engines while they also decode: each chunk then
+// takes one decode step longer (docs/standin.md).
+func (c Capacity) effectiveRate() float64 {
+	if c.PrefillRate == 0 || c.DecodeRate == 0 {
+		return 0
+	}
+	chunk := float64(c.ChunkTokens)
+	return float64(c.Engines) * chunk / (chunk/c.PrefillRate + 1/c.DecodeRate)
+}
+
+// ArrivalRate returns the requests a second.
+func (e Experiment) ArrivalRate() float64 {
+	if e.Rate > 0 {
+		return e.Rate
+	}
+	return e.Utilisation * e.Capacity.effectiveRate() / e.meanPrompt()
+}
+
+func (e Experiment) meanPrompt() float64 {
+	total, weight := 0.0, 0.0
+	for _, c := range e.Classes {
+		total += c.Share * c.Prompt.mean()
+		weight += c.Share
+	}
+	return total / weight
+}
--- /dev/null
+++ b/loadtool/internal/report/text.go
@@ -0,0 +1,120 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// WriteText writes the results as tables. Figures are means over the seeds, with the lowest and
+// highest in brackets.
+func WriteText(w io.Writer, policies []Policy) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "Time to first token, simulated seconds")
+	fmt.Fprintln(t, "experiment\tpolicy\tvariant\tclass\trequests\tcompleted\tp50\tp95\tp99\trefused\tfailed")
+	for _, p := range policies {
+		for _, variant := range []string{All, WithoutLong} {
+			writeClasses(t, p, variant)
+		}
+	}
+	fmt.Fprintln(t, "\nSlowdown by long requests: time to first token with them over without them")
+	fmt.Fprintln(t, "experiment\tpolicy\tclass\trequest p50\trequest p95\trequest p99\tratio of p95")
+	for _, p := range policies {
+		writeSlowdowns(t, p)
+	}
+	fmt.Fprintln(t, "\nWhole runs with all arrivals")
+	fmt.Fprintln(t, "experiment\tpolicy\trequests/s\ttokens/s\twasted %\tcached tokens\timbalance\theld after")
+	for _, p := range policies {
+		writeRuns(t, p)
+	}
+	return t.Flush()
+}
+
+func writeClasses(w io.Writer, p Policy, variant string) {
+	for _, name := range p.classNames(variant) {
+		classes := p.class(variant, name)
+		ttft := func(figure func(Quantiles) float64) string {
+			return spread(classes, func(c Class) float64 { return figure(c.FirstToken) }).text("%.3f")
+		}
+		requests, completed := 0, 0
+		for _, c := range classes {
+			requests += c.Requests
+			completed += c.Completed
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\n", p.Experiment, p.Policy, variant, name,
+			requests, completed, ttft(p50), ttft(p95), ttft(p99),
+			reasons(classes, func(c Class) map[string]int { return c.Refused }),
+			reasons(classes, func(c Class) map[string]int { return c.Failed }))
+	}
+}
+
+func (p Policy) classNames(variant string) []string {
+	var names []string
+	for _, r := range p.of(variant) {
+		for _, c := range r.Classes {
+			if !slices.Contains(names, c.Name) && c.Requests > 0 {
+				names = append(names, c.Name)
+			}
+		}
+	}
+	return names
+}
+
+func writeSlowdowns(w io.Writer, p Policy) {
+	var names []string
+	for _, s := range p.Slowdowns {
+		if !slices.Contains(names, s.Class) {
+			names = append(names, s.Class)
+		}
+	}
+	for _, name := range names {
+		list := slices.DeleteFunc(slices.Clone(p.Slowdowns), func(s Slowdown) bool { return s.Class != name })
+		of := func(figure func(Slowdown) float64) string { return spread(list, figure).text("%.2f") }
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", p.Experiment, p.Policy, name,
+			of(func(s Slowdown) float64 { return s.Requests.P50 }),
+			of(func(s Slowdown) float64 { return s.Requests.P95 }),
+			of(func(s Slowdown) float64 { return s.Requests.P99 }),
+			of(func(s Slowdown) float64 { return s.P95 }))
+	}
+}
+
+func writeRuns(w io.Writer, p Policy) {
+	runs := p.of(All)
+	of := func(format string, figure func(Run) float64) string { return spread(runs, figure).text(format) }
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", p.Experiment, p.Policy,
+		of("%.2f", func(r Run) float64 { return r.Goodput }),
+		of("%.0f", func(r Run) float64 { return r.TokenGoodput }),
+		of("%.2f", func(r Run) float64 { return 100 * float64(r.Wasted) / float64(max(1, r.Computed)) }),
+		of("%.0f", func(r Run) float64 { return float64(r.Cached) }),
+		of("%.2f", func(r Run) float64 { return r.Imbalance }),
+		of("%.0f", func(r Run) float64 { return float64(r.HeldAfter) }))
+}
+
+func p50(q Quantiles) float64 { return q.P50 }
+func p95(q Quantiles) float64 { return q.P95 }
+func p99(q Quantiles) float64 { return q.P99 }
+
+func (s Spread) text(format string) string {
+	return fmt.Sprintf(format+" ["+format+", "+format+"]", s.Mean, s.Min, s.Max)
+}
+
+// reasons sums counts by reason.
+func reasons(classes []Class, counts func(Class) map[string]int) string {
+	sums := make(map[string]int)
+	for _, c := range classes {
+		for reason, n := range counts(c) {
+			sums[reason] += n
+		}
+	}
+	if len(sums) == 0 {
+		return "0"
+	}
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(sums)) {
+		parts = append(parts, fmt.Sprintf("%s %d", reason, sums[reason]))
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/loadtool/internal/runner/collector.go
@@ -0,0 +1,84 @@
+package runner
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/dandelionpier/dandelionpier/loadtool/internal/caller"
+	"github.com/dandelionpier/dandelionpier/loadtool/internal/experiment"
+	"github.com/dandelionpier/dandelionpier/loadtool/internal/report"
+)
+
+// collector gathers the results of a run and converts them to simulated time.
+type collector struct {
+	experiment experiment.Experiment
+
+	mu          sync.Mutex
+	classes     []report.Class
+	histograms  []*hdrhistogram.Histogram
+	firstTokens map[int]time.Duration
+	tokens      int
+}
+
+func newCollector(e experiment.Experiment) *collector {
+	c := &collector{experiment: e, firstTokens: make(map[int]time.Duration)}
+	for _, class := range e.Classes {
+		c.classes = append(c.classes, report.Class{
+			Name: class.Name, Refused: make(map[string]int), Failed: make(map[string]int),
+		})
+		c.histograms = append(c.histograms, report.NewHistogram())
+	}
+	return c
+}
+
+// add records a result. Requests that arrived during the warm-up are not counted.
+func (c *collector) add(a experiment.Arrival, r caller.Result) {
+	if a.At < c.experiment.WarmUp {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	class := &c.classes[a.Class]
+	class.Requests++
+	switch {
+	case r.Reason == "":
+		class.Completed++
+		c.tokens += r.Prompt + r.Output
+	case r.Refused:
+		class.Refused[r.Reason]++
+		return
+	default:
+		class.Failed[r.Reason]++
+	}
+	first := time.Duration(float64(r.FirstToken) * c.experiment.Speed)
+	if first == 0 && r.Reason == caller.TimeLimit {
+		first = c.experiment.TimeLimit
+	}
+	if first > 0 {
+		c.firstTokens[a.Number] = first
+		report.Record(c.histograms[a.Class], first)
+	}
+}
+
+// outcome returns the results once all requests have ended.
+func (c *collector) outcome() *outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	seconds := (c.experiment.Duration - c.experiment.WarmUp).Seconds()
+	completed := 0
+	for i := range c.classes {
+		c.classes[i].FirstToken = report.Latencies(c.histograms[i])
+		completed += c.classes[i].Completed
+	}
+	return &outcome{
+		summary: report.Run{
+			Classes:      c.classes,
+			Goodput:      float64(completed) / seconds,
+			TokenGoodput: float64(c.tokens) / seconds,
+		},
+		histograms:  c.histograms,
+		firstTokens: c.firstTokens,
+	}
+}
--- /dev/null
+++ b/loadtool/internal/runner/runner_test.go
@@ -0,0 +1,78 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dandelionpier/dandelionpier/loadtool/internal/caller"
+	"github.com/dandelionpier/dandelionpier/loadtool/internal/experiment"
+	"github.com/dandelionpier/dandelionpier/loadtool/internal/report"
+)
+
+func sample() experiment.Experiment {
+	return experiment.Experiment{
+		Duration: 100 * time.Second, WarmUp: 20 * time.Second, Speed: 10, TimeLimit: 60 * time.Second,
+		Classes: []experiment.Class{{Name: "short"}, {Name: "long", Long: true}},
+	}
+}
+
+// Guards against figures in real time, counted warm-ups, and time limits that make a policy look fast.
+func TestCollector(t *testing.T) {
+	is := is.New(t)
+	c := newCollector(sample())
+	at := func(number, class int, seconds time.Duration) experiment.Arrival {
+		return experiment.Arrival{Number: number, Class: class, At: seconds * time.Second}
+	}
+	c.add(at(0, 0, 10), caller.Result{FirstToken: time.Hour}) // warm-up
+	c.add(at(1, 0, 30), caller.Result{FirstToken: 100 * time.Millisecond, Prompt: 700, Output: 100})
+	c.add(at(2, 0, 40), caller.Result{Reason: caller.TimeLimit})
+	c.add(at(3, 0, 50), caller.Result{Reason: "overloaded", Refused: true})
+	c.add(at(4, 1, 60), caller.Result{Reason: caller.Truncated, FirstToken: time.Second})
+	o := c.outcome()
+	short := o.summary.Classes[0]
+	is.Equal(short.Requests, 3)
+	is.Equal(short.Completed, 1)
+	is.Equal(short.Refused, map[string]int{"overloaded": 1})
+	is.Equal(short.Failed, map[string]int{caller.TimeLimit: 1})
+	is.Equal(o.firstTokens, map[int]time.Duration{1: time.Second, 2: 60 * time.Second, 4: 10 * time.Second})
+	is.Equal(o.summary.Goodput, 1.0/80)
+	is.Equal(o.summary.TokenGoodput, 10.0)
+}
+
+// Guards against a slowdown that compares different requests or includes the long ones.
+func TestSlowdowns(t *testing.T) {
+	is := is.New(t)
+	e := sample()
+	e.Rate = 1
+	e.Classes = []experiment.Class{
+		{Name: "short", Share: 1, Prompt: experiment.Range{Min: 1, Max: 1}, Output: experiment.Range{Min: 1, Max: 1}},
+		{Name: "long", Share: 1, Prompt: experiment.Range{Min: 1, Max: 1}, Output: experiment.Range{Min: 1, Max: 1}, Long: true},
+	}
+	e.Workspaces = []experiment.Workspace{{Name: "w", Share: 1}}
+	outcomeOf := func(factor time.Duration, p95 float64) *outcome {
+		o := &outcome{firstTokens: make(map[int]time.Duration)}
+		for _, a := range e.Arrivals(1) {
+			o.firstTokens[a.Number] = time.Duration(a.Number+1) * factor
+		}
+		o.summary.Classes = []report.Class{{FirstToken: report.Quantiles{P95: p95}}, {}}
+		return o
+	}
+	r := &runner{Config: Config{Experiment: e}}
+	list := r.slowdowns(1, outcomeOf(3, 6), outcomeOf(2, 4))
+	is.Equal(len(list), 1)
+	is.Equal(list[0], report.Slowdown{
+		Seed: 1, Class: "short", P95: 1.5, Requests: report.Quantiles{P50: 1.5, P95: 1.5, P99: 1.5},
+	})
+}
+
+// Guards against work of earlier runs that counts for this one.
+func TestAddWork(t *testing.T) {
+	is := is.New(t)
+	var run report.Run
+	addWork(&run,
+		[]totals{{Prefill: 100, Output: 10, Wasted: 7}, {Prefill: 200, Cached: 1}},
+		[]totals{{Prefill: 400, Output: 20, Wasted: 9}, {Prefill: 300, Cached: 5}})
+	is.Equal(run, report.Run{Computed: 410, Cached: 4, Wasted: 2, Imbalance: 1.5})
+}
