Prove the core's safety by simulation and fix three liveness faults

Cause: the protocol had only a success test. Change: a simulation in memory (loss, delay, one-way cuts, crashes before and after storing, frozen nodes, clock drift of 4 %, one lost disk, membership changes) checks election safety, log matching, leader completeness, state machine safety and exclusive leases after each input; naive versions (answer before storing, identity kept without files, overlapping changes) break a property in it. Found and fixed: a new learner got no entry until the next proposal; a leader that crashed before its own removal was replicated left nobody able to win; removal could go below three voters.

--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -8,6 +8,9 @@
 // message or two, so the commit does not wait for it noticeably.
 const caughtUpEntries = 64
 
+// minVoters stay when voters are removed, so that the loss of one never costs the quorum.
+const minVoters = 3
+
 // change proposes a membership and returns its index. One change is made at a time.
 func (c *core) change(next Membership) (uint64, error) {
 	const op = "change membership"
@@ -96,7 +99,11 @@
 	if _, ok := c.membership().find(id); !ok && c.role == Leader {
 		return 0, fault.New("remove member", Refused, "%q is not a member", id)
 	}
-	return c.change(c.membership().without(id))
+	m := c.membership()
+	if m.voter(id) && m.voters() <= minVoters {
+		return 0, fault.New("remove member", Refused, "%d voters are the minimum; add and promote another one first", minVoters)
+	}
+	return c.change(m.without(id))
 }
 
 // replace promotes a standby when a voter has been unreachable for long, and removes the lost voter
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -184,11 +184,20 @@
 		c.tickBootstrap()
 		return
 	}
-	if c.now >= c.electionDeadline && c.membership().voter(c.id) {
+	if c.now >= c.electionDeadline && c.mayCampaign() {
 		c.campaign(true)
 	}
 }
 
+// mayCampaign reports whether this node is a voter. A leader whose own removal is not known to be
+// committed may campaign too: if the others lack that entry, no one else can win (section 4.2.2 of
+// Ongaro's dissertation).
+func (c *core) mayCampaign() bool {
+	n := len(c.memberships)
+	return c.membership().voter(c.id) ||
+		n > 1 && c.membershipIndex() > c.log.commit && c.memberships[n-2].voter(c.id)
+}
+
 // deadline returns the next time at which tick has work.
 func (c *core) deadline() time.Duration {
 	switch {
@@ -196,7 +205,7 @@
 		return c.heartbeatDue
 	case c.bootstrapping():
 		return c.bootstrap.due
-	case !c.membership().voter(c.id):
+	case !c.mayCampaign():
 		return c.now + c.timing.ElectionMax
 	}
 	return c.electionDeadline
--- /dev/null
+++ b/internal/consensus/core_test.go
@@ -0,0 +1,269 @@
+package consensus
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against any schedule of loss, delay, crash, freeze, clock drift and membership change that
+// breaks a safety property of Raft, and against a cluster that does not recover afterwards.
+func TestSafetyUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(rapid.Uint64().Draw(t, "seed"), 5, 2)
+		s.awaitLeader()
+		choose := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		for range 100 {
+			s.disturb(choose)
+		}
+		s.recover()
+		if s.violation != "" {
+			t.Fatal(s.violation)
+		}
+	})
+}
+
+// Guards against an answer that is given before the state is stored: the leader and a voter that both
+// answered lose power, and the entry must survive. The naive version sends first and stores then.
+func TestAnswerAfterStore(t *testing.T) {
+	for name, naive := range map[string]bool{"stored first": false, "naive": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(1, 3, 0)
+			s.naiveSync = naive
+			l := s.awaitLeader()
+			s.advance(time.Second)
+			others := s.except(l.id)
+			s.crash(others[1])
+			s.nodes[others[0]].crashAt = 1
+			before := s.highest
+			s.propose(l, "answered by a voter that then loses power")
+			s.advance(100 * time.Millisecond)
+			is.Equal(s.highest > before, naive)
+			s.crash(l.id)
+			s.start(others[0])
+			s.start(others[1])
+			s.awaitLeader()
+			is.Equal(strings.Contains(s.violation, "leader completeness"), naive)
+		})
+	}
+}
+
+// Guards against a voter that votes again after it lost its files: with incarnations committed entries
+// stay, without them a node that lost its files elects a leader that lacks them.
+func TestWipedVoter(t *testing.T) {
+	for name, naive := range map[string]bool{"incarnations": false, "naive": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(1, 3, 0)
+			s.naiveIdentity = naive
+			l := s.awaitLeader()
+			others := s.except(l.id)
+			s.crash(others[1])
+			s.propose(l, "committed by the leader and the voter that will be wiped")
+			s.advance(time.Second)
+			s.crash(l.id)
+			s.wipe(others[0])
+			s.start(others[0])
+			s.start(others[1])
+			s.advance(10 * time.Second)
+			is.Equal(strings.Contains(s.violation, "leader completeness"), naive)
+			is.Equal(s.leader() != nil, naive)
+			if !naive {
+				s.start(l.id)
+				l = s.awaitLeader()
+				is.True(!s.nodes[others[0]].up) // it learnt that its identity is lost and stopped
+				s.propose(l, "after")
+				s.advance(time.Second)
+				is.Equal(s.violation, "")
+			}
+		})
+	}
+}
+
+// Guards against reads of a leader that was frozen while another one committed: the core moves its
+// clock before it acts on anything. The naive check trusts the role that the frozen node remembers.
+func TestFrozenLeader(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(3, 3, 0)
+	old := s.awaitLeader()
+	s.advance(time.Second)
+	is.True(old.core.lease() > s.clock(old))
+	old.frozen = true
+	s.advance(5 * time.Second)
+	l := s.leader()
+	is.True(l != nil && l != old)
+	s.propose(l, "committed while the old leader was frozen")
+	s.advance(time.Second)
+	naive := old.core.role == Leader
+	is.True(naive)                            // the naive check would serve a stale read
+	is.True(old.core.lease() <= s.clock(old)) // the lease has ended on its own clock
+	commit := old.core.log.commit
+	old.frozen = false
+	s.read(old)
+	s.propose(old, "must not commit")
+	is.True(old.core.role != Leader)
+	s.advance(time.Second)
+	is.True(old.core.log.commit > commit)
+	is.Equal(s.violation, "")
+}
+
+// Guards against a leader that keeps its office while cut off one way or both ways.
+func TestCutOffLeader(t *testing.T) {
+	for name, cut := range map[string]struct{ out, in bool }{
+		"cannot send": {true, false}, "cannot receive": {false, true}, "both": {true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(4, 5, 0)
+			old := s.awaitLeader()
+			s.advance(time.Second)
+			s.partition([]string{old.id}, cut.out, cut.in)
+			s.propose(old, "not committed by a quorum that answers")
+			s.advance(5 * time.Second)
+			is.True(old.core.role != Leader)
+			l := s.leader()
+			is.True(l != nil)
+			s.propose(l, "committed")
+			s.advance(time.Second)
+			s.heal()
+			s.advance(3 * time.Second)
+			for _, id := range s.order {
+				is.Equal(s.nodes[id].applied, s.highest)
+			}
+			is.Equal(s.violation, "")
+		})
+	}
+}
+
+// Guards against two changes at once, which can give two disjoint quorums (Ongaro, 2015). The naive
+// version appends a second and third change before the first is committed.
+func TestOverlappingChanges(t *testing.T) {
+	for name, naive := range map[string]bool{"refused": false, "naive": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(5, 5, 0)
+			l := s.awaitLeader()
+			s.advance(time.Second)
+			others := s.except(l.id)
+			// The leader reaches one voter only and removes the other three, one after the other.
+			s.partition([]string{l.id, others[0]}, true, true)
+			for _, id := range others[1:] {
+				if naive {
+					naiveChange(l.core, l.core.membership().without(id))
+					s.settle(l)
+					continue
+				}
+				s.change(l, id, 2)
+			}
+			s.propose(l, "committed by two of five voters")
+			s.advance(5 * time.Second)
+			if now := s.leader(); now != nil && now != l {
+				s.propose(now, "committed by the other three")
+				s.advance(time.Second)
+			}
+			is.Equal(strings.Contains(s.violation, "leader completeness"), naive)
+			is.Equal(l.core.role == Leader, naive)
+		})
+	}
+}
+
+// naiveChange appends a membership without the checks of change.
+func naiveChange(c *core, next Membership) {
+	index := c.appendEntry(membershipEntry, next.encode())
+	c.memberships = append(c.memberships, membershipAt{index: index, Membership: next})
+	c.syncPeers()
+	c.replicate()
+}
+
+// Guards against a learner that is promoted while it is behind, and against changes while a fresh
+// voter has not caught up.
+func TestChangeIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(6, 3, 2)
+	l := s.awaitLeader()
+	s.change(l, "d", 0)
+	s.advance(time.Second)
+	s.crash("d")
+	s.advance(time.Second)
+	_, err := l.core.promote("d", "")
+	is.True(err != nil) // not reachable
+	s.start("d")
+	s.advance(time.Second)
+	_, err = l.core.promote("d", "")
+	is.NoErr(err)
+	_, err = l.core.addLearner(Server{ID: "e", Address: "e"})
+	is.True(err != nil) // the promotion is not committed
+	s.settle(l)
+	s.partition([]string{"d"}, true, true)
+	s.advance(200 * time.Millisecond)
+	is.Equal(s.violation, "")
+}
+
+// Guards against a second loss right after a repair: two of five voters are lost in succession, each
+// replaced by a standby, and a third loss must still leave a quorum.
+func TestReplaceLostVoters(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(7, 5, 2)
+	l := s.awaitLeader()
+	for _, id := range []string{"f", "g"} {
+		s.change(l, id, 0)
+		s.advance(time.Second)
+	}
+	lost := 0
+	for _, id := range s.servers {
+		if id.ID == l.id || lost == 2 {
+			continue
+		}
+		lost++
+		s.crash(id.ID)
+		s.advance(8 * time.Second)
+		l = s.leader()
+		is.True(l != nil)
+		m := l.core.membership()
+		is.Equal(m.voters(), 5)
+		is.True(!m.voter(id.ID))
+	}
+	s.crash(l.id)
+	l = s.awaitLeader()
+	s.propose(l, "after three losses")
+	s.advance(time.Second)
+	is.Equal(s.highest, l.core.log.commit)
+	is.Equal(l.core.log.commit, l.core.log.last())
+	is.Equal(s.violation, "")
+}
+
+// Guards against progress without a quorum, and against a cluster that stays down once it is back.
+func TestQuorumLostAndBack(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(8, 5, 0)
+	s.awaitLeader()
+	for _, id := range s.order[:3] {
+		s.crash(id)
+	}
+	s.advance(5 * time.Second)
+	is.True(s.leader() == nil)
+	highest := s.highest
+	for _, id := range s.order[:3] {
+		s.start(id)
+	}
+	l := s.awaitLeader()
+	s.propose(l, "after")
+	s.advance(time.Second)
+	is.True(s.highest > highest)
+	is.Equal(s.violation, "")
+}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -12,7 +12,7 @@
 		c.state.Vote = c.id
 		c.stateChanged = true
 	}
-	c.votes = map[string]bool{c.id: true}
+	c.votes = map[string]bool{c.id: true} // counted only if this node is a voter
 	c.resetElection()
 	if c.won() {
 		return
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -38,7 +38,9 @@
 			continue
 		}
 		if c.peers[o.ID] == nil {
-			c.peers[o.ID] = &progress{next: c.log.last() + 1, answered: c.now, incarnation: o.Incarnation}
+			// The last entry is sent even if the member may hold it, so that its answer shows where its
+			// log ends.
+			c.peers[o.ID] = &progress{next: max(1, c.log.last()), answered: c.now, incarnation: o.Incarnation}
 		}
 		c.peers[o.ID].member = o
 	}
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -30,5 +30,5 @@
 
 // reset forgets what was learnt of another incarnation.
 func (p *progress) reset(incarnation string) {
-	*p = progress{member: p.member, next: p.next, answered: p.answered, incarnation: incarnation}
+	*p = progress{member: p.member, next: 1, answered: p.answered, incarnation: incarnation}
 }
