Connect the controllers, the fleet view and the burn recorder

Cause: the control leader's controllers and the entries' service-level recorder were written and not started.

--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -8,9 +8,11 @@
 
 	"go.uber.org/zap"
 
+	"github.com/dandelionpier/dandelionpier/controld/internal/controller"
 	"github.com/dandelionpier/dandelionpier/controld/internal/operator"
 	"github.com/dandelionpier/dandelionpier/internal/consensus"
 	"github.com/dandelionpier/dandelionpier/internal/control"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/metrics"
 	"github.com/dandelionpier/dandelionpier/internal/peer"
@@ -24,6 +26,7 @@
 	pool     *peer.Pool
 	server   *peer.Server
 	node     *consensus.Node
+	machine  *control.Machine
 	service  *control.Service
 	registry *metrics.Registry
 }
@@ -47,14 +50,14 @@
 	metrics.RegisterProcess(d.registry)
 	d.pool = peer.NewPool(peer.PoolConfig{Key: s.ClusterKey})
 	d.server = peer.NewServer(peer.ServerConfig{Key: s.ClusterKey, Logger: logger})
-	machine := control.NewMachine()
+	d.machine = control.NewMachine()
 	var err error
 	d.node, err = consensus.New(consensus.Config{
 		ID:            s.Instance,
 		Address:       s.peerAddress(),
 		Directory:     s.DataDirectory,
 		Bootstrap:     s.bootstrap(),
-		StateMachine:  machine,
+		StateMachine:  d.machine,
 		Transport:     consensus.NewPeerTransport(d.pool),
 		Logger:        logger,
 		Timing:        consensus.Timing{ReplaceAfter: s.ReplaceAfter},
@@ -64,7 +67,7 @@
 		return nil, err
 	}
 	d.service = control.NewService(control.ServiceConfig{
-		Machine: machine,
+		Machine: d.machine,
 		Log:     d.node,
 		Voters:  d.voters,
 		Logger:  logger,
@@ -105,6 +108,34 @@
 	return addresses
 }
 
+// controllerInterval is the time between two rounds of a controller.
+const controllerInterval = time.Second
+
+// controllers starts the controllers. Their rounds do nothing on an instance that does not lead.
+func (d *daemon) controllers(ctx context.Context) []<-chan error {
+	fleet := operator.NewFleet(operator.FleetConfig{
+		Peers:         d.pool,
+		Configuration: d.machine.Configuration,
+		Members:       d.service.Members,
+	})
+	roles := controller.NewRoles(controller.RolesConfig{
+		Lease: d.node, Configuration: d.machine, Fleet: fleet, Now: time.Now, Logger: d.logger,
+	})
+	orders := controller.NewOrders(controller.OrdersConfig{
+		Lease: d.node, Configuration: d.machine, Fleet: fleet, Roles: roles,
+		Engines: endpoint.NewClient(endpoint.ClientConfig{}),
+		Now:     time.Now,
+		Logger:  d.logger,
+	})
+	var ends []<-chan error
+	for _, c := range []controller.Controller{roles, orders} {
+		ends = append(ends, task.Start(ctx, func(ctx context.Context) error {
+			return controller.Run(ctx, c, controllerInterval)
+		}))
+	}
+	return ends
+}
+
 func (d *daemon) gauges() {
 	d.registry.GaugeFunc("control_leader", func() int64 {
 		if remaining, _ := d.node.LeaderLease(); remaining > 0 {
@@ -167,6 +198,7 @@
 		task.Start(ctx, d.node.Run),
 		task.Start(ctx, d.service.Run),
 	}
+	ends = append(ends, d.controllers(ctx)...)
 	if d.settings.MetricsListen != "" {
 		handler := metrics.Handler(metrics.HandlerConfig{Registry: d.registry, Ready: d.ready, Profiles: true})
 		ends = append(ends, task.Start(ctx, func(ctx context.Context) error {
--- a/entryd/internal/cli/connect.go
+++ b/entryd/internal/cli/connect.go
@@ -10,6 +10,7 @@
 	"github.com/dandelionpier/dandelionpier/entryd/internal/completion"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/options"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/service"
+	"github.com/dandelionpier/dandelionpier/internal/burn"
 	"github.com/dandelionpier/dandelionpier/internal/control"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
@@ -45,6 +46,8 @@
 	Observer completion.Observer
 	// Dispatcher is served to the other entries as Dispatch.
 	Dispatcher cell.Dispatcher
+	// Burn answers operators who ask for the service-level report; nil means that there is none.
+	Burn *burn.Service
 	// Runs are the background loops of the parts. Their contexts end, in this order, after the last
 	// request; each must return before the next one is ended.
 	Runs []func(ctx context.Context) error
@@ -73,11 +76,13 @@
 		Logger:      site.Logger,
 	})
 	dispatcher := newDispatcher(site, client, keeper)
+	recorder := burn.NewRecorder(burn.Config{Objectives: burn.DefaultObjectives(), Now: time.Now})
 	return Parts{
 		Keeper:     keeper,
 		Claims:     client,
 		Purse:      purseAdapter{purse},
-		Observer:   discard{},
+		Observer:   recorder,
+		Burn:       burn.NewService(recorder),
 		Dispatcher: dispatcher.Service(),
 		Runs:       []func(context.Context) error{dispatcher.Run, purse.Run, keeper.Run},
 	}, nil
@@ -128,8 +133,3 @@
 	}
 	return hold, nil
 }
-
-// discard drops service-level observations.
-type discard struct{}
-
-func (discard) Observe(string, string, time.Duration, time.Duration, bool) {}
--- a/entryd/internal/cli/fakes_test.go
+++ b/entryd/internal/cli/fakes_test.go
@@ -411,3 +411,7 @@
 }
 
 const streamBody = `{"model":"oak","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"Which tooth angle?"}]}`
+
+func (o *observations) LongStarted() {}
+
+func (o *observations) LongEnded() {}
--- a/entryd/internal/cli/serve.go
+++ b/entryd/internal/cli/serve.go
@@ -19,6 +19,8 @@
 	"github.com/dandelionpier/dandelionpier/entryd/internal/options"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/retry"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/service"
+	"github.com/dandelionpier/dandelionpier/internal/burn"
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/metrics"
@@ -142,7 +144,7 @@
 
 func (e *entry) run(ctx context.Context, pool *peer.Pool, started func(Listening)) error {
 	e.build(pool)
-	if err := e.peers.Register("Dispatch", e.parts.Dispatcher); err != nil {
+	if err := e.register(); err != nil {
 		e.listeners.close()
 		return err
 	}
@@ -181,6 +183,17 @@
 	return failed
 }
 
+// register adds the net/rpc services for the other processes.
+func (e *entry) register() error {
+	if err := e.peers.Register(dispatch.ServiceName, e.parts.Dispatcher); err != nil {
+		return err
+	}
+	if e.parts.Burn == nil {
+		return nil
+	}
+	return e.peers.Register(burn.ServiceName, e.parts.Burn)
+}
+
 func (e *entry) build(pool *peer.Pool) {
 	o := e.options
 	view := e.parts.Keeper.View
--- a/entryd/internal/completion/server.go
+++ b/entryd/internal/completion/server.go
@@ -36,6 +36,9 @@
 // Observer receives the service-level observations. The length class is short, medium or long.
 type Observer interface {
 	Observe(workspace, lengthClass string, ttft, interToken time.Duration, ok bool)
+	// LongStarted and LongEnded frame each long request, so that the slowdown of short ones can be told.
+	LongStarted()
+	LongEnded()
 }
 
 // Limits are the limits of model requests.
@@ -131,7 +134,14 @@
 			Fingerprint:  fingerprint,
 		},
 	}
+	long := LengthClass(x.PromptTokens) == longClass
+	if long {
+		s.config.Observer.LongStarted()
+	}
 	err = c.run()
+	if long {
+		s.config.Observer.LongEnded()
+	}
 	c.settle(hold)
 	s.observe(c, err == nil)
 	return err
@@ -186,6 +196,7 @@
 const (
 	shortTokens = 4_000
 	longTokens  = 100_000
+	longClass   = "long"
 )
 
 // LengthClass names the class of a prompt by its tokens: short, medium or long.
@@ -194,7 +205,7 @@
 	case tokens < shortTokens:
 		return "short"
 	case tokens > longTokens:
-		return "long"
+		return longClass
 	default:
 		return "medium"
 	}
--- a/loadtool/internal/demo/demo.go
+++ b/loadtool/internal/demo/demo.go
@@ -127,17 +127,27 @@
 		return nil, failure(response)
 	}
 	var answer struct {
-		Addresses []string `json:"addresses"`
-		TTL       int      `json:"ttl-seconds"`
+		Addresses []struct {
+			Address    string `json:"address"`
+			DataCentre string `json:"data-centre"`
+		} `json:"addresses"`
+		TTL int `json:"ttl-seconds"`
 	}
 	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
 		return nil, err
 	}
-	fmt.Fprintf(d.out, "addresses, to keep for %d s: %s\n", answer.TTL, strings.Join(answer.Addresses, " "))
-	if len(answer.Addresses) < 2 {
-		return nil, fmt.Errorf("%d addresses; at least two are needed", len(answer.Addresses))
+	var entries []string
+	centres := make(map[string]bool)
+	fmt.Fprintf(d.out, "addresses, to keep for %d s:\n", answer.TTL)
+	for _, a := range answer.Addresses {
+		fmt.Fprintf(d.out, "  %-22s %s\n", a.Address, a.DataCentre)
+		entries = append(entries, a.Address)
+		centres[a.DataCentre] = true
 	}
-	return answer.Addresses, nil
+	if len(entries) < 2 || len(centres) < 2 {
+		return nil, fmt.Errorf("%d addresses in %d data centres; two of each are needed", len(entries), len(centres))
+	}
+	return entries, nil
 }
 
 // answer is what a stream gave.
