--- a/controld/internal/cli/settings.go
+++ b/controld/internal/cli/settings.go
@@ -15,12 +15,12 @@
 	// DataDirectory holds the log and snapshots; it needs a disk that keeps synced files.
 	DataDirectory string `yaml:"data-directory" validate:"required"`
 	// PeerListen is host:port for other processes of the system.
-	PeerListen    string `yaml:"peer-listen" validate:"required,hostname_port"`
+	PeerListen    string `yaml:"peer-listen" validate:"required,listen_address"`
 	AdvertisePeer string `yaml:"advertise-peer" validate:"omitempty,hostname_port"`
 	// OperatorListen is host:port for operators.
-	OperatorListen    string `yaml:"operator-listen" validate:"required,hostname_port"`
+	OperatorListen    string `yaml:"operator-listen" validate:"required,listen_address"`
 	AdvertiseOperator string `yaml:"advertise-operator" validate:"omitempty,hostname_port"`
-	MetricsListen     string `yaml:"metrics-listen" validate:"omitempty,hostname_port"`
+	MetricsListen     string `yaml:"metrics-listen" validate:"omitempty,listen_address"`
 	// ClusterKey proves to other processes that they belong to the same system.
 	ClusterKey string `yaml:"cluster-key" validate:"required,min=16"`
 	// Bootstrap lists the first voters. It is used only when the data directory is new.
--- a/entryd/internal/options/options.go
+++ b/entryd/internal/options/options.go
@@ -28,10 +28,10 @@
 	DataCentre string `yaml:"data-centre" validate:"required,max=64" description:"Data centre of this instance."`
 	Region     string `yaml:"region" validate:"required,max=64" description:"Region of this instance; cells are per region."`
 
-	CallerListen      string `yaml:"caller-listen" validate:"hostname_port" description:"Address of the callers' API."`
-	PlatformListen    string `yaml:"platform-listen" validate:"hostname_port" description:"Address for announcements of endpoints."`
-	PeerListen        string `yaml:"peer-listen" validate:"hostname_port" description:"Address for the other processes of the system."`
-	MetricsListen     string `yaml:"metrics-listen" validate:"hostname_port" description:"Address of metrics, health and readiness."`
+	CallerListen      string `yaml:"caller-listen" validate:"listen_address" description:"Address of the callers' API."`
+	PlatformListen    string `yaml:"platform-listen" validate:"listen_address" description:"Address for announcements of endpoints."`
+	PeerListen        string `yaml:"peer-listen" validate:"listen_address" description:"Address for the other processes of the system."`
+	MetricsListen     string `yaml:"metrics-listen" validate:"listen_address" description:"Address of metrics, health and readiness."`
 	AdvertiseCaller   string `yaml:"advertise-caller" validate:"omitempty,hostname_port" description:"Address that callers are told; empty means the address listened on."`
 	AdvertisePlatform string `yaml:"advertise-platform" validate:"omitempty,hostname_port" description:"Address that endpoints are told; empty means the address listened on."`
 	AdvertisePeer     string `yaml:"advertise-peer" validate:"omitempty,hostname_port" description:"Address that other processes are told; empty means the address listened on."`
@@ -171,7 +171,7 @@
 }
 
 var boundWords = strings.NewReplacer("min=", "at least ", "max=", "at most ", "oneof=", "one of ",
-	"hostname_port", "host:port", "omitempty,", "", "dive,", "each ")
+	"hostname_port", "host:port", "listen_address", "host:port, port 0 for any", "omitempty,", "", "dive,", "each ")
 
 func bounds(tag string) string {
 	return strings.ReplaceAll(boundWords.Replace(tag), ",", ", ")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,8 +5,10 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
@@ -61,9 +63,22 @@
 func newValidator() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(yamlName)
+	if err := v.RegisterValidation("listen_address", isListenAddress); err != nil {
+		panic(err) // the tag is constant
+	}
 	return v
 }
 
+// isListenAddress accepts host:port like hostname_port, and also port 0, with which the system chooses.
+func isListenAddress(level validator.FieldLevel) bool {
+	host, port, err := net.SplitHostPort(level.Field().String())
+	if err != nil {
+		return false
+	}
+	_, err = strconv.ParseUint(port, 10, 16)
+	return err == nil && host != ""
+}
+
 // inline stands for an embedded struct in paths; its keys belong to the parent.
 const inline = "<inline>"
 
@@ -135,7 +150,7 @@
 		return "it must be more than " + failure.Param()
 	case "oneof":
 		return "it must be one of " + failure.Param()
-	case "hostname_port", "tcp_addr":
+	case "hostname_port", "listen_address":
 		return "it must be an address such as 127.0.0.1:8080"
 	default:
 		return strings.TrimSpace(fmt.Sprintf("it must satisfy %s %s", failure.Tag(), failure.Param()))
--- a/standin/internal/options/options.go
+++ b/standin/internal/options/options.go
@@ -10,7 +10,7 @@
 // Common are the settings of all modes.
 type Common struct {
 	Name     string `yaml:"name" validate:"required"`
-	Listen   string `yaml:"listen" validate:"hostname_port"`
+	Listen   string `yaml:"listen" validate:"listen_address"`
 	LogLevel string `yaml:"log-level" validate:"oneof=debug info warn error"`
 	// Advertise is the announced address; empty means the listener's.
 	Advertise  string `yaml:"advertise" validate:"omitempty,hostname_port"`
