peer: end a call with its context while its connection is being made

Cause: a stopped process accepts connections and does not answer. The handshake then lasted 2 s and held all other calls to the address on a mutex, although an entry waits at most 50 ms for a dispatcher. Change: the handshake ends with the context of the call; other calls wait for the connection only until their own contexts end. Conclusion: TestCallToStoppedPeer fails without the change and passes with it.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -141,3 +141,36 @@
 	is.True(err != nil)
 	is.NoErr(ctx.Err())
 }
+
+// Guards against calls that wait beyond their contexts for a peer that accepts connections and does
+// not answer, as a stopped process does: neither the handshake nor another call's dialling may hold them.
+func TestCallToStoppedPeer(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	p := pool(t, peer.PoolConfig{Key: key})
+	dialled := make(chan struct{})
+	first, cancelFirst := context.WithCancel(context.Background())
+	end := make(chan error, 1)
+	go func() {
+		var reply string
+		end <- p.Call(first, listener.Addr().String(), "Echo.Say", "saw", &reply)
+	}()
+	go func() {
+		conn, err := listener.Accept()
+		close(dialled)
+		if err == nil {
+			<-first.Done()
+			_ = conn.Close()
+		}
+	}()
+	<-dialled
+	second, cancelSecond := context.WithCancel(context.Background())
+	cancelSecond()
+	var reply string
+	err = p.Call(second, listener.Addr().String(), "Echo.Say", "saw", &reply)
+	is.True(fault.Is(err, peer.Unreachable))
+	cancelFirst()
+	is.True(fault.Is(<-end, peer.Unreachable))
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -36,13 +36,15 @@
 	closed bool
 }
 
-// link is the connection to one address; its mutex is held while dialling, so that one slow peer
-// does not hold calls to others.
+// link is the connection to one address.
 type link struct {
-	mu      sync.Mutex
-	client  *rpc.Client
-	conn    *deadlineConn
-	pending chan struct{}
+	// dialling has one place, for the call that makes the connection. The others wait for it only
+	// until their contexts end.
+	dialling chan struct{}
+	pending  chan struct{}
+	mu       sync.Mutex
+	client   *rpc.Client
+	conn     *deadlineConn
 }
 
 // NewPool returns an empty pool.
@@ -115,32 +117,68 @@
 	}
 	l := p.links[address]
 	if l == nil {
-		l = &link{pending: make(chan struct{}, p.config.MaxPending)}
+		l = &link{dialling: make(chan struct{}, 1), pending: make(chan struct{}, p.config.MaxPending)}
 		p.links[address] = l
 	}
 	return l, nil
 }
 
 func (p *Pool) connect(ctx context.Context, l *link, address string) (*rpc.Client, *deadlineConn, error) {
-	const op = "dial peer"
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.client != nil {
-		return l.client, l.conn, nil
+	if client, conn := l.current(); client != nil {
+		return client, conn, nil
 	}
-	raw, err := p.config.Dial(ctx, address)
+	select {
+	case l.dialling <- struct{}{}:
+	case <-ctx.Done():
+		return nil, nil, fault.Wrap(ctx.Err(), "dial peer", Unreachable, address)
+	}
+	defer func() { <-l.dialling }()
+	if client, conn := l.current(); client != nil {
+		return client, conn, nil
+	}
+	raw, err := p.dial(ctx, address)
 	if err != nil {
-		return nil, nil, fault.Wrap(err, op, Unreachable, address)
+		return nil, nil, err
 	}
-	if err := authenticate(raw, p.config.Key, clientRole, serverRole); err != nil {
+	// Close does not wait for a call that dials, so the pool may have been closed in the meantime.
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
 		_ = raw.Close()
-		return nil, nil, err
+		return nil, nil, fault.New("dial peer", Unreachable, "the pool is closed")
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.conn = &deadlineConn{Conn: raw}
 	l.client = rpc.NewClient(l.conn)
 	return l.client, l.conn, nil
 }
 
+func (l *link) current() (*rpc.Client, *deadlineConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.client, l.conn
+}
+
+// dial makes a connection and authenticates it before ctx ends. A stopped process still accepts
+// connections, so the end of ctx must interrupt the handshake too.
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	raw, err := p.config.Dial(ctx, address)
+	if err != nil {
+		return nil, fault.Wrap(err, "dial peer", Unreachable, address)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	err = authenticate(raw, p.config.Key, clientRole, serverRole)
+	if !stop() {
+		err = fault.Wrap(ctx.Err(), "dial peer", Unreachable, address)
+	}
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return raw, nil
+}
+
 func (l *link) drop(client *rpc.Client) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
