cell: reserve again under the same attempt id when a long poll is lost

Cause: one slow answer of a dispatcher closes the connection with all long polls on it; a new attempt id then lost the place in the queue, and a grant given meanwhile was left to expire. Change: the id changes only for the entry's own selection, and what was reserved is then given back.

--- a/entryd/internal/cell/client.go
+++ b/entryd/internal/cell/client.go
@@ -88,20 +88,20 @@
 func (c *Client) Reserve(ctx context.Context, request dispatch.ReserveRequest, newAttempt func() string) (dispatch.Grant, error) {
 	c.roster.use(request.Cell)
 	request.Entry = c.holder()
+	request.AttemptID = newAttempt()
 	for range maxRounds {
-		request.AttemptID = newAttempt()
 		reply, err := c.reserve(ctx, request)
 		if ctx.Err() != nil {
 			c.reporter.abandon(request)
 			return dispatch.Grant{}, timeLimit(ctx)
 		}
 		if err != nil {
-			c.reporter.abandon(request)
 			c.config.Logger.Debug("The dispatcher did not answer", zap.String("cell", request.Cell),
 				zap.String(logging.RequestID, request.RequestID), zap.Error(err))
 			if !queueLost(err) {
 				break
 			}
+			// The same attempt id keeps the place in the queue where the dispatcher still has it.
 			continue
 		}
 		switch reply.Status {
@@ -118,6 +118,7 @@
 			return dispatch.Grant{}, refused(reply)
 		}
 	}
+	c.reporter.abandon(request)
 	if grant, ok := c.choose(request, newAttempt); ok {
 		return grant, nil
 	}
