peer: make TestCallToStoppedPeer fail without the change that it guards

Change: the test checks that a call returns before the other one has stopped dialling, and that both errors are the ends of the contexts.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -170,7 +170,12 @@
 	cancelSecond()
 	var reply string
 	err = p.Call(second, listener.Addr().String(), "Echo.Say", "saw", &reply)
-	is.True(fault.Is(err, peer.Unreachable))
+	is.True(errors.Is(err, context.Canceled))
+	select {
+	case <-end:
+		t.Fatal("the call waited until the other one had stopped dialling")
+	default:
+	}
 	cancelFirst()
-	is.True(fault.Is(<-end, peer.Unreachable))
+	is.True(errors.Is(<-end, context.Canceled))
 }
