--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -363,10 +363,11 @@
 }
 
 func (c *cell) finished(now time.Time, g *grant, event Event) {
+	c.prefilled(now, g, 0)
 	for _, p := range g.parts {
 		p.replica.breaker.succeeded()
 	}
-	if g.prefilled && len(g.parts) == 1 {
+	if len(g.parts) == 1 {
 		g.parts[0].replica.measureDecode(event.OutputTokens, now.Sub(g.firstToken))
 	}
 	if event.OutputTokens > 0 {
@@ -540,11 +541,24 @@
 		c.expireItem(now, c.items[id])
 	}
 	c.queue.forget()
-	c.drain.tick(now, c.queue.size > 0)
+	c.drain.tick(now, c.saturated())
 	c.eject(now)
 	c.pump(now)
 }
 
+// saturated says that work waits that one replica could run.
+func (c *cell) saturated() bool {
+	_, largest := c.capacity()
+	for _, f := range c.queue.flows {
+		for _, it := range f.items {
+			if it.tokens <= largest || largest == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // expireItem drops reservations that nobody awaits, and refuses those that can no longer be in time.
 func (c *cell) expireItem(now time.Time, it *item) {
 	if it.awaiting == 0 && now.Sub(it.lastAwait) > ticketTTL {
--- a/standin/internal/engine/engine.go
+++ b/standin/internal/engine/engine.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/refusal"
 	"github.com/dandelionpier/dandelionpier/standin/internal/faults"
 	"github.com/dandelionpier/dandelionpier/standin/internal/model"
@@ -100,6 +101,7 @@
 	r.HandleFunc("/platform/state", e.getState).Methods(http.MethodGet)
 	r.HandleFunc("/platform/kv/{attempt}", e.exportKV).Methods(http.MethodGet)
 	r.HandleFunc("/platform/kv/{attempt}", e.importKV).Methods(http.MethodPut)
+	r.HandleFunc("/standin/totals", e.getTotals).Methods(http.MethodGet)
 	if e.config.Options.Admin {
 		r.Handle("/standin/faults", e.faults).Methods(http.MethodPost, http.MethodDelete)
 	}
@@ -160,6 +162,10 @@
 	writeJSON(w, http.StatusOK, e.platformState())
 }
 
+func (e *Engine) getTotals(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.model.Totals())
+}
+
 func writeJSON(w http.ResponseWriter, status int, value any) {
 	payload, err := json.Marshal(value)
 	if err != nil {
@@ -190,3 +196,13 @@
 	}
 	refusal.New(status, code, outcome, "%s", err.Error()).Write(w)
 }
+
+// refuseSubmit answers with an error of Submit. A holding that has expired is no fault of the
+// request, so it gets a status after which another attempt makes sense.
+func refuseSubmit(w http.ResponseWriter, err error) {
+	if fault.Is(err, model.Unknown) {
+		refusal.New(http.StatusServiceUnavailable, "unknown-holding", refusal.DidNotRun, "%s", err.Error()).Write(w)
+		return
+	}
+	refuse(w, err, refusal.DidNotRun)
+}
