service: keep callers from platform paths and from unrepeatable methods in lower case

Cause: a caller could reach /platform paths of a plain service through an entry, and a method such as post passed as repeatable although some servers run it as POST. Change: paths that clean to /platform or below are refused; methods are compared without case. Conclusion: two cases of TestBadInput.

--- a/entryd/internal/cli/input_test.go
+++ b/entryd/internal/cli/input_test.go
@@ -85,6 +85,8 @@
 		"hash as key":             {"POST", chat, streamBody, []string{"Authorization", "Bearer " + hashOf(testKey)}, 401, "invalid-key", ""},
 		"body over the limit":     {"POST", chat, strings.Repeat(" ", 8<<20+1), nil, 413, "body-too-large", ""},
 		"unknown service":         {"GET", "/v1/services/saw/x", "", nil, 404, "service-not-found", ""},
+		"platform path":           {"GET", "/v1/services/counter/x/..%2f../platform/runs", "", nil, 404, "path-reserved", ""},
+		"method in lower case":    {"post", "/v1/services/counter/x", "", nil, 400, "idempotency-key-missing", "Idempotency-Key"},
 		"no idempotency key":      {"POST", "/v1/services/counter/x", "", nil, 400, "idempotency-key-missing", "Idempotency-Key"},
 		"long idempotency key":    {"POST", "/v1/services/counter/x", "", []string{"Idempotency-Key", strings.Repeat("k", 256)}, 400, "idempotency-key-invalid", "Idempotency-Key"},
 	} {
--- a/entryd/internal/service/service.go
+++ b/entryd/internal/service/service.go
@@ -7,7 +7,10 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/url"
+	"path"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -94,12 +97,27 @@
 		return Response{}, refusal.New(http.StatusNotFound, "service-not-found", refusal.DidNotRun,
 			"The service %.64q does not exist or the workspace may not use it.", call.Service)
 	}
+	if reserved(call.Path) {
+		return Response{}, refusal.New(http.StatusNotFound, "path-reserved", refusal.DidNotRun,
+			"Paths below /platform are not open to callers.")
+	}
 	if unrepeatable(service, call.Method) {
 		return s.serveOnce(ctx, x, call)
 	}
 	return s.serveRepeatable(ctx, x, call)
 }
 
+// reserved reports whether a path is of the interface between endpoints and the system.
+func reserved(escaped string) bool {
+	escaped, _, _ = strings.Cut(escaped, "?")
+	clear, err := url.PathUnescape(escaped)
+	if err != nil {
+		return true
+	}
+	clear = strings.ToLower(path.Clean(clear))
+	return clear == "/platform" || strings.HasPrefix(clear, "/platform/")
+}
+
 var defaultUnrepeatable = []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
 
 func unrepeatable(service configuration.Service, method string) bool {
@@ -107,7 +125,8 @@
 	if len(methods) == 0 {
 		methods = defaultUnrepeatable
 	}
-	return slices.Contains(methods, method)
+	// Some servers take methods in any case.
+	return slices.ContainsFunc(methods, func(m string) bool { return strings.EqualFold(m, method) })
 }
 
 // serveRepeatable tries endpoints in turn, within the retry budget.
