completion: reserve the default completion length for requests without max_tokens

Cause: a request without max_tokens reserved memory and budget for the whole context of the model, for 1.2 million tokens a group of engines. Failures that callers caused counted against the objectives. Change: the setting default-max-tokens bounds what is reserved; rejected requests and closed connections are not observed. A stalled stream is among the cases of TestResume.

--- a/entryd/internal/cli/failure_test.go
+++ b/entryd/internal/cli/failure_test.go
@@ -114,6 +114,7 @@
 		"crossed":         func(_ http.ResponseWriter, e events) { e.attempt = "x"; e.chunk(2) },
 		"before the end":  func(_ http.ResponseWriter, e events) { e.usage(2, 20, 2, 0) },
 		"error as event":  func(_ http.ResponseWriter, e events) { e.write(`{"error":{"message":"no"}}`) },
+		"stalled":         func(_ http.ResponseWriter, e events) { <-e.context.Done() },
 		"several objects": func(_ http.ResponseWriter, e events) { e.write("{}\ndata: {}") },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -129,6 +130,9 @@
 				e.finish(2, 4)
 			})
 			s := start(t, bad, good)
+			if name == "stalled" {
+				s.stopAndRun(t, func() { s.options.StallTimeout = 500 * time.Millisecond })
+			}
 			answer := s.send(t, "POST", "/v1/chat/completions", streamBody)
 			is.Equal(answer.status, http.StatusOK)
 			is.Equal(from.Load(), "2")
--- a/entryd/internal/completion/server.go
+++ b/entryd/internal/completion/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -57,8 +58,7 @@
 	// MaxEvent and MaxResponse bound one event and a response without stream, in bytes.
 	MaxEvent    int
 	MaxResponse int
-	// DefaultMaxTokens is the worst case of a request without max_tokens to a model without a context
-	// length.
+	// DefaultMaxTokens is what engines complete at most for a request without max_tokens.
 	DefaultMaxTokens int
 }
 
@@ -143,7 +143,7 @@
 		s.config.Observer.LongEnded()
 	}
 	c.settle(hold)
-	s.observe(c, err == nil)
+	s.observe(c, err)
 	return err
 }
 
@@ -171,7 +171,7 @@
 	case request.MaxTokens > 0:
 		return request.MaxTokens, nil
 	case model.MaxContext > 0:
-		return left, nil
+		return min(left, s.config.Limits.DefaultMaxTokens), nil
 	default:
 		return s.config.Limits.DefaultMaxTokens, nil
 	}
@@ -211,10 +211,15 @@
 	}
 }
 
-func (s *Server) observe(c *call, ok bool) {
+// observe leaves out failures that the caller caused: a rejected request, a closed connection.
+func (s *Server) observe(c *call, err error) {
+	var refused refusal.Error
+	if errors.As(err, &refused) && refused.Status < http.StatusInternalServerError && refused.Status != http.StatusTooManyRequests {
+		return
+	}
 	var between time.Duration
 	if c.forwarded > 1 {
 		between = c.lastEvent.Sub(c.firstEvent) / time.Duration(c.forwarded-1)
 	}
-	s.config.Observer.Observe(c.x.Workspace.Name, LengthClass(c.x.PromptTokens), c.x.FirstToken, between, ok)
+	s.config.Observer.Observe(c.x.Workspace.Name, LengthClass(c.x.PromptTokens), c.x.FirstToken, between, err == nil)
 }
--- a/entryd/internal/options/options.go
+++ b/entryd/internal/options/options.go
@@ -52,7 +52,7 @@
 	MaxResponse      int   `yaml:"max-response" validate:"min=1024,max=1073741824" description:"Largest response without stream, in bytes."`
 	MaxEvent         int   `yaml:"max-event" validate:"min=256,max=16777216" description:"Largest event of a stream, in bytes."`
 	MaxInFlight      int   `yaml:"max-in-flight" validate:"min=1,max=1000000" description:"Largest number of concurrent requests of this entry."`
-	DefaultMaxTokens int   `yaml:"default-max-tokens" validate:"min=1,max=10000000" description:"Worst case of a request without max_tokens to a model without a context length."`
+	DefaultMaxTokens int   `yaml:"default-max-tokens" validate:"min=1,max=10000000" description:"Tokens that engines complete at most for a request without max_tokens; the cost of so many is held."`
 
 	MaxAttempts     int           `yaml:"max-attempts" validate:"min=1,max=10" description:"Endpoints that one request may use, retries and resumptions included."`
 	RetryRatio      float64       `yaml:"retry-ratio" validate:"min=0,max=1" description:"Retries allowed for each request."`
