Fit the cost to engines that mix prefill and decode in a step

Cause: a running stream was charged half of any prefill, however short it was itself; a prompt's ageing and a stream's rate used settings although engines report theirs; a rejection without output made the prefix index forget blocks; the head's holding of a group, which ends when the request arrives, was logged as not renewed. Change: a stream waits at most one chunk for each expected token; the reported decode rate applies until one is measured; ageing uses the cell's mean prefill rate; decode-weight, 0 by default and 1 in the settings for short requests, adds the slowdown of the own stream to the cost. Conclusion: the plain version of the cost, extended alike, agrees.

--- a/internal/dispatch/breaker.go
+++ b/internal/dispatch/breaker.go
@@ -63,9 +63,9 @@
 
 // eject decides which replicas get no work: those with an open breaker, and those with a lost
 // connection until they announce themselves again; the earliest first, and never more than half of
-// the replicas that could take work.
+// the replicas that could take work. It also sums up what depends on all replicas.
 func (c *cell) eject(now time.Time) {
-	usable := 0
+	usable, engines, rates := 0, 0, 0.0
 	var suspicious []*replica
 	for _, r := range c.order {
 		r.ejected, r.tainted = false, false
@@ -73,6 +73,10 @@
 			continue
 		}
 		usable++
+		if r.engine() {
+			engines++
+			rates += r.prefillRate(c.settings)
+		}
 		if !r.breaker.allows(now) || !r.unsure.IsZero() {
 			r.tainted = true
 			suspicious = append(suspicious, r)
@@ -81,6 +85,9 @@
 	if usable > 0 {
 		c.ready = now
 	}
+	if engines > 0 {
+		c.rate = rates / float64(engines)
+	}
 	slices.SortFunc(suspicious, func(a, b *replica) int {
 		return cmp.Or(a.suspiciousSince().Compare(b.suspiciousSince()), cmp.Compare(a.name, b.name))
 	})
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -45,13 +45,17 @@
 // renewCall keeps a holding of a group.
 type renewCall struct {
 	endpoint, address, holding string
+	// head says that the holding is the head's, which ends when the request arrives there.
+	head bool
 }
 
 func (c renewCall) make(ctx context.Context, d *Dispatcher) {
 	err := bounded(ctx, func(ctx context.Context) error {
 		return d.config.Holdings.Renew(ctx, c.address, c.holding, GrantTTL)
 	})
-	d.warn(err, "Holding not renewed", c.endpoint, c.holding)
+	if !c.head {
+		d.warn(err, "Holding not renewed", c.endpoint, c.holding)
+	}
 }
 
 // quarantineCall reports a new quarantine.
@@ -247,10 +251,10 @@
 func (c *cell) renew(time.Time) {
 	for _, id := range sortedKeys(c.grants) {
 		g := c.grants[id]
-		for _, p := range g.parts {
+		for i, p := range g.parts {
 			if p.holding != "" && !g.creating {
 				c.calls = append(c.calls, renewCall{
-					endpoint: p.replica.name, address: p.replica.announcement.Address, holding: p.holding,
+					endpoint: p.replica.name, address: p.replica.announcement.Address, holding: p.holding, head: i == 0,
 				})
 			}
 		}
--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -50,7 +50,9 @@
 	// ready is when an endpoint could last take work.
 	ready time.Time
 	// created is when this dispatcher took over the cell.
-	created    time.Time
+	created time.Time
+	// rate is the mean prefill rate of the engines.
+	rate       float64
 	meanOutput float64
 	drain      drainRate
 	// scan numbers the runs of pump, groups the reserved groups.
@@ -126,6 +128,7 @@
 		ended:    make(map[string]time.Time),
 		suspects: newSuspects(),
 		ready:    now,
+		rate:     config.Settings.PrefillRate,
 		created:  now,
 	}
 }
@@ -205,7 +208,7 @@
 // factor, plus a step for each workspace priority class. It does not change with time, so work is
 // overtaken only by what arrives within a bounded time after it.
 func (c *cell) key(now time.Time, request ReserveRequest) int64 {
-	prefill := float64(request.PromptTokens) / c.settings.PrefillRate * c.settings.AgeingFactor
+	prefill := float64(request.PromptTokens) / c.rate * c.settings.AgeingFactor
 	ageing := min(c.settings.AgeingLimit, time.Duration(prefill*float64(time.Second)))
 	class := time.Duration(request.Priority) * c.settings.ClassStep
 	return now.Add(ageing + class).UnixMilli()
@@ -373,18 +376,19 @@
 	if event.OutputTokens > 0 {
 		c.meanOutput += rateSmoothing * (float64(event.OutputTokens) - c.meanOutput)
 	}
-	c.learnCache(now, g, event.CachedTokens)
+	c.learnCache(now, g, event.CachedTokens, event.OutputTokens)
 	c.suspects.proved(now, g.fingerprint)
 	c.endGrant(now, g, nil)
 	c.eject(now)
 }
 
-// learnCache corrects the prefix index by the cached tokens that the engine reports.
-func (c *cell) learnCache(now time.Time, g *grant, cached int) {
+// learnCache corrects the prefix index by the cached tokens that the engine reports. A response
+// without output, such as a rejection, says nothing about the cache.
+func (c *cell) learnCache(now time.Time, g *grant, cached, output int) {
 	// An engine that had less in its cache than expected is believed only through its cache events
 	// for this long.
 	const pessimism = time.Minute
-	if len(g.parts) != 1 || len(g.blocks) == 0 || !g.parts[0].replica.announced {
+	if output == 0 || len(g.parts) != 1 || len(g.blocks) == 0 || !g.parts[0].replica.announced {
 		return
 	}
 	r := g.parts[0].replica
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -100,8 +100,12 @@
 	// ChunkTokens is the part of a prefill that an engine finishes before it turns to work of a higher
 	// priority.
 	ChunkTokens int `yaml:"chunk-tokens" validate:"gte=0"`
-	// DecodeInterference is the share of a prefill's time by which running streams are delayed.
+	// DecodeInterference is the share of a prefill's time by which running streams are delayed; an
+	// engine whose steps have both prefill and decode delays them by all of it.
 	DecodeInterference float64 `yaml:"decode-interference" validate:"gte=0,lte=1"`
+	// DecodeWeight adds to the own time to first token, with this weight, the time by which prefills
+	// that are already there would delay the own stream; 0 leaves it out.
+	DecodeWeight float64 `yaml:"decode-weight" validate:"gte=0"`
 	// Headroom is the largest expected wait at an engine; work that would wait longer stays in the
 	// fair queue, where it can still go to any engine.
 	Headroom time.Duration `yaml:"headroom" validate:"gt=0"`
@@ -133,7 +137,7 @@
 		OwnWeight:           ClassWeights{Short: 1, Medium: 1, Long: 1},
 		OthersWeight:        ClassWeights{Short: 1, Medium: 1, Long: 1},
 		ChunkTokens:         2048,
-		DecodeInterference:  0.5,
+		DecodeInterference:  1,
 		Headroom:            500 * time.Millisecond,
 		AgeingFactor:        2,
 		AgeingLimit:         30 * time.Second,
@@ -161,11 +165,13 @@
 }
 
 // ShortSlowdownSettings returns the sample settings of a deployment that weighs the slowdown of short
-// requests higher: long prompts go where they delay the fewest short ones, and let them pass.
+// requests higher: long prompts go where they delay the fewest short ones, and let them pass; short
+// ones avoid engines whose prefills would slow their streams.
 func ShortSlowdownSettings() Settings {
 	s := DefaultSettings()
 	s.OwnWeight = ClassWeights{Short: 4, Medium: 1, Long: 0.5}
 	s.OthersWeight = ClassWeights{Short: 4, Medium: 1, Long: 0.5}
+	s.DecodeWeight = 1
 	s.AgeingFactor = 4
 	s.AgeingLimit = 60 * time.Second
 	return s
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -117,8 +117,7 @@
 	for _, r := range members {
 		r.advance(now, c.settings)
 		rate := r.prefillRate(c.settings)
-		ahead, _ := c.delays(r, it.key, rate)
-		wait = max(wait, ahead)
+		wait = max(wait, c.delays(r, it.key, rate).wait)
 		rates += rate
 	}
 	return wait + float64(it.request.PromptTokens)/rates
--- a/internal/dispatch/replica.go
+++ b/internal/dispatch/replica.go
@@ -98,11 +98,16 @@
 	return rate / r.correction
 }
 
+// streamRate is the decode rate of one stream in tokens a second.
 func (r *replica) streamRate(s *Settings) float64 {
-	if r.decodeRate > 0 {
+	switch reported := r.announcement.Load.DecodeRate; {
+	case r.decodeRate > 0:
 		return r.decodeRate
+	case reported > 0:
+		return reported
+	default:
+		return s.DecodeRate
 	}
-	return s.DecodeRate
 }
 
 // free returns the memory in tokens that no known work holds.
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -170,40 +170,54 @@
 	own := prefill / rate
 	decode := c.expectedDecode(it, r)
 	best.service = min(best.service, own+decode)
-	wait, behind := c.delays(r, it.key, rate)
-	first := wait + own
+	d := c.delays(r, it.key, rate)
+	first := d.wait + own
 	if r.free() < it.tokens {
 		best.memory = true
 		return
 	}
 	// A replica that holds the prefix may be waited for as long as the hit saves.
-	if wait > c.settings.Headroom.Seconds()+float64(max(0, cached))/rate || wait*waitMargin+own+decode > left {
+	if d.wait > c.settings.Headroom.Seconds()+float64(max(0, cached))/rate || d.wait*waitMargin+own+decode > left {
 		return
 	}
 	if c.heldBack(now, it, r, first) {
 		best.memory = true
 		return
 	}
-	best.take(r, first*c.settings.OwnWeight.of(it.class)+own*behind, first, prefill, hit)
+	chunk := float64(c.settings.ChunkTokens) / rate
+	slower := min(d.later, min(float64(it.request.MaxTokens), c.meanOutput)*chunk)
+	cost := (first + slower*c.settings.DecodeWeight) * c.settings.OwnWeight.of(it.class)
+	cost += own*d.queued + min(own, max(1, c.meanOutput)*chunk)*c.settings.DecodeInterference*d.streams
+	best.take(r, cost, first, prefill, hit)
 }
 
-// delays returns the seconds that work with the key waits at a replica, and the weighted number of
-// requests there that each second of its prefill delays.
-func (c *cell) delays(r *replica, key int64, rate float64) (wait, behind float64) {
+// delays is what work at a replica waits for and whom it delays.
+type delays struct {
+	// wait is the time in seconds before its prefill starts, later that of the prefills after it.
+	wait, later float64
+	// queued is the weighted number of prefills that it delays. streams is that of running streams, of
+	// which each token waits for at most one chunk.
+	queued, streams float64
+}
+
+func (c *cell) delays(r *replica, key int64, rate float64) delays {
+	var d delays
 	ahead, chunk := r.foreignPrefill, 0.0
 	for _, p := range r.queued {
 		if p.grant.key <= key {
 			ahead += p.remaining
 			continue
 		}
-		behind += c.settings.OthersWeight.of(p.grant.class)
+		d.later += p.remaining / rate
+		d.queued += c.settings.OthersWeight.of(p.grant.class)
 		chunk = max(chunk, min(p.remaining, float64(c.settings.ChunkTokens)))
 	}
 	ahead += chunk
 	for class, count := range r.decoding {
-		behind += float64(count) * c.settings.DecodeInterference * c.settings.OthersWeight.of(LengthClass(class))
+		d.streams += float64(count) * c.settings.OthersWeight.of(LengthClass(class))
 	}
-	return ahead / rate, behind
+	d.wait = ahead / rate
+	return d
 }
 
 // take keeps the replica if it is cheaper; equal ones are used in turn.
@@ -285,8 +299,7 @@
 	for _, r := range c.order {
 		if r.takesWork() && r.engine() && !r.ejected {
 			r.advance(now, c.settings)
-			wait, _ := c.delays(r, it.key, r.prefillRate(c.settings))
-			shortest = min(shortest, wait)
+			shortest = min(shortest, c.delays(r, it.key, r.prefillRate(c.settings)).wait)
 		}
 	}
 	if math.IsInf(shortest, 1) {
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -27,7 +27,7 @@
 	}
 	cached := max(0, min(hit*prefix.BlockTokens, it.request.PromptTokens-1))
 	own := float64(it.request.PromptTokens-cached) / rate
-	ahead, behind, chunk, reserved := r.foreignPrefill, 0.0, 0.0, 0
+	ahead, queued, streams, later, chunk, reserved := r.foreignPrefill, 0.0, 0.0, 0.0, 0.0, 0
 	for _, g := range c.grants {
 		for _, p := range g.parts {
 			if p.replica != r {
@@ -37,11 +37,12 @@
 			reserved += p.tokens
 			switch {
 			case g.prefilled:
-				behind += weight * c.settings.DecodeInterference
+				streams += weight
 			case g.key <= it.key:
 				ahead += p.remaining
 			default:
-				behind += weight
+				queued += weight
+				later += p.remaining
 				chunk = max(chunk, min(p.remaining, float64(c.settings.ChunkTokens)))
 			}
 		}
@@ -55,7 +56,11 @@
 		latest := now.Add(seconds(first + float64(it.request.MaxTokens)/c.settings.DecodeRate))
 		fits = fits && !latest.After(h.start)
 	}
-	return first*c.settings.OwnWeight.of(it.class) + own*behind, fits && soon && done <= it.deadline.Sub(now).Seconds()
+	step := float64(c.settings.ChunkTokens) / rate
+	slower := min(later/rate, step*min(float64(it.request.MaxTokens), c.meanOutput))
+	cost = (first+slower*c.settings.DecodeWeight)*c.settings.OwnWeight.of(it.class) + own*queued +
+		min(own, step*max(1, c.meanOutput))*c.settings.DecodeInterference*streams
+	return cost, fits && soon && done <= it.deadline.Sub(now).Seconds()
 }
 
 // Guards against a choice that the sorted queues, counters and bit maps make and a plain sum over all
@@ -99,6 +104,7 @@
 			if rapid.Bool().Draw(t, "first token") {
 				id := fmt.Sprintf("a%d", rapid.IntRange(0, i).Draw(t, "attempt"))
 				c.report(now, Event{Cell: testCell, Grant: id, Type: FirstToken, Elapsed: time.Second})
+				c.meanOutput = float64(i)
 			}
 		}
 	})
