Grant what can start at once before the queue is judged

Cause: while anything waited, a reservation was refused or queued by the length of the queue before it was tried, so a short prompt could be refused although an engine was idle and only larger ones waited; each tick sorted all grants. Change: waiting reservations are tried first, then the new one, which is charged to its workspace if it passes them; a tick tries up to 512 and sorts only what expires. Conclusion: the new case of TestReserveResults failed before and passes.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -244,15 +244,15 @@
 		}
 	}
 	r.unknown = seen
-	c.pump(now)
+	c.pump(now, eventScan)
 }
 
 // renew has the holdings of all groups renewed.
 func (c *cell) renew(time.Time) {
-	for _, id := range sortedKeys(c.grants) {
-		g := c.grants[id]
-		for i, p := range g.parts {
-			if p.holding != "" && !g.creating {
+	held := func(g *grant) bool { return !g.creating && g.parts[0].holding != "" }
+	for _, id := range sortedKeys(c.grants, held) {
+		for i, p := range c.grants[id].parts {
+			if p.holding != "" {
 				c.calls = append(c.calls, renewCall{
 					endpoint: p.replica.name, address: p.replica.announcement.Address, holding: p.holding, head: i == 0,
 				})
--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -23,8 +23,10 @@
 	// patience is how long reservations wait for a first ready endpoint: a new dispatcher hears of all
 	// live ones within that time.
 	patience = endpoint.DeadAfter
-	// maxScan bounds the reservations that one event tries to place, which bounds its processor time.
-	maxScan = 32
+	// eventScan and tickScan bound the reservations that one event and one tick try to place, which
+	// bounds their processor time to about 0.1 ms and 1.5 ms.
+	eventScan = 32
+	tickScan  = 512
 )
 
 // cell is the view of one cell and all decisions on it. Its methods do no I/O and take the time as an
@@ -145,28 +147,37 @@
 	if c.quarantined(now, request.Fingerprint) {
 		return refuse(Quarantine, 0, "the request crashed endpoints before and is quarantined")
 	}
-	if c.queue.size == 0 {
-		outcome := c.place(now, it)
-		if outcome.granted != nil && !outcome.granted.creating {
-			return ReserveReply{Status: Granted, Grant: outcome.granted.Grant}
-		}
-		if outcome.granted != nil {
-			c.items[request.AttemptID] = it
-			return c.queued(it)
-		}
-		if outcome.refusal != nil {
-			return *outcome.refusal
-		}
+	c.pump(now, eventScan)
+	result := c.place(now, it)
+	if result.refusal != nil {
+		return *result.refusal
+	}
+	if result.granted != nil {
+		return c.grantedAtOnce(it, result.granted)
 	}
 	if refusal := c.admit(now, it); refusal != nil {
 		return *refusal
 	}
 	c.items[request.AttemptID] = it
 	c.queue.push(it)
-	c.pump(now)
-	if it.reply != nil {
-		return c.fetch(it)
+	if result.memory && c.hold == nil {
+		c.holdFor(now, it)
+	}
+	return c.queued(it)
+}
+
+// grantedAtOnce charges a grant that passed those that wait, and returns it, or a ticket while the
+// holdings of a group are being created.
+func (c *cell) grantedAtOnce(it *item, g *grant) ReserveReply {
+	if c.queue.size > 0 {
+		c.drain.served += float64(it.cost)
+		c.queue.push(it)
+		c.queue.serve(it)
+	}
+	if !g.creating {
+		return ReserveReply{Status: Granted, Grant: g.Grant}
 	}
+	c.items[g.ID] = it
 	return c.queued(it)
 }
 
@@ -320,7 +331,7 @@
 		if event.Type == Cancelled {
 			c.dropItem(now, it)
 			c.ended[event.Grant] = now
-			c.pump(now)
+			c.pump(now, eventScan)
 		}
 		return
 	}
@@ -346,7 +357,7 @@
 	case Died:
 		c.connectionLost(now, g)
 	}
-	c.pump(now)
+	c.pump(now, eventScan)
 }
 
 func (c *cell) prefilled(now time.Time, g *grant, elapsed time.Duration) {
@@ -496,7 +507,7 @@
 		c.index.Apply(r.slot, event)
 	}
 	c.eject(now)
-	c.pump(now)
+	c.pump(now, eventScan)
 }
 
 // died ends the grants of an endpoint that is confirmed dead.
@@ -530,10 +541,8 @@
 			c.removeReplica(r)
 		}
 	}
-	for _, id := range sortedKeys(c.grants) {
-		if g := c.grants[id]; now.Sub(g.event) > GrantTTL {
-			c.cancelGrant(now, g)
-		}
+	for _, id := range sortedKeys(c.grants, func(g *grant) bool { return now.Sub(g.event) > GrantTTL }) {
+		c.cancelGrant(now, c.grants[id])
 	}
 	for id, at := range c.ended {
 		if now.Sub(at) > endedTTL {
@@ -541,13 +550,13 @@
 		}
 	}
 	c.suspects.expire(now)
-	for _, id := range sortedKeys(c.items) {
+	for _, id := range sortedKeys(c.items, func(it *item) bool { return it.expired(now) }) {
 		c.expireItem(now, c.items[id])
 	}
 	c.queue.forget()
 	c.drain.tick(now, c.saturated())
 	c.eject(now)
-	c.pump(now)
+	c.pump(now, tickScan)
 }
 
 // saturated says that work waits that one replica could run.
@@ -563,15 +572,22 @@
 	return false
 }
 
-// expireItem drops reservations that nobody awaits, and refuses those that can no longer be in time.
+// forgotten says that nobody awaits the reservation any more, expired that it ends for that reason or
+// because it can no longer be in time.
+func (it *item) forgotten(now time.Time) bool {
+	return it.awaiting == 0 && now.Sub(it.lastAwait) > ticketTTL
+}
+
+func (it *item) expired(now time.Time) bool {
+	return it.forgotten(now) || (it.reply == nil && !now.Add(it.service).Before(it.deadline))
+}
+
+// expireItem drops a reservation that nobody awaits, and refuses one that can no longer be in time.
 func (c *cell) expireItem(now time.Time, it *item) {
-	if it.awaiting == 0 && now.Sub(it.lastAwait) > ticketTTL {
+	if it.forgotten(now) {
 		c.dropItem(now, it)
 		return
 	}
-	if it.reply != nil || now.Add(it.service).Before(it.deadline) {
-		return
-	}
 	c.withdraw(now, it)
 	reply := c.tooLate(it, 0, it.service)
 	if it.safety {
@@ -640,10 +656,14 @@
 	return len(c.order) == 0 && len(c.items) == 0 && len(c.grants) == 0 && now.Sub(c.ready) > endedTTL
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
+// sortedKeys returns the keys of the values that match, in order, so that results do not depend on the
+// order of maps.
+func sortedKeys[V any](m map[string]V, match func(V) bool) []string {
+	var keys []string
+	for key, value := range m {
+		if match(value) {
+			keys = append(keys, key)
+		}
 	}
 	slices.Sort(keys)
 	return keys
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -183,7 +183,7 @@
 	if !succeeded {
 		it.notBefore = now.Add(groupRetry + time.Duration(c.config.Jitter()*float64(groupRetry)))
 		c.endGrant(now, g, nil)
-		c.pump(now)
+		c.pump(now, eventScan)
 		return false
 	}
 	it.pending = nil
--- a/internal/dispatch/group_test.go
+++ b/internal/dispatch/group_test.go
@@ -145,11 +145,11 @@
 			r.TimeLeft = 10 * time.Minute
 			c.reserve(now, r)
 		}
-		for _, id := range sortedKeys(c.items) {
+		for _, id := range allKeys(c.items) {
 			c.beginAwait(now, id)
 			c.endAwait(now, id, true)
 		}
-		for _, id := range sortedKeys(c.grants) {
+		for _, id := range allKeys(c.grants) {
 			if id == "group" {
 				return now.Sub(epoch.Add(5 * time.Second)), others
 			}
--- a/internal/dispatch/machine_test.go
+++ b/internal/dispatch/machine_test.go
@@ -103,7 +103,7 @@
 	m.settle()
 	m.cell = newCell(testCell, &m.config, m.now)
 	m.given = make(map[string]Grant)
-	for _, id := range sortedKeys(old.grants) {
+	for _, id := range allKeys(old.grants) {
 		m.cell.report(m.now, Event{Cell: testCell, Grant: id, Type: Alive, Members: old.grants[id].Members})
 	}
 	m.announceAll()
@@ -162,7 +162,7 @@
 	}
 	if len(m.cell.grants) != 0 || len(m.cell.items) != 0 || len(m.cell.suspects.running) != 0 || len(m.holdings) != 0 {
 		t.Fatalf("left: grants %v, items %v, fingerprints %v, holdings %v",
-			sortedKeys(m.cell.grants), sortedKeys(m.cell.items), m.cell.suspects.running, m.holdings)
+			allKeys(m.cell.grants), allKeys(m.cell.items), m.cell.suspects.running, m.holdings)
 	}
 	for _, r := range m.cell.order {
 		if r.reserved != 0 || r.queuedPrefill() != 0 {
--- a/internal/dispatch/main_test.go
+++ b/internal/dispatch/main_test.go
@@ -54,3 +54,7 @@
 		PromptTokens: prompt, MaxTokens: maxTokens, TimeLeft: 120 * time.Second,
 	}
 }
+
+func allKeys[V any](m map[string]V) []string {
+	return sortedKeys(m, func(V) bool { return true })
+}
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -332,8 +332,8 @@
 	return sum
 }
 
-// pump places waiting reservations in fair order until no more can start or maxScan were tried.
-func (c *cell) pump(now time.Time) {
+// pump places waiting reservations in fair order until no more can start or limit were tried.
+func (c *cell) pump(now time.Time, limit int) {
 	if c.queue.size == 0 {
 		return
 	}
@@ -347,7 +347,7 @@
 		tried++
 		c.releaseUseless()
 	}
-	for tried < maxScan {
+	for tried < limit {
 		progress := false
 		for _, f := range c.queue.order(now) {
 			it := f.untried(c.scan)
@@ -356,7 +356,7 @@
 			}
 			progress = true
 			tried++
-			if c.try(now, it) || tried >= maxScan {
+			if c.try(now, it) || tried >= limit {
 				break
 			}
 		}
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -127,6 +127,7 @@
 		"the workspace's limit": {func(c *cell, r *ReserveRequest) { c.queue.perWorkspace[r.Workspace] = 512; c.fill() }, Refused, Overloaded},
 		"memory taken":          {func(c *cell, _ *ReserveRequest) { c.fill() }, Queued, ""},
 		"an operator's drain":   {func(c *cell, _ *ReserveRequest) { c.drainAll(endpoint.Ready, true) }, Queued, ""},
+		"larger ones waiting":   {func(c *cell, _ *ReserveRequest) { c.crowd() }, Granted, ""},
 		"leaving":               {func(c *cell, _ *ReserveRequest) { c.drainAll(endpoint.Leaving, false) }, Queued, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -159,6 +160,18 @@
 	}
 }
 
+// crowd has more reservations wait for memory than one event tries to place.
+func (c *cell) crowd() {
+	for i, r := range c.order {
+		r.foreignUsed = r.announcement.Memory / 2
+		for j := range eventScan {
+			large := request(fmt.Sprintf("large-%d-%d", i, j), 80_000, 10)
+			large.Workspace = large.AttemptID
+			c.reserve(c.created, large)
+		}
+	}
+}
+
 func (c *cell) drainAll(state endpoint.State, operator bool) {
 	for _, r := range c.order {
 		r.announcement.State, r.drained = state, operator
@@ -196,7 +209,7 @@
 			if ms%100 == 0 {
 				c.tick(now)
 			}
-			for _, id := range sortedKeys(c.items) {
+			for _, id := range allKeys(c.items) {
 				if c.endAwait(now, id, false).Status == Granted {
 					queue = append(queue, id)
 					granted[id] = now
