Keep the view of a dispatcher that was stopped

Cause: after a pause of its own process a dispatcher took all endpoints and grants for dead, which makes every request in flight a suspect. An endpoint that was silent and not dead kept the holdings of its groups until they expired. Change: a tick that comes more than 1 s after the last one moves the times of silence by the gap; holdings of silent endpoints are deleted, those of a new incarnation are not. Conclusion: the state machine with stalls passes.

--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -23,6 +23,9 @@
 	// patience is how long reservations wait for a first ready endpoint: a new dispatcher hears of all
 	// live ones within that time.
 	patience = endpoint.DeadAfter
+	// stall is the time between two ticks from which the process counts as having been stopped; ticks
+	// are tickInterval apart.
+	stall = time.Second
 	// eventScan and tickScan bound the reservations that one event and one tick try to place, which
 	// bounds their processor time to about 0.1 ms and 1.5 ms.
 	eventScan = 32
@@ -53,6 +56,8 @@
 	ready time.Time
 	// created is when this dispatcher took over the cell.
 	created time.Time
+	// ticked is the time of the last tick.
+	ticked time.Time
 	// rate is the mean prefill rate of the engines.
 	rate       float64
 	meanOutput float64
@@ -132,6 +137,7 @@
 		ready:    now,
 		rate:     config.Settings.PrefillRate,
 		created:  now,
+		ticked:   now,
 	}
 }
 
@@ -488,7 +494,7 @@
 func (c *cell) announce(now time.Time, a endpoint.Announcement) {
 	r := c.replica(now, a.Name)
 	if r.announced && r.announcement.Incarnation != a.Incarnation {
-		c.died(now, r)
+		c.died(now, r, r)
 		c.removeReplica(r)
 		r = c.replica(now, a.Name)
 	}
@@ -510,11 +516,12 @@
 	c.pump(now, eventScan)
 }
 
-// died ends the grants of an endpoint that is confirmed dead.
-func (c *cell) died(now time.Time, r *replica) {
+// died ends the grants of an endpoint that is confirmed dead. Its holdings are deleted unless gone names
+// it because of a new incarnation: an endpoint that is only silent may still have them.
+func (c *cell) died(now time.Time, r, gone *replica) {
 	if !r.announced {
 		for _, p := range slices.Clone(r.parts) {
-			c.endGrant(now, p.grant, r)
+			c.endGrant(now, p.grant, gone)
 		}
 		return
 	}
@@ -525,7 +532,7 @@
 		if r.announcement.State != endpoint.Leaving {
 			running = append(running, p.grant.fingerprint)
 		}
-		c.endGrant(now, p.grant, r)
+		c.endGrant(now, p.grant, gone)
 	}
 	for _, culprit := range c.suspects.death(now, r.name, running) {
 		c.quarantine(now, culprit)
@@ -534,10 +541,14 @@
 
 // tick expires what has to be expired and lets time act on the queue.
 func (c *cell) tick(now time.Time) {
+	if gap := now.Sub(c.ticked); gap > stall {
+		c.resume(gap)
+	}
+	c.ticked = now
 	for _, r := range slices.Clone(c.order) {
 		r.drained = c.config.EndpointDrained(r.name)
 		if now.Sub(r.seen) > endpoint.DeadAfter {
-			c.died(now, r)
+			c.died(now, r, nil)
 			c.removeReplica(r)
 		}
 	}
@@ -559,6 +570,24 @@
 	c.pump(now, tickScan)
 }
 
+// resume moves all times of silence after this process itself was stopped or starved: events of the
+// gap are still to be read, and endpoints and entries must not count as dead for it.
+func (c *cell) resume(gap time.Duration) {
+	c.config.Logger.Warn("Dispatcher was stalled", zap.String("cell", c.name), zap.Duration("gap", gap))
+	for _, r := range c.order {
+		r.seen = r.seen.Add(gap)
+	}
+	for _, g := range c.grants {
+		g.event = g.event.Add(gap)
+	}
+	for _, it := range c.items {
+		it.lastAwait = it.lastAwait.Add(gap)
+	}
+	for id, at := range c.ended {
+		c.ended[id] = at.Add(gap)
+	}
+}
+
 // saturated says that work waits that one replica could run.
 func (c *cell) saturated() bool {
 	_, largest := c.capacity()
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -229,6 +229,24 @@
 	}
 }
 
+// Guards against a dispatcher that was stopped for a while and takes all endpoints and grants for dead,
+// and against one that then never does.
+func TestStalledDispatcherKeepsItsView(t *testing.T) {
+	is := is.New(t)
+	c := testCellWith(testConfig())
+	c.announce(epoch, engine(0, 100_000))
+	c.tick(epoch)
+	is.Equal(c.reserve(epoch, request("a", 100, 10)).Status, Granted)
+	c.tick(epoch.Add(10 * time.Second))
+	is.Equal(len(c.order), 1)
+	is.Equal(len(c.grants), 1)
+	for i := range 35 {
+		c.tick(epoch.Add(10*time.Second + time.Duration(i)*100*time.Millisecond))
+	}
+	is.Equal(len(c.order), 0)
+	is.Equal(len(c.grants), 0)
+}
+
 // Guards against a lost connection that counts as the death of an endpoint that still announces itself.
 func TestLostConnectionIsNoDeath(t *testing.T) {
 	is := is.New(t)
--- a/internal/dispatch/machine_test.go
+++ b/internal/dispatch/machine_test.go
@@ -69,9 +69,11 @@
 }
 
 func (m *machine) advance(d time.Duration) {
-	m.now = m.now.Add(d)
-	m.cell.tick(m.now)
-	m.settle()
+	for ; d > 0; d -= stall {
+		m.now = m.now.Add(min(d, stall))
+		m.cell.tick(m.now)
+		m.settle()
+	}
 }
 
 func (m *machine) announceAll() {
@@ -111,6 +113,11 @@
 
 // check compares the counters that decisions use with the grants that they are derived from.
 func (m *machine) check(t *rapid.T) {
+	for id := range m.given {
+		if _, ended := m.cell.ended[id]; !ended && m.cell.grants[id] == nil {
+			delete(m.given, id) // ended longer ago than endedTTL: the id may be used again
+		}
+	}
 	queued := 0
 	for _, f := range m.cell.queue.flows {
 		queued += len(f.items)
@@ -240,6 +247,11 @@
 			"time": func(t *rapid.T) {
 				m.advance(time.Duration(rapid.IntRange(50, 4000).Draw(t, "ms")) * time.Millisecond)
 			},
+			"stall": func(*rapid.T) {
+				m.now = m.now.Add(20 * time.Second)
+				m.cell.tick(m.now)
+				m.settle()
+			},
 			"replace": func(*rapid.T) { m.replace() },
 			"":        func(t *rapid.T) { m.check(t) },
 		})
