--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -26,8 +26,8 @@
 	// stall is the time between two ticks from which the process counts as having been stopped; ticks
 	// are tickInterval apart.
 	stall = time.Second
-	// eventScan and tickScan bound the reservations that one event and one tick try to place, which
-	// bounds their processor time to about 0.1 ms and 1.5 ms.
+	// eventScan and tickScan bound the reservations that one event and one tick try to place; 32 tries
+	// took about 0.1 ms with 32 replicas.
 	eventScan = 32
 	tickScan  = 512
 )
