--- a/loadtool/internal/experiment/experiment.go
+++ b/loadtool/internal/experiment/experiment.go
@@ -34,9 +34,11 @@
 	TimeLimit time.Duration `yaml:"time-limit" validate:"gt=0"`
 	// CompareWithoutLong repeats each seed without the requests of long classes, to measure the slowdown
 	// that they cause.
-	CompareWithoutLong bool        `yaml:"compare-without-long"`
-	Classes            []Class     `yaml:"classes" validate:"required,min=1,dive"`
-	Workspaces         []Workspace `yaml:"workspaces" validate:"required,min=1,dive"`
+	CompareWithoutLong bool `yaml:"compare-without-long"`
+	// OnlyEntry marks experiments that the baselines cannot run, such as prompts that need a group.
+	OnlyEntry  bool        `yaml:"only-entry"`
+	Classes    []Class     `yaml:"classes" validate:"required,min=1,dive"`
+	Workspaces []Workspace `yaml:"workspaces" validate:"required,min=1,dive"`
 }
 
 // Capacity describes the engines, for Utilisation.
@@ -101,6 +103,15 @@
 	return float64(c.Engines) * chunk / (chunk/c.PrefillRate + 1/c.DecodeRate)
 }
 
+// IdlePrefill returns the time in which an idle engine without cached prefixes prefills a prompt, or 0
+// without a capacity.
+func (c Capacity) IdlePrefill(tokens int) time.Duration {
+	if c.PrefillRate == 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / c.PrefillRate * float64(time.Second))
+}
+
 // ArrivalRate returns the requests a second.
 func (e Experiment) ArrivalRate() float64 {
 	if e.Rate > 0 {
--- a/loadtool/internal/report/result.go
+++ b/loadtool/internal/report/result.go
@@ -69,6 +69,8 @@
 	// FirstToken is the time to first token. A request without one until its time limit counts with the
 	// time limit, a refused one does not count.
 	FirstToken Quantiles `json:"first-token"`
+	// Idle is the prefill time of the same prompts on an idle engine with an empty cache.
+	Idle Quantiles `json:"idle-prefill"`
 }
 
 // Quantiles are in simulated seconds, or ratios.
--- a/loadtool/internal/report/text.go
+++ b/loadtool/internal/report/text.go
@@ -14,7 +14,7 @@
 func WriteText(w io.Writer, policies []Policy) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "Time to first token, simulated seconds")
-	fmt.Fprintln(t, "experiment\tpolicy\tvariant\tclass\trequests\tcompleted\tp50\tp95\tp99\trefused\tfailed")
+	fmt.Fprintln(t, "experiment\tpolicy\tvariant\tclass\trequests\tcompleted\tp50\tp95\tp99\tp95/idle\trefused\tfailed")
 	for _, p := range policies {
 		for _, variant := range []string{All, WithoutLong} {
 			writeClasses(t, p, variant)
@@ -44,13 +44,21 @@
 			requests += c.Requests
 			completed += c.Completed
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\n", p.Experiment, p.Policy, variant, name,
-			requests, completed, ttft(p50), ttft(p95), ttft(p99),
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", p.Experiment, p.Policy, variant, name,
+			requests, completed, ttft(p50), ttft(p95), ttft(p99), spread(classes, idleRatio).text("%.2f"),
 			reasons(classes, func(c Class) map[string]int { return c.Refused }),
 			reasons(classes, func(c Class) map[string]int { return c.Failed }))
 	}
 }
 
+// idleRatio is the 95th percentile of the time to first token over that of the idle prefill.
+func idleRatio(c Class) float64 {
+	if c.Idle.P95 == 0 {
+		return 0
+	}
+	return c.FirstToken.P95 / c.Idle.P95
+}
+
 func (p Policy) classNames(variant string) []string {
 	var names []string
 	for _, r := range p.of(variant) {
--- a/loadtool/internal/runner/collector.go
+++ b/loadtool/internal/runner/collector.go
@@ -18,6 +18,7 @@
 	mu          sync.Mutex
 	classes     []report.Class
 	histograms  []*hdrhistogram.Histogram
+	idle        []*hdrhistogram.Histogram
 	firstTokens map[int]time.Duration
 	tokens      int
 }
@@ -29,6 +30,7 @@
 			Name: class.Name, Refused: make(map[string]int), Failed: make(map[string]int),
 		})
 		c.histograms = append(c.histograms, report.NewHistogram())
+		c.idle = append(c.idle, report.NewHistogram())
 	}
 	return c
 }
@@ -59,6 +61,7 @@
 	if first > 0 {
 		c.firstTokens[a.Number] = first
 		report.Record(c.histograms[a.Class], first)
+		report.Record(c.idle[a.Class], c.experiment.Capacity.IdlePrefill(a.PromptTokens))
 	}
 }
 
@@ -70,6 +73,7 @@
 	completed := 0
 	for i := range c.classes {
 		c.classes[i].FirstToken = report.Latencies(c.histograms[i])
+		c.classes[i].Idle = report.Latencies(c.idle[i])
 		completed += c.classes[i].Completed
 	}
 	return &outcome{
--- a/loadtool/internal/runner/runner_test.go
+++ b/loadtool/internal/runner/runner_test.go
@@ -13,6 +13,7 @@
 
 func sample() experiment.Experiment {
 	return experiment.Experiment{
+		Capacity: experiment.Capacity{PrefillRate: 1000},
 		Duration: 100 * time.Second, WarmUp: 20 * time.Second, Speed: 10, TimeLimit: 60 * time.Second,
 		Classes: []experiment.Class{{Name: "short"}, {Name: "long", Long: true}},
 	}
@@ -23,7 +24,7 @@
 	is := is.New(t)
 	c := newCollector(sample())
 	at := func(number, class int, seconds time.Duration) experiment.Arrival {
-		return experiment.Arrival{Number: number, Class: class, At: seconds * time.Second}
+		return experiment.Arrival{PromptTokens: 500, Number: number, Class: class, At: seconds * time.Second}
 	}
 	c.add(at(0, 0, 10), caller.Result{FirstToken: time.Hour}) // warm-up
 	c.add(at(1, 0, 30), caller.Result{FirstToken: 100 * time.Millisecond, Prompt: 700, Output: 100})
@@ -36,6 +37,7 @@
 	is.Equal(short.Completed, 1)
 	is.Equal(short.Refused, map[string]int{"overloaded": 1})
 	is.Equal(short.Failed, map[string]int{caller.TimeLimit: 1})
+	is.True(short.Idle.P50 >= 0.5 && short.Idle.P50 < 0.501) // three significant digits
 	is.Equal(o.firstTokens, map[int]time.Duration{1: time.Second, 2: 60 * time.Second, 4: 10 * time.Second})
 	is.Equal(o.summary.Goodput, 1.0/80)
 	is.Equal(o.summary.TokenGoodput, 10.0)
