--- a/standin/internal/engine/engine_test.go
+++ b/standin/internal/engine/engine_test.go
@@ -19,6 +19,7 @@
 	"github.com/dandelionpier/dandelionpier/standin/internal/engine"
 	"github.com/dandelionpier/dandelionpier/standin/internal/faults"
 	"github.com/dandelionpier/dandelionpier/standin/internal/options"
+	"github.com/dandelionpier/dandelionpier/standin/internal/weights"
 )
 
 func settings() options.Engine {
@@ -306,3 +307,49 @@
 		})
 	}
 }
+
+// Guards against loads that take no time, against an engine that serves while it loads, and against
+// an order that is lost when a later one replaces its load.
+func TestLoad(t *testing.T) {
+	o := settings()
+	o.Weights = "store:1"
+	bubble(t, []options.Engine{o}, func(t *testing.T, n network) {
+		is := is.New(t)
+		n["store:1"] = weights.New(options.Weights{Rate: 1 << 20, Size: 10 << 20}).Handler()
+		state := func() (s endpoint.PlatformState) {
+			is.NoErr(json.Unmarshal(call(n["e0"], http.MethodGet, "/platform/state", "").Body.Bytes(), &s))
+			return s
+		}
+		order := func(id, version string) {
+			body := fmt.Sprintf(`{"order-id":%q,"models":["oak"],"version":%q}`, id, version)
+			is.Equal(call(n["e0"], http.MethodPost, "/platform/orders", body).Code, http.StatusOK)
+		}
+		order("a", "2")
+		time.Sleep(5 * time.Second)
+		is.True(state().Loading)
+		is.Equal(call(n["e0"], http.MethodPost, "/v1/completions", streamed).Code, http.StatusServiceUnavailable)
+		order("b", "3")
+		time.Sleep(16 * time.Second) // the store finishes the abandoned block at most
+		is.Equal(state().Version, "3")
+		is.True(!state().Loading)
+		is.Equal(len(stream(n["e0"])), 7)
+	})
+}
+
+// Guards against a transfer of KV cache between engines that loses blocks or takes no time.
+func TestTransfer(t *testing.T) {
+	bubble(t, []options.Engine{settings(), settings()}, func(t *testing.T, n network) {
+		is := is.New(t)
+		body := `{"model":"oak","prompt":"` + strings.Repeat("x", 500_000) + `","max_tokens":1}`
+		w := call(n["e0"], http.MethodPost, "/v1/completions", body, endpoint.HeaderAttemptID, "a")
+		is.Equal(w.Code, http.StatusOK)
+		start := time.Now()
+		export := call(n["e0"], http.MethodGet, "/platform/kv/a", "")
+		is.Equal(export.Code, http.StatusOK)
+		is.Equal(time.Since(start), 124_928*time.Microsecond) // 122 blocks at a million tokens a second
+		is.Equal(call(n["e1"], http.MethodPut, "/platform/kv/a", export.Body.String()).Body.String(), `{"blocks":122}`)
+		w = call(n["e1"], http.MethodPost, "/v1/completions", body)
+		is.True(strings.Contains(w.Body.String(), `"cached_tokens":124928`))
+		is.Equal(call(n["e1"], http.MethodGet, "/platform/kv/unknown", "").Code, http.StatusNotFound)
+	})
+}
