--- a/internal/consensus/applier.go
+++ b/internal/consensus/applier.go
@@ -75,11 +75,14 @@
 	a.waiting[index] = p
 }
 
-// lose answers all local proposers with err.
-func (a *applier) lose(err error) {
+// lose answers the local proposers of the entries after commit with err.
+func (a *applier) lose(err error, commit uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for index, p := range a.waiting {
+		if index <= commit {
+			continue // It is committed, and the result follows.
+		}
 		p.done <- outcome{err: err}
 		delete(a.waiting, index)
 	}
--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -5,7 +5,11 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -184,6 +188,16 @@
 	return c.network.nodes[id]
 }
 
+// isolate cuts the links from and to id in the given directions, or restores them.
+func (c *cluster) isolate(id string, out, in bool) {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	for other := range c.network.nodes {
+		c.network.cut[[2]string{id, other}] = out
+		c.network.cut[[2]string{other, id}] = in
+	}
+}
+
 // leader waits, in the bubble's time, for a leader other than the given ones.
 func (c *cluster) leader(except ...string) string {
 	c.t.Helper()
@@ -279,3 +293,216 @@
 		}
 	})
 }
+
+// Guards against a command that is answered and then lost when the leader is killed at once, and
+// against one that is applied twice. A command whose outcome was lost may count or not.
+func TestLeaderKilledDuringCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.startAll()
+		defer c.stopAll()
+		answered, unknown := uint64(0), uint64(0)
+		for round := range uint64(6) {
+			leader := c.leader()
+			node := c.node(leader)
+			const writers = 20
+			outcomes := make(chan error, writers)
+			for range writers {
+				go func() {
+					_, err := node.Propose(context.Background(), add(1))
+					outcomes <- err
+				}()
+			}
+			time.Sleep(time.Duration(round) * time.Millisecond)
+			if err := c.stop(leader); err != nil {
+				t.Fatal(err)
+			}
+			for range writers {
+				switch err := <-outcomes; {
+				case err == nil:
+					answered++
+				case fault.Is(err, consensus.Lost):
+					unknown++
+				case !fault.Is(err, consensus.Stopped) && !fault.Is(err, consensus.NotLeader):
+					t.Fatal(err)
+				}
+			}
+			c.leader()
+			c.start(leader)
+		}
+		time.Sleep(2 * time.Second)
+		got := c.machines["a"].total()
+		if got < answered || got > answered+unknown {
+			t.Errorf("%d commands count, %d were answered and %d have an unknown outcome", got, answered, unknown)
+		}
+		c.wantTotal(got, "b", "c")
+	})
+}
+
+// Guards against a restart that depends on the whole history: hundreds of changes, several snapshots,
+// then all nodes stop and start.
+func TestRestartFromSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		c.adjust = func(config *consensus.Config) { config.SnapshotEvery = 100 }
+		c.startAll()
+		leader := c.leader()
+		for range 750 {
+			c.mustPropose(leader, 1)
+		}
+		time.Sleep(time.Second)
+		c.stopAll()
+		c.startAll()
+		defer c.stopAll()
+		leader = c.leader()
+		is.True(c.node(leader).Status().Snapshot >= 600)
+		c.mustPropose(leader, 1)
+		time.Sleep(time.Second)
+		c.wantTotal(751, "a", "b", "c")
+	})
+}
+
+// Guards against a member that cannot catch up once the entries that it lacks are gone, and against
+// a snapshot that is larger than one message.
+func TestInstallSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		c.adjust = func(config *consensus.Config) {
+			config.SnapshotEvery = 500
+			config.StateMachine = padded{c.machines[config.ID]}
+		}
+		c.startAll()
+		defer c.stopAll()
+		leader := c.leader()
+		behind := c.servers[0].ID
+		if behind == leader {
+			behind = c.servers[1].ID
+		}
+		is.NoErr(c.stop(behind))
+		for range 2500 {
+			c.mustPropose(leader, 1)
+		}
+		c.start(behind)
+		time.Sleep(2 * time.Second)
+		c.wantTotal(2500, behind)
+		is.True(c.node(behind).Status().Snapshot >= 2000)
+	})
+}
+
+// padded has a snapshot of more than one chunk.
+type padded struct{ *counter }
+
+func (p padded) Snapshot() ([]byte, error) {
+	data, err := p.counter.Snapshot()
+	return append(data, make([]byte, 3<<19)...), err
+}
+
+func (p padded) Restore(data []byte) error {
+	return p.counter.Restore(data[:16])
+}
+
+// Guards against a node that goes on after its disk failed: Run returns at once and the others elect.
+func TestFailedSyncStopsNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		var broken atomic.Value
+		broken.Store("")
+		c.adjust = func(config *consensus.Config) {
+			id := config.ID
+			config.Sync = func(f *os.File) error {
+				if broken.CompareAndSwap(id, "") {
+					return errors.New("input/output error")
+				}
+				return f.Sync()
+			}
+		}
+		c.startAll()
+		leader := c.leader()
+		broken.Store(leader)
+		node := c.node(leader)
+		_, err := node.Propose(t.Context(), add(1))
+		is.True(fault.Is(err, consensus.Lost))
+		is.True(fault.Is(<-c.ended[leader], consensus.Disk))
+		_, err = node.Propose(t.Context(), add(1))
+		is.True(fault.Is(err, consensus.Stopped))
+		c.network.mu.Lock()
+		delete(c.network.nodes, leader)
+		c.network.mu.Unlock()
+		delete(c.cancel, leader)
+		c.mustPropose(c.leader(), 1)
+		c.stopAll()
+	})
+}
+
+// Guards against a node that starts on damaged files, and against a cluster that cannot take it back:
+// it returns as a learner with a new id, replaces the lost voter and counts for the quorum.
+func TestDamagedNodeReturnsAsLearner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		c.startAll()
+		defer c.stopAll()
+		leader := c.leader()
+		c.mustPropose(leader, 1)
+		lost := c.servers[0].ID
+		if lost == leader {
+			lost = c.servers[1].ID
+		}
+		is.NoErr(c.stop(lost))
+		logs, err := filepath.Glob(filepath.Join(c.dirs[lost], "log-*"))
+		is.NoErr(err)
+		data, err := os.ReadFile(logs[0])
+		is.NoErr(err)
+		data[20] ^= 1
+		is.NoErr(os.WriteFile(logs[0], data, 0o600))
+		_, err = consensus.New(consensus.Config{
+			ID: lost, Directory: c.dirs[lost], StateMachine: &counter{}, Transport: link{c.network, lost},
+		})
+		is.True(fault.Is(err, consensus.Corrupt))
+		// The same id with an empty directory learns that it must not vote.
+		c.dirs[lost] = t.TempDir()
+		c.start(lost)
+		is.True(fault.Is(<-c.ended[lost], consensus.IdentityLost))
+		c.network.mu.Lock()
+		delete(c.network.nodes, lost)
+		c.network.mu.Unlock()
+		delete(c.cancel, lost)
+		c.start("z")
+		is.NoErr(c.node(leader).AddLearner(t.Context(), consensus.Server{ID: "z", Address: "z"}))
+		time.Sleep(15 * time.Second)
+		var voters []string
+		for _, m := range c.node(leader).Status().Members {
+			if m.Voter {
+				voters = append(voters, m.ID)
+			}
+		}
+		is.Equal(len(voters), 3)
+		is.True(slices.Contains(voters, "z"))
+		is.True(!slices.Contains(voters, lost))
+		is.NoErr(c.stop(leader))
+		c.mustPropose(c.leader(), 1)
+		time.Sleep(time.Second)
+		c.wantTotal(2, "z")
+	})
+}
+
+// Guards against a removed voter that asks for votes for ever.
+func TestRemovedVoterStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 4)
+		c.startAll()
+		defer c.stopAll()
+		leader := c.leader()
+		is.NoErr(c.node(leader).Remove(t.Context(), leader))
+		next := c.leader(leader)
+		is.True(fault.Is(<-c.ended[leader], consensus.Removed))
+		delete(c.cancel, leader)
+		c.mustPropose(next, 1)
+		err := c.node(next).Remove(t.Context(), next)
+		is.True(fault.Is(err, consensus.Refused)) // three voters are the minimum
+	})
+}
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -184,9 +184,26 @@
 		c.tickBootstrap()
 		return
 	}
-	if c.now >= c.electionDeadline && c.mayCampaign() {
+	if c.now < c.electionDeadline {
+		return
+	}
+	if c.mayCampaign() {
 		c.campaign(true)
+		return
+	}
+	c.out.removed = c.out.removed || c.leftOut()
+}
+
+// leftOut reports whether this node was a member before the latest committed membership. A node that
+// catches up passes through such memberships too, but it hears a leader meanwhile.
+func (c *core) leftOut() bool {
+	n := len(c.memberships)
+	if n < 2 || c.membershipIndex() > c.log.commit {
+		return false
 	}
+	_, member := c.membership().find(c.id)
+	_, before := c.memberships[n-2].find(c.id)
+	return before && !member
 }
 
 // mayCampaign reports whether this node is a voter. A leader whose own removal is not known to be
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -154,7 +154,7 @@
 		err = applyErr
 	}
 	n.sender.wait()
-	n.applier.lose(fault.New("propose", Lost, "the node stopped before the commit"))
+	n.applier.lose(fault.New("propose", Lost, "the node stopped before the commit"), 0)
 	if closeErr := n.journal.Close(); err == nil && closeErr != nil {
 		err = wrapJournal(closeErr, "close node")
 	}
@@ -272,7 +272,7 @@
 		return
 	}
 	if old.role == Leader && (v.role != Leader || v.term != old.term) {
-		n.applier.lose(fault.New("propose", Lost, "this node stopped leading before the commit"))
+		n.applier.lose(fault.New("propose", Lost, "this node stopped leading before the commit"), c.log.commit)
 		for token, outcome := range n.reads {
 			outcome <- readOutcome{err: n.notLeader("read")}
 			delete(n.reads, token)
