Say may-have-run for keyed requests refused before their claim is looked up

Cause: a booking ran, its answer was lost with the entry, and the resend was refused as did-not-run because the next entry had no lease. The caller would have taken the booking for not run. Ruled out: a second run (each ran once) and a claim given back after dispatch. Change: a transient refusal of a request with an idempotency key says may-have-run unless the control quorum answered that the key is unused.

--- a/entryd/internal/exchange/exchange.go
+++ b/entryd/internal/exchange/exchange.go
@@ -22,6 +22,10 @@
 	Workspace configuration.Workspace
 	// KeyHash is the hexadecimal SHA-256 of the caller's key. It is not logged.
 	KeyHash string
+	// Keyed says that the request carries an idempotency key, KeyUnused that the control quorum knows of
+	// no earlier request with it.
+	Keyed     bool
+	KeyUnused bool
 
 	// The fields below are for the access log and the metrics.
 
--- a/entryd/internal/filter/record.go
+++ b/entryd/internal/filter/record.go
@@ -13,6 +13,7 @@
 
 	"github.com/dandelionpier/dandelionpier/entryd/internal/cell"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/exchange"
+	"github.com/dandelionpier/dandelionpier/entryd/internal/service"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/metrics"
@@ -37,7 +38,11 @@
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			inFlight.Add(1)
 			defer inFlight.Add(-1)
-			x := &exchange.Exchange{RequestID: newRequestID(), Start: time.Now()}
+			x := &exchange.Exchange{
+				RequestID: newRequestID(),
+				Start:     time.Now(),
+				Keyed:     r.Header.Get(service.KeyHeader) != "",
+			}
 			w.Header().Set(endpoint.HeaderRequestID, x.RequestID)
 			if config.Draining() {
 				w.Header().Set("Connection", "close")
@@ -69,6 +74,10 @@
 	if !errors.As(err, &refused) {
 		refused = refusal.New(http.StatusInternalServerError, "internal", refusal.MayHaveRun, "The entry failed to handle the request.")
 	}
+	if x.Keyed && !x.KeyUnused && refused.Outcome == refusal.DidNotRun && transient(refused.Status) {
+		refused.Outcome = refusal.MayHaveRun
+		refused.Message += " An earlier request with the same " + service.KeyHeader + " may have run; send this one again."
+	}
 	x.Outcome, x.Code = string(refused.Outcome), refused.Code
 	if x.Committed {
 		return
@@ -79,6 +88,13 @@
 	}
 }
 
+// transient reports whether the same request may be accepted later. Such a refusal of a request with an
+// idempotency key does not say that nothing ran: the caller may be resending one whose answer was lost,
+// and the claim that would tell has not been looked up.
+func transient(status int) bool {
+	return status == http.StatusTooManyRequests || status >= http.StatusInternalServerError
+}
+
 func count(registry *metrics.Registry, x *exchange.Exchange) {
 	registry.Counter("entry_requests_total", "outcome", x.Outcome, "code", x.Code).Inc(1)
 	registry.Counter("entry_attempts_total").Inc(int64(len(x.Attempts)))
--- a/entryd/internal/service/once.go
+++ b/entryd/internal/service/once.go
@@ -37,6 +37,7 @@
 		return Response{}, refusal.New(http.StatusServiceUnavailable, "claim-unavailable", refusal.DidNotRun,
 			"The control quorum did not answer.").WithRetryAfter(time.Second)
 	}
+	x.KeyUnused = reply.Status == claim.Granted || reply.Status == claim.Full
 	if reply.Status != claim.Granted {
 		return resent(reply)
 	}
