Run the controllers in the control daemon

The controllers for orders and roles were not started. They run beside the replicated log and act only while the node holds the leader's lease. New setting max-loads (4): the engines that the weight store can serve at a time.

--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -8,9 +8,11 @@
 
 	"go.uber.org/zap"
 
+	"github.com/dandelionpier/dandelionpier/controld/internal/controller"
 	"github.com/dandelionpier/dandelionpier/controld/internal/operator"
 	"github.com/dandelionpier/dandelionpier/internal/consensus"
 	"github.com/dandelionpier/dandelionpier/internal/control"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/metrics"
 	"github.com/dandelionpier/dandelionpier/internal/peer"
@@ -24,6 +26,7 @@
 	pool     *peer.Pool
 	server   *peer.Server
 	node     *consensus.Node
+	machine  *control.Machine
 	service  *control.Service
 	registry *metrics.Registry
 }
@@ -47,14 +50,14 @@
 	metrics.RegisterProcess(d.registry)
 	d.pool = peer.NewPool(peer.PoolConfig{Key: s.ClusterKey})
 	d.server = peer.NewServer(peer.ServerConfig{Key: s.ClusterKey, Logger: logger})
-	machine := control.NewMachine()
+	d.machine = control.NewMachine()
 	var err error
 	d.node, err = consensus.New(consensus.Config{
 		ID:            s.Instance,
 		Address:       s.peerAddress(),
 		Directory:     s.DataDirectory,
 		Bootstrap:     s.bootstrap(),
-		StateMachine:  machine,
+		StateMachine:  d.machine,
 		Transport:     consensus.NewPeerTransport(d.pool),
 		Logger:        logger,
 		Timing:        consensus.Timing{ReplaceAfter: s.ReplaceAfter},
@@ -64,7 +67,7 @@
 		return nil, err
 	}
 	d.service = control.NewService(control.ServiceConfig{
-		Machine: machine,
+		Machine: d.machine,
 		Log:     d.node,
 		Voters:  d.voters,
 		Logger:  logger,
@@ -94,6 +97,33 @@
 	})
 }
 
+// controllers returns the loops that bring the endpoints into the declared state.
+func (d *daemon) controllers() (orders, roles controller.Controller) {
+	fleet := operator.NewFleet(operator.FleetConfig{
+		Peers: d.pool, Configuration: d.machine.Configuration, Members: d.service.Members,
+	})
+	r := controller.NewRoles(controller.RolesConfig{
+		Lease: d.node, Configuration: d.machine, Fleet: fleet, Now: time.Now, Logger: d.logger,
+	})
+	o := controller.NewOrders(controller.OrdersConfig{
+		Lease:         d.node,
+		Configuration: d.machine,
+		Fleet:         fleet,
+		Engines:       endpoint.NewClient(endpoint.ClientConfig{}),
+		Roles:         r,
+		MaxLoads:      d.settings.MaxLoads,
+		Now:           time.Now,
+		Logger:        d.logger,
+	})
+	return o, r
+}
+
+// The intervals of the controllers' rounds. Roles change after 30 s at the earliest.
+const (
+	ordersInterval = time.Second
+	rolesInterval  = 5 * time.Second
+)
+
 // controlAddresses are the peer addresses of this instance and of the first voters.
 func (s Settings) controlAddresses() []string {
 	addresses := []string{s.peerAddress()}
@@ -159,7 +189,10 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	orders, roles := d.controllers()
 	ends := []<-chan error{
+		task.Start(ctx, func(ctx context.Context) error { return controller.Run(ctx, orders, ordersInterval) }),
+		task.Start(ctx, func(ctx context.Context) error { return controller.Run(ctx, roles, rolesInterval) }),
 		task.Start(ctx, func(ctx context.Context) error {
 			return serveHTTP(ctx, d.settings.OperatorListen, d.operators())
 		}),
--- a/controld/internal/cli/settings.go
+++ b/controld/internal/cli/settings.go
@@ -31,7 +31,9 @@
 	SnapshotEvery int `yaml:"snapshot-every" validate:"min=16"`
 	// ReplaceAfter is how long a voter may be unreachable before a standby takes its place.
 	ReplaceAfter time.Duration `yaml:"replace-after" validate:"gt=0"`
-	LogLevel     string        `yaml:"log-level" validate:"oneof=debug info warn error"`
+	// MaxLoads is the number of engines that the weight store can serve at a time.
+	MaxLoads int    `yaml:"max-loads" validate:"min=1"`
+	LogLevel string `yaml:"log-level" validate:"oneof=debug info warn error"`
 }
 
 // Voter is a control instance of the first quorum.
@@ -45,6 +47,7 @@
 const (
 	defaultSnapshotEvery = 4096
 	defaultReplaceAfter  = 10 * time.Second
+	defaultMaxLoads      = 4
 )
 
 // loadSettings reads the file over the defaults.
@@ -52,6 +55,7 @@
 	s := Settings{
 		SnapshotEvery: defaultSnapshotEvery,
 		ReplaceAfter:  defaultReplaceAfter,
+		MaxLoads:      defaultMaxLoads,
 		LogLevel:      "info",
 	}
 	if err := settings.Load(path, &s); err != nil {
