--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -97,6 +97,33 @@
 	})
 }
 
+// controllers returns the loops that bring the endpoints into the declared state.
+func (d *daemon) controllers() (orders, roles controller.Controller) {
+	fleet := operator.NewFleet(operator.FleetConfig{
+		Peers: d.pool, Configuration: d.machine.Configuration, Members: d.service.Members,
+	})
+	r := controller.NewRoles(controller.RolesConfig{
+		Lease: d.node, Configuration: d.machine, Fleet: fleet, Now: time.Now, Logger: d.logger,
+	})
+	o := controller.NewOrders(controller.OrdersConfig{
+		Lease:         d.node,
+		Configuration: d.machine,
+		Fleet:         fleet,
+		Engines:       endpoint.NewClient(endpoint.ClientConfig{}),
+		Roles:         r,
+		MaxLoads:      d.settings.MaxLoads,
+		Now:           time.Now,
+		Logger:        d.logger,
+	})
+	return o, r
+}
+
+// The intervals of the controllers' rounds. Roles change after 30 s at the earliest.
+const (
+	ordersInterval = time.Second
+	rolesInterval  = 5 * time.Second
+)
+
 // controlAddresses are the peer addresses of this instance and of the first voters.
 func (s Settings) controlAddresses() []string {
 	addresses := []string{s.peerAddress()}
@@ -190,7 +217,10 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	orders, roles := d.controllers()
 	ends := []<-chan error{
+		task.Start(ctx, func(ctx context.Context) error { return controller.Run(ctx, orders, ordersInterval) }),
+		task.Start(ctx, func(ctx context.Context) error { return controller.Run(ctx, roles, rolesInterval) }),
 		task.Start(ctx, func(ctx context.Context) error {
 			return serveHTTP(ctx, d.settings.OperatorListen, d.operators())
 		}),
