--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -135,34 +135,6 @@
 	return addresses
 }
 
-// controllerInterval is the time between two rounds of a controller.
-const controllerInterval = time.Second
-
-// controllers starts the controllers. Their rounds do nothing on an instance that does not lead.
-func (d *daemon) controllers(ctx context.Context) []<-chan error {
-	fleet := operator.NewFleet(operator.FleetConfig{
-		Peers:         d.pool,
-		Configuration: d.machine.Configuration,
-		Members:       d.service.Members,
-	})
-	roles := controller.NewRoles(controller.RolesConfig{
-		Lease: d.node, Configuration: d.machine, Fleet: fleet, Now: time.Now, Logger: d.logger,
-	})
-	orders := controller.NewOrders(controller.OrdersConfig{
-		Lease: d.node, Configuration: d.machine, Fleet: fleet, Roles: roles,
-		Engines: endpoint.NewClient(endpoint.ClientConfig{}),
-		Now:     time.Now,
-		Logger:  d.logger,
-	})
-	var ends []<-chan error
-	for _, c := range []controller.Controller{roles, orders} {
-		ends = append(ends, task.Start(ctx, func(ctx context.Context) error {
-			return controller.Run(ctx, c, controllerInterval)
-		}))
-	}
-	return ends
-}
-
 func (d *daemon) gauges() {
 	d.registry.GaugeFunc("control_leader", func() int64 {
 		if remaining, _ := d.node.LeaderLease(); remaining > 0 {
@@ -228,7 +200,6 @@
 		task.Start(ctx, d.node.Run),
 		task.Start(ctx, d.service.Run),
 	}
-	ends = append(ends, d.controllers(ctx)...)
 	if d.settings.MetricsListen != "" {
 		handler := metrics.Handler(metrics.HandlerConfig{Registry: d.registry, Ready: d.ready, Profiles: true})
 		ends = append(ends, task.Start(ctx, func(ctx context.Context) error {
