Bound the completion at the engine where the caller gave no max_tokens

Cause: the entry reserved memory and budget for default-max-tokens, and the engine did not know of the bound, so the spending limit could be exceeded. Change: the field is added behind the last one of the caller's body, without copying it; the caller's bytes stay as they are. Conclusion: what is reserved is what can be spent.

--- a/entryd/internal/completion/attempt.go
+++ b/entryd/internal/completion/attempt.go
@@ -1,7 +1,6 @@
 package completion
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -71,10 +70,11 @@
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(a.ctx, trace), http.MethodPost,
-		"http://"+a.grant.Members[0].Address+c.path, bytes.NewReader(c.body))
+		"http://"+a.grant.Members[0].Address+c.path, c.reader())
 	if err != nil {
 		return nil, &failure{event: dispatch.Failed, err: err}
 	}
+	request.ContentLength = int64(len(c.body) + len(c.bound))
 	a.setHeaders(request.Header)
 	response, err := c.server.config.Transport.RoundTrip(request)
 	c.reached = c.reached || connected
--- a/entryd/internal/completion/call.go
+++ b/entryd/internal/completion/call.go
@@ -1,9 +1,11 @@
 package completion
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -27,6 +29,8 @@
 	flusher *http.ResponseController
 	x       *exchange.Exchange
 	path    string
+	// body is the caller's, bound the field that is added to it for the engine.
+	bound   []byte
 	body    []byte
 	model   configuration.Model
 	stream  bool
@@ -218,3 +222,19 @@
 		Tokens:      int64(c.x.PromptTokens + c.x.OutputTokens),
 	})
 }
+
+// reader returns the body for the engine: the caller's own bytes, and behind its last field the bound
+// of the completion where the caller gave none (or null, which the later field overrides). Without it
+// the engine could complete more than the memory and the budget that are reserved.
+func (c *call) reader() io.Reader {
+	end := bytes.LastIndexByte(c.body, '}')
+	return io.MultiReader(bytes.NewReader(c.body[:end]), bytes.NewReader(c.bound), bytes.NewReader(c.body[end:]))
+}
+
+// boundField is the field that reader adds for a request without max_tokens.
+func boundField(request Request, maxTokens int) []byte {
+	if request.MaxTokens > 0 {
+		return nil
+	}
+	return fmt.Appendf(nil, `,"max_tokens":%d`, maxTokens)
+}
--- a/entryd/internal/completion/server.go
+++ b/entryd/internal/completion/server.go
@@ -121,6 +121,7 @@
 	}
 	c := &call{
 		server: s, ctx: ctx, w: w, flusher: http.NewResponseController(w), x: x, path: path, body: body,
+		bound: boundField(request, maxTokens),
 		model: model, stream: request.Stream,
 		reserve: dispatch.ReserveRequest{
 			RequestID:    x.RequestID,
