cell: wait for a silent dispatcher only now and then

Cause: in a trial with stopped dispatchers, each request took 53 ms to its first token until the membership changed after about 4 s. Change: after three reservations in a row without an answer, only one each 250 ms waits for the dispatcher; the others use the entry's own selection at once. Conclusion: TestReserveWithoutDispatcher checks the waits on a synctest clock, and that the dispatcher is used again after its first answer.

--- a/entryd/internal/cell/cell_test.go
+++ b/entryd/internal/cell/cell_test.go
@@ -87,7 +87,8 @@
 
 var request = dispatch.ReserveRequest{RequestID: "r", Cell: "oak/norte", PromptTokens: 10, MaxTokens: 10}
 
-// Guards against a request that waits for a lost dispatcher for more than 50 ms, and against a choice
+// Guards against requests that wait for a lost dispatcher for more than 50 ms, or each of them that
+// long, against one that is not used again when it answers, and against a choice
 // of endpoints that are dead, draining, too small, ejected or tried before.
 func TestReserveWithoutDispatcher(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -110,13 +111,24 @@
 		}
 		tried := request
 		tried.Exclude = []string{"tried"}
-		for range 20 {
+		// Three reservations in a row wait for the dispatcher, then one each 250 ms.
+		for _, wait := range []time.Duration{50, 50, 50, 0, 0, 0} {
 			began := time.Now()
 			grant, err := client.Reserve(t.Context(), tried, attempts())
 			is.NoErr(err)
 			is.Equal(grant.Members[0].Endpoint, "good")
 			is.Equal(grant.ID, "r-2")
-			is.Equal(time.Since(began), 50*time.Millisecond)
+			is.Equal(time.Since(began), wait*time.Millisecond)
+		}
+		time.Sleep(250 * time.Millisecond)
+		r.reserve = func(_ context.Context, reply *dispatch.ReserveReply) error {
+			*reply = dispatch.ReserveReply{Status: dispatch.Granted, Grant: dispatch.Grant{ID: "g"}}
+			return nil
+		}
+		for range 2 {
+			grant, err := client.Reserve(t.Context(), tried, attempts())
+			is.NoErr(err)
+			is.Equal(grant.ID, "g")
 		}
 	})
 }
--- a/entryd/internal/cell/client.go
+++ b/entryd/internal/cell/client.go
@@ -57,6 +57,7 @@
 	roster    *roster
 	reporter  *reporter
 	forwarder *forwarder
+	silence   silence
 }
 
 // New returns a client; Run must run for reports and announcements to be sent.
@@ -158,7 +159,11 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		request.TimeLeft = time.Until(deadline)
 	}
+	if c.silence.skip(target.Instance) {
+		return reply, fault.New("reserve", peer.Lost, "dispatcher %q has not answered the last reservations", target.Instance)
+	}
 	err := c.call(ctx, target, acknowledgeTimeout, "Dispatch.Reserve", request, &reply)
+	c.silence.note(target.Instance, err == nil || ctx.Err() != nil)
 	for err == nil && reply.Status == dispatch.Queued && ctx.Err() == nil {
 		wait := dispatch.AwaitRequest{Ticket: reply.Ticket, Wait: awaitWait}
 		var next dispatch.ReserveReply
