entryd: test changes that come into force while a body arrives

Cause: filter.Readmit had no test. Change: TestChangeDuringBody revokes the key or the model after the filters and before the end of the body.

--- a/entryd/internal/cli/fakes_test.go
+++ b/entryd/internal/cli/fakes_test.go
@@ -42,9 +42,15 @@
 	drained atomic.Bool
 	// checks, when set, says after how many views the lease ends.
 	checks int
+	// views receives one value for each view, as far as it has room.
+	views chan struct{}
 }
 
 func (k *fakeKeeper) View() (session.View, error) {
+	select {
+	case k.views <- struct{}{}:
+	default:
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.checks > 0 {
--- a/entryd/internal/cli/input_test.go
+++ b/entryd/internal/cli/input_test.go
@@ -199,3 +199,57 @@
 	go func() { <-entered; leave <- struct{}{} }()
 	is.Equal(s.send(t, "POST", "/v1/chat/completions", streamBody).status, http.StatusOK)
 }
+
+// Guards against a request that is admitted under a configuration that a change has replaced while
+// its body arrived.
+func TestChangeDuringBody(t *testing.T) {
+	url := engine(t, func(_ http.ResponseWriter, _ *http.Request, e events) { e.finish(0, 1) })
+	for name, test := range map[string]struct {
+		change func(v *session.View)
+		code   string
+	}{
+		"key revoked": {func(v *session.View) {
+			w := v.Configuration.Workspaces["norte"]
+			w.KeyHashes = []string{hashOf("another")}
+			v.Configuration = testConfiguration()
+			v.Configuration.Workspaces["norte"] = w
+		}, "invalid-key"},
+		"model taken away": {func(v *session.View) {
+			w := v.Configuration.Workspaces["norte"]
+			w.Models = nil
+			v.Configuration = testConfiguration()
+			v.Configuration.Workspaces["norte"] = w
+		}, "model-not-found"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := start(t, url)
+			s.keeper.views = make(chan struct{}, 8)
+			reader, writer := io.Pipe()
+			request, err := http.NewRequest(http.MethodPost, "http://"+s.listening.Caller+"/v1/chat/completions", reader)
+			is.NoErr(err)
+			request.Header.Set("Authorization", "Bearer "+testKey)
+			got := make(chan string, 1)
+			go func() {
+				response, err := http.DefaultTransport.RoundTrip(request)
+				if err != nil {
+					got <- err.Error()
+					return
+				}
+				defer response.Body.Close()
+				text, _ := io.ReadAll(response.Body)
+				got <- string(text)
+			}()
+			_, err = io.WriteString(writer, streamBody[:10])
+			is.NoErr(err)
+			// The filters for key and lease have each taken a view.
+			<-s.keeper.views
+			<-s.keeper.views
+			s.keeper.change(test.change)
+			_, err = io.WriteString(writer, streamBody[10:])
+			is.NoErr(err)
+			is.NoErr(writer.Close())
+			is.True(strings.Contains(<-got, `"code":"`+test.code+`"`))
+		})
+	}
+}
