--- a/controld/internal/operator/operator_test.go
+++ b/controld/internal/operator/operator_test.go
@@ -189,6 +189,19 @@
 	is.True(strings.Contains(reply.Since[0].Changes[0], "set workspace shop models none services none priority 4"))
 }
 
+// Guards against a history that shows the oldest revisions, or the lines of one out of order.
+func TestHistory(t *testing.T) {
+	is := is.New(t)
+	api := newAPI(newQuorum(), nil, "", nil)
+	code, _ := command(t, api, "drain-one", "set endpoint e2 role a; drain endpoint e1")
+	is.Equal(code, http.StatusOK)
+	reply := query(t, api, "show history limit 2")
+	is.Equal(reply.Total, 7)
+	is.True(strings.Contains(string(reply.Rows[0]), `[2,"itziar"`))
+	is.True(strings.Contains(string(reply.Rows[0]), "set endpoint e2 role a"))
+	is.True(strings.Contains(string(reply.Rows[1]), "undrain endpoint e2"))
+}
+
 // Guards against a check that changes the configuration or does not show the change.
 func TestCheck(t *testing.T) {
 	is := is.New(t)
--- a/controld/internal/operator/rows.go
+++ b/controld/internal/operator/rows.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -185,8 +186,9 @@
 	return rows
 }
 
+// historyRows lists the newest revision first, and its lines as they were written.
 func historyRows(state control.QueryReply) (rows [][]any) {
-	for _, revision := range state.History {
+	for _, revision := range slices.Backward(state.History) {
 		for _, change := range revision.Changes {
 			for _, line := range language.Describe(change) {
 				rows = append(rows, []any{
--- a/internal/language/subject.go
+++ b/internal/language/subject.go
@@ -29,6 +29,8 @@
 	Since string
 	// Fleet says that the rows come from the entries rather than from the control quorum.
 	Fleet bool
+	// Ordered says that the rows come in an order of their own, which a query without an order keeps.
+	Ordered bool
 }
 
 // Subjects are the subjects of queries by name.
@@ -74,7 +76,7 @@
 	"versions": {Fleet: true, Columns: []Column{
 		text("model"), text("wanted"), text("version"), sum("ready"), sum("endpoints"),
 	}},
-	"history": {Since: "time", Columns: []Column{
+	"history": {Since: "time", Ordered: true, Columns: []Column{
 		{Name: "revision", Type: TypeInteger}, text("author"), {Name: "time", Type: TypeTime}, text("change"),
 	}},
 	"quorum": {Columns: []Column{
--- a/internal/language/table.go
+++ b/internal/language/table.go
@@ -39,7 +39,7 @@
 }
 
 // Evaluate selects, groups, sorts and limits the rows of the query's subject. The query must come
-// from Parse. Rows without an order are sorted by their columns from left to right.
+// from Parse. Rows without an order are sorted by their columns from left to right, unless the subject is ordered.
 func Evaluate(q Query, rows [][]any, config EvaluateConfig) (Table, error) {
 	subject := Subjects[q.Subject.Text]
 	clauses := q.clauses()
@@ -52,7 +52,7 @@
 		columns = groupedColumns(clauses.By, subject)
 		rows = group(columns, subject, rows)
 	}
-	sortRows(clauses.Order, columns, rows)
+	sortRows(clauses.Order, columns, rows, subject.Ordered && clauses.By == nil)
 	table := Table{Columns: columns, Rows: rows, Total: len(rows)}
 	limit := config.DefaultLimit
 	if clauses.Limit != nil {
@@ -291,7 +291,8 @@
 	}
 }
 
-func sortRows(by *Order, columns []Column, rows [][]any) {
+// sortRows sorts by the order's column and then, unless the rows are ordered, by all columns.
+func sortRows(by *Order, columns []Column, rows [][]any, ordered bool) {
 	key, sign := -1, 1
 	if by != nil {
 		key = slices.IndexFunc(columns, func(c Column) bool { return c.Name == by.Field.Text })
@@ -305,6 +306,9 @@
 				return order
 			}
 		}
+		if ordered {
+			return 0
+		}
 		for i := range columns {
 			if order := compare(a[i], b[i]); order != 0 {
 				return order
