Keep three quarters of a model's replicas ready during a roll-out

With 4 loads at a time a roll-out left 2 of 6 replicas ready. An order to load is now held back when more than a quarter of the model's replicas, or the only one, would not be ready.

--- a/controld/internal/controller/controller_test.go
+++ b/controld/internal/controller/controller_test.go
@@ -233,23 +233,23 @@
 		disturbed     bool
 		want          int
 	}{
-		"checks the token":  {true, func(l *leader) controller.Controller { return l.orders(2) }, false, 3},
-		"ignores the token": {false, func(l *leader) controller.Controller { return l.orders(2) }, true, 3},
-		"naive version":     {false, func(l *leader) controller.Controller { return naive{l, make(map[string]bool)} }, true, 1},
+		"checks the token":  {true, func(l *leader) controller.Controller { return l.orders(2) }, false, 8},
+		"ignores the token": {false, func(l *leader) controller.Controller { return l.orders(2) }, true, 8},
+		"naive version":     {false, func(l *leader) controller.Controller { return naive{l, make(map[string]bool)} }, true, 6},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			w := newWorld()
-			for i := range 3 {
+			for i := range 8 {
 				w.add(fmt.Sprint("e", i), "oak", "1", test.checksFencing)
 			}
-			old := newLeader(w, 1, oak("2", 3))
+			old := newLeader(w, 1, oak("2", 8))
 			old.cutOff = true
 			rounds(w, old.orders(2), 10)
 			is.Equal(len(old.held), 2)
-			next := test.next(newLeader(w, 2, oak("3", 3)))
+			next := test.next(newLeader(w, 2, oak("3", 8)))
 			rounds(w, next, 60)
-			is.Equal(w.has("oak", "3"), 3)
+			is.Equal(w.has("oak", "3"), 8)
 			for engine, order := range old.held {
 				is.Equal(w.deliver(engine, order) == nil, test.disturbed)
 			}
@@ -308,6 +308,7 @@
 func TestNewLeaderWaits(t *testing.T) {
 	is := is.New(t)
 	w := newWorld()
+	w.loadTime = 0
 	checks, ignores := w.add("e1", "oak", "1", true), w.add("e2", "oak", "1", false)
 	w.add("e3", "oak", "2", true)
 	orders := newLeader(w, 5, oak("2", 3)).orders(3)
@@ -415,6 +416,21 @@
 	})
 }
 
+// Guards against a roll-out that takes most replicas of a model at once.
+func TestRollOutKeepsCapacity(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	for i := range 8 {
+		w.add(fmt.Sprint("e", i), "oak", "1", true)
+	}
+	orders := newLeader(w, 1, oak("2", 8)).orders(8)
+	for range 30 {
+		rounds(w, orders, 1)
+		is.True(w.ready("oak") >= 6)
+	}
+	is.Equal(w.has("oak", "2"), 8)
+}
+
 // Guards against a state that the engine's announcements do not show and that is never corrected.
 func TestSweep(t *testing.T) {
 	is := is.New(t)
--- a/controld/internal/controller/orders.go
+++ b/controld/internal/controller/orders.go
@@ -35,6 +35,9 @@
 	// lackBefore is how long a model must lack replicas before another engine is given to it. It covers
 	// a new dispatcher that has not heard of all endpoints yet, and the restart of an endpoint.
 	lackBefore = 10 * time.Second
+	// unavailableShare of the replicas of a model, a quarter, may load at a time: without that bound a
+	// roll-out with 4 loads at a time left 2 of 6 replicas ready.
+	unavailableShare = 4
 	// loadMemory is how long an engine that does not answer after an order to load counts as loading.
 	loadMemory = 5 * time.Minute
 )
@@ -233,7 +236,7 @@
 }
 
 // decide returns the orders of this round: only to engines whose state was read in it, within the
-// bound on loads, and none that takes the last ready replica of a model.
+// bound on loads, and none that takes too many ready replicas of a model.
 func (o *Orders) decide(conf configuration.Configuration, engines []engine, wanted map[string]target) []order {
 	var orders []order
 	loads := o.runningLoads(engines)
@@ -249,7 +252,7 @@
 		next := order{engine: e, target: t, load: e.needsLoad(t)}
 		// An order that is sent again is counted in loads already.
 		again := e.ordered.model != ""
-		if next.load && ((loads >= o.config.MaxLoads && !again) || takesLast(conf, e, engines, taken)) {
+		if next.load && ((loads >= o.config.MaxLoads && !again) || takesTooMany(conf, e, engines, taken)) {
 			continue
 		}
 		if next.load {
@@ -295,17 +298,25 @@
 	return count
 }
 
-// takesLast reports whether an order to load would leave a declared model that the engine serves
-// without a ready replica. An engine that serves none now can always be taken.
-func takesLast(conf configuration.Configuration, e engine, engines []engine, taken map[string]bool) bool {
+// takesTooMany reports whether an order to load would leave a declared model that the engine serves
+// without a ready replica, or with more than a share of its replicas not ready. An engine that serves
+// none now can always be taken.
+func takesTooMany(conf configuration.Configuration, e engine, engines []engine, taken map[string]bool) bool {
 	for _, model := range e.state.Models {
 		if _, declared := conf.Models[model]; !declared || !e.ready(model) {
 			continue
 		}
-		others := slices.ContainsFunc(engines, func(other engine) bool {
-			return other.name != e.name && !taken[other.name] && other.ready(model)
-		})
-		if !others {
+		replicas, others := 0, 0
+		for _, other := range engines {
+			if other.drained || !slices.Contains(other.state.Models, model) {
+				continue
+			}
+			replicas++
+			if other.name != e.name && !taken[other.name] && other.ready(model) {
+				others++
+			}
+		}
+		if others < max(1, replicas-max(1, replicas/unavailableShare)) {
 			return true
 		}
 	}
