--- a/entryd/internal/options/options.go
+++ b/entryd/internal/options/options.go
@@ -28,10 +28,10 @@
 	DataCentre string `yaml:"data-centre" validate:"required,max=64" description:"Data centre of this instance."`
 	Region     string `yaml:"region" validate:"required,max=64" description:"Region of this instance; cells are per region."`
 
-	CallerListen      string `yaml:"caller-listen" validate:"hostname_port" description:"Address of the callers' API."`
-	PlatformListen    string `yaml:"platform-listen" validate:"hostname_port" description:"Address for announcements of endpoints."`
-	PeerListen        string `yaml:"peer-listen" validate:"hostname_port" description:"Address for the other processes of the system."`
-	MetricsListen     string `yaml:"metrics-listen" validate:"hostname_port" description:"Address of metrics, health and readiness."`
+	CallerListen      string `yaml:"caller-listen" validate:"listen_address" description:"Address of the callers' API."`
+	PlatformListen    string `yaml:"platform-listen" validate:"listen_address" description:"Address for announcements of endpoints."`
+	PeerListen        string `yaml:"peer-listen" validate:"listen_address" description:"Address for the other processes of the system."`
+	MetricsListen     string `yaml:"metrics-listen" validate:"listen_address" description:"Address of metrics, health and readiness."`
 	AdvertiseCaller   string `yaml:"advertise-caller" validate:"omitempty,hostname_port" description:"Address that callers are told; empty means the address listened on."`
 	AdvertisePlatform string `yaml:"advertise-platform" validate:"omitempty,hostname_port" description:"Address that endpoints are told; empty means the address listened on."`
 	AdvertisePeer     string `yaml:"advertise-peer" validate:"omitempty,hostname_port" description:"Address that other processes are told; empty means the address listened on."`
@@ -52,7 +52,7 @@
 	MaxResponse      int   `yaml:"max-response" validate:"min=1024,max=1073741824" description:"Largest response without stream, in bytes."`
 	MaxEvent         int   `yaml:"max-event" validate:"min=256,max=16777216" description:"Largest event of a stream, in bytes."`
 	MaxInFlight      int   `yaml:"max-in-flight" validate:"min=1,max=1000000" description:"Largest number of concurrent requests of this entry."`
-	DefaultMaxTokens int   `yaml:"default-max-tokens" validate:"min=1,max=10000000" description:"Worst case of a request without max_tokens to a model without a context length."`
+	DefaultMaxTokens int   `yaml:"default-max-tokens" validate:"min=1,max=10000000" description:"Tokens that engines complete at most for a request without max_tokens; the cost of so many is held."`
 
 	MaxAttempts     int           `yaml:"max-attempts" validate:"min=1,max=10" description:"Endpoints that one request may use, retries and resumptions included."`
 	RetryRatio      float64       `yaml:"retry-ratio" validate:"min=0,max=1" description:"Retries allowed for each request."`
@@ -171,7 +171,7 @@
 }
 
 var boundWords = strings.NewReplacer("min=", "at least ", "max=", "at most ", "oneof=", "one of ",
-	"hostname_port", "host:port", "omitempty,", "", "dive,", "each ")
+	"hostname_port", "host:port", "listen_address", "host:port, port 0 for any", "omitempty,", "", "dive,", "each ")
 
 func bounds(tag string) string {
 	return strings.ReplaceAll(boundWords.Replace(tag), ",", ", ")
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -184,9 +184,35 @@
 		c.tickBootstrap()
 		return
 	}
-	if c.now >= c.electionDeadline && c.membership().voter(c.id) {
+	if c.now < c.electionDeadline {
+		return
+	}
+	if c.mayCampaign() {
 		c.campaign(true)
+		return
+	}
+	c.out.removed = c.out.removed || c.leftOut()
+}
+
+// leftOut reports whether this node was a member before the latest committed membership. A node that
+// catches up passes through such memberships too, but it hears a leader meanwhile.
+func (c *core) leftOut() bool {
+	n := len(c.memberships)
+	if n < 2 || c.membershipIndex() > c.log.commit {
+		return false
 	}
+	_, member := c.membership().find(c.id)
+	_, before := c.memberships[n-2].find(c.id)
+	return before && !member
+}
+
+// mayCampaign reports whether this node is a voter. A leader whose own removal is not known to be
+// committed may campaign too: if the others lack that entry, no one else can win (section 4.2.2 of
+// Ongaro's dissertation).
+func (c *core) mayCampaign() bool {
+	n := len(c.memberships)
+	return c.membership().voter(c.id) ||
+		n > 1 && c.membershipIndex() > c.log.commit && c.memberships[n-2].voter(c.id)
 }
 
 // deadline returns the next time at which tick has work.
@@ -196,7 +222,7 @@
 		return c.heartbeatDue
 	case c.bootstrapping():
 		return c.bootstrap.due
-	case !c.membership().voter(c.id):
+	case !c.mayCampaign():
 		return c.now + c.timing.ElectionMax
 	}
 	return c.electionDeadline
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -169,10 +169,7 @@
 	reply.Term = term
 	reply.Lease = session.LeaseLength
 	s.fill(request, reply)
-	members, version := s.registry.Members()
-	if version != request.MembershipVersion {
-		reply.Members, reply.MembershipVersion = members, version
-	}
+	s.registry.Fill(request.MembershipVersion, reply)
 	quarantined := s.config.Machine.Quarantined(now.UnixMilli())
 	if session.QuarantineVersion(quarantined) != request.QuarantineVersion {
 		reply.Quarantined, reply.QuarantineChanged = quarantined, true
@@ -183,14 +180,32 @@
 // fill adds what the entry lacks of the configuration.
 func (s *sessionService) fill(request session.HeartbeatRequest, reply *session.HeartbeatReply) {
 	revisions, complete := s.config.Machine.Since(request.Revision)
-	if complete && request.Revision > 0 {
-		reply.Revisions = revisions
-		reply.Revision = request.Revision + uint64(len(revisions))
+	reply.Revision = request.Revision + uint64(len(revisions))
+	if !complete || request.Revision == 0 {
+		reply.FetchSnapshot = true
+		reply.Revision = s.config.Machine.Configuration().Revision
 		return
 	}
-	snapshot := s.config.Machine.Configuration()
-	reply.Snapshot = &snapshot
-	reply.Revision = snapshot.Revision
+	reply.Revisions = revisions
+}
+
+// Snapshot returns a part of the whole configuration.
+func (s *sessionService) Snapshot(request session.SnapshotRequest, reply *session.SnapshotReply) error {
+	if _, ok := s.current(); !ok {
+		reply.NotLeader, reply.Leader = true, s.leader()
+		return nil
+	}
+	revision, data, err := s.config.Machine.EncodedConfiguration()
+	if err != nil {
+		return err
+	}
+	reply.Revision = revision
+	reply.Total = len(data)
+	if request.Offset < 0 || request.Offset > len(data) || (request.Revision != 0 && request.Revision != revision) {
+		return nil
+	}
+	reply.Data = data[request.Offset:min(len(data), request.Offset+session.MaxChunkBytes)]
+	return nil
 }
 
 // Watch waits until the entry lacks something.
@@ -313,7 +328,7 @@
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	for {
-		changed := s.registry.Changed()
+		progress := s.registry.Progress()
 		now := time.Now()
 		if s.registry.InForce(revision, now) {
 			return true
@@ -322,7 +337,7 @@
 			return false
 		}
 		select {
-		case <-changed:
+		case <-progress:
 		case <-ticker.C:
 		}
 	}
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -117,8 +117,7 @@
 	for _, r := range members {
 		r.advance(now, c.settings)
 		rate := r.prefillRate(c.settings)
-		ahead, _ := c.delays(r, it.key, rate)
-		wait = max(wait, ahead)
+		wait = max(wait, c.delays(r, it.key, rate).wait)
 		rates += rate
 	}
 	return wait + float64(it.request.PromptTokens)/rates
@@ -184,7 +183,7 @@
 	if !succeeded {
 		it.notBefore = now.Add(groupRetry + time.Duration(c.config.Jitter()*float64(groupRetry)))
 		c.endGrant(now, g, nil)
-		c.pump(now)
+		c.pump(now, eventScan)
 		return false
 	}
 	it.pending = nil
@@ -216,6 +215,9 @@
 		return
 	}
 	members, start := earliestGroup(now, candidates, size, it.tokens, latestEnd)
+	if start.Equal(now) {
+		return
+	}
 	c.hold = &hold{item: it, members: members, start: start}
 	it.estimate = start.Sub(now) + it.service
 }
@@ -277,6 +279,15 @@
 	return c.latestEnd(now, it, r, first).After(c.hold.start)
 }
 
+// releaseUseless drops the hold when its memory is free and its reservation still could not start:
+// something else than memory is in the way.
+func (c *cell) releaseUseless() {
+	h := c.hold
+	if h != nil && freeGroup(h.members, len(h.members), h.item.tokens, (*replica).free) != nil {
+		c.hold = nil
+	}
+}
+
 // checkHold drops a hold that no longer serves its reservation.
 func (c *cell) checkHold() {
 	h := c.hold
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
@@ -15,6 +17,7 @@
 type Leader interface {
 	Heartbeat(ctx context.Context, request HeartbeatRequest) (HeartbeatReply, error)
 	Watch(ctx context.Context, request WatchRequest) (WatchReply, error)
+	Snapshot(ctx context.Context, request SnapshotRequest) (SnapshotReply, error)
 }
 
 // KeeperConfig sets up a Keeper.
@@ -46,11 +49,13 @@
 	wanted   uint64
 	leaseEnd time.Time
 	wake     chan struct{}
+	// beat is closed at the end of the next heartbeat.
+	beat chan struct{}
 }
 
 // NewKeeper returns a keeper without a lease; Run obtains it.
 func NewKeeper(config KeeperConfig) *Keeper {
-	return &Keeper{config: config, member: config.Member, wake: make(chan struct{}, 1)}
+	return &Keeper{config: config, member: config.Member, wake: make(chan struct{}, 1), beat: make(chan struct{})}
 }
 
 // View returns what is known and an error of kind Expired when nothing may be admitted: the lease
@@ -105,9 +110,10 @@
 // heartbeatTimeout leaves time for a second attempt within the lease.
 const heartbeatTimeout = HeartbeatInterval
 
-func (k *Keeper) heartbeat(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+func (k *Keeper) heartbeat(parent context.Context) {
+	ctx, cancel := context.WithTimeout(parent, heartbeatTimeout)
 	defer cancel()
+	defer k.endBeat()
 	request := k.request()
 	sent := time.Now()
 	reply, err := k.config.Leader.Heartbeat(ctx, request)
@@ -115,12 +121,22 @@
 		k.config.Logger.Debug("Could not send a heartbeat", zap.Error(err))
 		return
 	}
+	if reply.FetchSnapshot {
+		k.fetchSnapshot(parent)
+	}
 	if k.accept(reply, sent) {
 		// The leader counts a change as in force once it knows that it was applied.
 		k.kick()
 	}
 }
 
+func (k *Keeper) endBeat() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	close(k.beat)
+	k.beat = make(chan struct{})
+}
+
 func (k *Keeper) request() HeartbeatRequest {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -147,10 +163,7 @@
 	}
 	k.view.Term = reply.Term
 	k.wanted = reply.Revision
-	if reply.Members != nil {
-		k.view.Members = reply.Members
-		k.membershipVersion = reply.MembershipVersion
-	}
+	k.applyMembers(reply)
 	if reply.QuarantineChanged {
 		k.view.Quarantined = set(reply.Quarantined)
 		k.quarantineVersion = QuarantineVersion(reply.Quarantined)
@@ -164,13 +177,29 @@
 	return k.view.Configuration.Revision > before
 }
 
-// apply moves the configuration forward, by a snapshot or by the revisions that follow. The caller
-// holds k.mu.
+// applyMembers brings the member list to the version of the reply. Views share the old list, so it is
+// copied. The caller holds k.mu.
+func (k *Keeper) applyMembers(reply HeartbeatReply) {
+	switch {
+	case reply.AllMembers:
+		k.view.Members = reply.Members
+	case len(reply.MemberChanges) > 0:
+		members := slices.Clone(k.view.Members)
+		for _, change := range reply.MemberChanges {
+			members = slices.DeleteFunc(members, func(m Member) bool { return m.Instance == change.Member.Instance })
+			if !change.Removed {
+				members = append(members, change.Member)
+			}
+		}
+		sortMembers(members)
+		k.view.Members = members
+	}
+	k.membershipVersion = reply.MembershipVersion
+}
+
+// apply moves the configuration forward by the revisions that follow. The caller holds k.mu.
 func (k *Keeper) apply(reply HeartbeatReply) error {
 	next := k.view.Configuration
-	if reply.Snapshot != nil && reply.Snapshot.Revision > next.Revision {
-		next = *reply.Snapshot
-	}
 	for _, r := range reply.Revisions {
 		if r.Number <= next.Revision {
 			continue
@@ -185,6 +214,57 @@
 	return nil
 }
 
+// snapshotTimeout bounds the fetch of a whole configuration.
+const snapshotTimeout = 10 * time.Second
+
+// fetchSnapshot replaces the configuration by the leader's.
+func (k *Keeper) fetchSnapshot(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	next, err := k.download(ctx)
+	if err != nil {
+		k.config.Logger.Warn("Could not fetch the configuration", zap.Error(err))
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if next.Revision > k.view.Configuration.Revision {
+		k.view.Configuration = next
+	}
+}
+
+func (k *Keeper) download(ctx context.Context) (configuration.Configuration, error) {
+	var data []byte
+	var request SnapshotRequest
+	for {
+		reply, err := k.config.Leader.Snapshot(ctx, request)
+		if err != nil {
+			return configuration.Configuration{}, err
+		}
+		if request.Revision != 0 && reply.Revision != request.Revision {
+			data, request = nil, SnapshotRequest{}
+			continue
+		}
+		data = append(data, reply.Data...)
+		request = SnapshotRequest{Revision: reply.Revision, Offset: len(data)}
+		if len(data) >= reply.Total || len(reply.Data) == 0 {
+			break
+		}
+	}
+	var next configuration.Configuration
+	err := decoding.Unmarshal(data, &next)
+	return next, err
+}
+
+// decoding allows the maps of a large deployment.
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 func set(fingerprints []uint64) map[uint64]bool {
 	m := make(map[uint64]bool, len(fingerprints))
 	for _, f := range fingerprints {
@@ -217,15 +297,27 @@
 		case err != nil:
 			pause(ctx, HeartbeatInterval)
 		case reply.Changed:
-			k.kick()
-			// Gives the heartbeat time to fetch the change before the next watch begins.
-			pause(ctx, watchPause)
+			k.awaitHeartbeat(ctx)
 		}
 	}
 }
 
-// watchPause bounds the watches of one entry to 50 a second.
-const watchPause = 20 * time.Millisecond
+// awaitHeartbeat sends a heartbeat and waits for its end, so that the next watch begins with what it
+// brought.
+func (k *Keeper) awaitHeartbeat(ctx context.Context) {
+	k.mu.Lock()
+	done := k.beat
+	k.mu.Unlock()
+	k.kick()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	pause(ctx, watchPause)
+}
+
+// watchPause bounds the watches of one entry to 100 a second.
+const watchPause = 10 * time.Millisecond
 
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,8 +5,10 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
@@ -61,11 +63,30 @@
 func newValidator() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(yamlName)
+	if err := v.RegisterValidation("listen_address", isListenAddress); err != nil {
+		panic(err) // the tag is constant
+	}
 	return v
 }
 
+// isListenAddress accepts host:port like hostname_port, and also port 0, with which the system chooses.
+func isListenAddress(level validator.FieldLevel) bool {
+	host, port, err := net.SplitHostPort(level.Field().String())
+	if err != nil {
+		return false
+	}
+	_, err = strconv.ParseUint(port, 10, 16)
+	return err == nil && host != ""
+}
+
+// inline stands for an embedded struct in paths; its keys belong to the parent.
+const inline = "<inline>"
+
 func yamlName(field reflect.StructField) string {
-	name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	name, rest, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	if name == "" && rest == "inline" {
+		return inline
+	}
 	return name
 }
 
@@ -96,6 +117,10 @@
 		if name == "" || name == "-" {
 			continue
 		}
+		if name == inline {
+			names = append(names, keys(t.Field(i).Type)...)
+			continue
+		}
 		names = append(names, name)
 		for _, child := range keys(t.Field(i).Type) {
 			names = append(names, name+"."+child)
@@ -107,6 +132,7 @@
 func invalidError(name string, data []byte, failures validator.ValidationErrors) error {
 	failure := failures[0]
 	_, path, _ := strings.Cut(failure.Namespace(), ".")
+	path = strings.ReplaceAll(path, inline+".", "")
 	line, column := position(data, path)
 	return fault.New("check settings", Invalid, "%s:%d:%d: %s is %v; %s",
 		name, line, column, path, failure.Value(), expectation(failure))
@@ -124,7 +150,7 @@
 		return "it must be more than " + failure.Param()
 	case "oneof":
 		return "it must be one of " + failure.Param()
-	case "hostname_port", "tcp_addr":
+	case "hostname_port", "listen_address":
 		return "it must be an address such as 127.0.0.1:8080"
 	default:
 		return strings.TrimSpace(fmt.Sprintf("it must satisfy %s %s", failure.Tag(), failure.Param()))
