Let operators add and remove control instances

The replicated log had AddLearner and Remove, but nothing called them: a control instance that lost its disk could not come back.

pierctl quorum add and quorum remove call POST /v1/quorum and DELETE /v1/quorum/{id}. An instance that does not lead answers 503 and pierctl asks the next one. controld/internal/cli passes the node.

--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -88,6 +88,7 @@
 	return operator.New(operator.Config{
 		Submitter:     client,
 		Querier:       client,
+		Quorum:        d.node,
 		Peers:         d.pool,
 		Operators:     d.settings.Operators,
 		LeaderAddress: func(string) string { return "" },
--- a/controld/internal/operator/operator.go
+++ b/controld/internal/operator/operator.go
@@ -50,6 +50,8 @@
 type Config struct {
 	Submitter Submitter
 	Querier   Querier
+	// Quorum changes the members of the quorum, if this instance leads.
+	Quorum Quorum
 	// Peers reaches the entries.
 	Peers Caller
 	// Operators are the operators with the sums of their keys.
@@ -85,6 +87,8 @@
 	a := &API{config: config, router: mux.NewRouter()}
 	a.router.HandleFunc("/v1/commands", a.commands).Methods(http.MethodPost)
 	a.router.HandleFunc("/v1/queries", a.queries).Methods(http.MethodPost)
+	a.router.HandleFunc("/v1/quorum", a.addMember).Methods(http.MethodPost)
+	a.router.HandleFunc("/v1/quorum/{id}", a.removeMember).Methods(http.MethodDelete)
 	a.router.HandleFunc("/v1/reports/burn", a.burnReport).Methods(http.MethodGet)
 	a.router.Use(a.authenticate)
 	return a
--- a/controld/internal/operator/operator_test.go
+++ b/controld/internal/operator/operator_test.go
@@ -21,9 +21,11 @@
 	"github.com/dandelionpier/dandelionpier/controld/internal/operator"
 	"github.com/dandelionpier/dandelionpier/internal/burn"
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/consensus"
 	"github.com/dandelionpier/dandelionpier/internal/control"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/language"
 	"github.com/dandelionpier/dandelionpier/internal/session"
 )
@@ -346,6 +348,47 @@
 	is.True(!complete)
 }
 
+// voters refuses changes with a fixed error.
+type voters struct {
+	err   error
+	added []consensus.Server
+}
+
+func (v *voters) AddLearner(_ context.Context, server consensus.Server) error {
+	v.added = append(v.added, server)
+	return v.err
+}
+
+func (v *voters) Remove(context.Context, string) error { return v.err }
+
+// Guards against a change of the quorum that a follower seems to accept, or a refusal that pierctl
+// would send to the next instance.
+func TestQuorum(t *testing.T) {
+	for name, test := range map[string]struct {
+		err  error
+		code int
+		body string
+	}{
+		"made":       {nil, http.StatusOK, "accepted"},
+		"refused":    {fault.New("add learner", consensus.Refused, "not caught up"), http.StatusUnprocessableEntity, "not caught up"},
+		"not leader": {fault.New("add learner", consensus.NotLeader, "follower"), http.StatusServiceUnavailable, "follower"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := &voters{err: test.err}
+			api := operator.New(operator.Config{
+				Quorum: q, Logger: zap.NewNop(), Operators: []operator.Operator{{Name: "itziar", KeyHash: language.HashKey(operatorKey)}},
+			})
+			code, body := post(api, "/v1/quorum", operatorKey, language.MemberRequest{ID: "c6", Address: "127.0.0.1:1"})
+			is.Equal(code, test.code)
+			is.True(strings.Contains(body, test.body))
+			is.Equal(q.added, []consensus.Server{{ID: "c6", Address: "127.0.0.1:1"}})
+			code, _ = post(api, "/v1/quorum", callerKey, language.MemberRequest{ID: "c6", Address: "127.0.0.1:1"})
+			is.Equal(code, http.StatusUnauthorized)
+		})
+	}
+}
+
 type burnPeers map[string]burn.Report
 
 func (p burnPeers) Call(_ context.Context, address, method string, _, reply any) error {
--- a/internal/language/wire.go
+++ b/internal/language/wire.go
@@ -60,6 +60,14 @@
 	Error string `json:"error"`
 }
 
+// MemberRequest is the body of POST /v1/quorum, which adds a control instance as a learner. It and
+// DELETE /v1/quorum/{id} answer with a CommandReply without a revision.
+type MemberRequest struct {
+	ID string `json:"id"`
+	// Address is the instance's peer address, host:port.
+	Address string `json:"address"`
+}
+
 // BurnReply answers GET /v1/reports/burn with the merged reports of the entries.
 type BurnReply struct {
 	Report  burn.Report `json:"report"`
--- a/pierctl/internal/cli/cli.go
+++ b/pierctl/internal/cli/cli.go
@@ -123,6 +123,13 @@
 					Name: "burn", Usage: "report how fast error budgets burn", Flags: burnFlags(), OnUsageError: usageError, Action: p.burn,
 				}},
 			},
+			{
+				Name: "quorum", Usage: "change the control instances", OnUsageError: usageError,
+				Commands: []*cli.Command{
+					{Name: "add", Usage: "add a control instance as a learner", ArgsUsage: "INSTANCE PEER-ADDRESS", OnUsageError: usageError, Action: p.addMember},
+					{Name: "remove", Usage: "remove a control instance", ArgsUsage: "INSTANCE", OnUsageError: usageError, Action: p.removeMember},
+				},
+			},
 			{Name: "version", Usage: "print the version", Action: p.version},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
--- a/pierctl/internal/cli/cli_test.go
+++ b/pierctl/internal/cli/cli_test.go
@@ -111,6 +111,8 @@
 		},
 		"rejected":       {answer{422, rejected}, []string{"run", "unset workspace a"}, 4, "rejected, revision 7\nworkspace \"a\" does not exist\n", ""},
 		"denied":         {answer{401, `{"error":"no operator key"}`}, []string{"query", "show models"}, 4, "", "no operator key"},
+		"quorum add":     {answer{200, `{"status":"accepted"}`}, []string{"quorum", "add", "c6", "127.0.0.1:1"}, 0, "accepted \n", ""},
+		"quorum refused": {answer{422, `{"status":"rejected","message":"not caught up"}`}, []string{"quorum", "remove", "c6"}, 4, "rejected not caught up\n", ""},
 		"parse error":    {answer{200, accepted}, []string{"run", "st model oak"}, 2, "", "1:1: unexpected \"st\"; did you mean \"set\"?"},
 		"usage error":    {answer{200, accepted}, []string{"run", "--unknown"}, 2, "", "unknown"},
 		"unknown verb":   {answer{200, accepted}, []string{"runn"}, 2, "", "unknown command"},
--- a/pierctl/internal/client/client.go
+++ b/pierctl/internal/client/client.go
@@ -88,6 +88,20 @@
 	return reply, err
 }
 
+// AddMember adds a control instance as a learner of the quorum.
+func (c *Client) AddMember(ctx context.Context, request language.MemberRequest) (language.CommandReply, error) {
+	var reply language.CommandReply
+	err := c.send(ctx, http.MethodPost, "/v1/quorum", request, &reply)
+	return reply, err
+}
+
+// RemoveMember removes a control instance from the quorum.
+func (c *Client) RemoveMember(ctx context.Context, id string) (language.CommandReply, error) {
+	var reply language.CommandReply
+	err := c.send(ctx, http.MethodDelete, "/v1/quorum/"+url.PathEscape(id), nil, &reply)
+	return reply, err
+}
+
 // Burn asks for the merged burn report of the entries; an empty workspace means all, which total
 // adds up.
 func (c *Client) Burn(ctx context.Context, workspace string, total bool) (language.BurnReply, error) {
