--- a/entryd/internal/cli/serve.go
+++ b/entryd/internal/cli/serve.go
@@ -221,6 +221,8 @@
 		View: view, Retries: retries, MaxAttempts: o.MaxAttempts, MaxResponse: o.MaxResponse, Logger: e.logger,
 	})
 	e.peers = peer.NewServer(peer.ServerConfig{Key: o.ClusterKey, Logger: e.logger})
+	metrics.RegisterProcess(e.metrics)
+	e.metrics.GaugeFunc("peer_bytes_total", func() int64 { return pool.Traffic() + e.peers.Traffic() })
 }
 
 func (e *entry) callerHandler() http.Handler {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -41,16 +41,18 @@
 	writeTimeout = 2 * time.Second
 )
 
-// deadlineConn sets a deadline on each write and records when bytes last arrived.
+// deadlineConn sets a deadline on each write, records when bytes last arrived and counts the bytes.
 type deadlineConn struct {
 	net.Conn
 	lastRead atomic.Int64
+	traffic  *atomic.Int64
 }
 
 func (c *deadlineConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.lastRead.Store(time.Now().UnixNano())
+		c.traffic.Add(int64(n))
 	}
 	return n, err
 }
@@ -59,7 +61,9 @@
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.traffic.Add(int64(n))
+	return n, err
 }
 
 // authenticate proves to the other side that this side holds the key, and checks the same of it.
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dandelionpier/dandelionpier/internal/fault"
@@ -34,6 +35,8 @@
 	mu     sync.Mutex
 	links  map[string]*link
 	closed bool
+	// traffic is in bytes, both ways.
+	traffic atomic.Int64
 }
 
 // link is the connection to one address.
@@ -149,7 +152,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conn = &deadlineConn{Conn: raw}
+	l.conn = &deadlineConn{Conn: raw, traffic: &p.traffic}
 	l.client = rpc.NewClient(l.conn)
 	return l.client, l.conn, nil
 }
@@ -189,6 +192,11 @@
 	_ = client.Close()
 }
 
+// Traffic returns the bytes sent and received.
+func (p *Pool) Traffic() int64 {
+	return p.traffic.Load()
+}
+
 // Close closes all connections. Pending calls end with an error.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -25,6 +26,8 @@
 	rpc    *rpc.Server
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
+	// traffic is in bytes, both ways.
+	traffic atomic.Int64
 }
 
 // NewServer returns a server without services.
@@ -77,7 +80,12 @@
 		s.config.Logger.Warn("Refused a peer connection", zap.String("peer", conn.RemoteAddr().String()), zap.Error(err))
 		return
 	}
-	s.rpc.ServeConn(&deadlineConn{Conn: conn})
+	s.rpc.ServeConn(&deadlineConn{Conn: conn, traffic: &s.traffic})
+}
+
+// Traffic returns the bytes sent and received.
+func (s *Server) Traffic() int64 {
+	return s.traffic.Load()
 }
 
 func (s *Server) closeAll() {
