--- a/internal/language/language_test.go
+++ b/internal/language/language_test.go
@@ -299,6 +299,17 @@
 
 var fenced = regexp.MustCompile("(?s)```pier\n(.*?)```(?:\n\n```error\n(.*?)\n```)?")
 
+// Guards against examples in the operators' guide that the parser refuses.
+func TestGuide(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operators.md"))
+	is.NoErr(err)
+	for _, example := range fenced.FindAllStringSubmatch(string(page), -1) {
+		_, err := language.Parse(example[1])
+		is.NoErr(err)
+	}
+}
+
 // Guards against a page whose examples the parser refuses, whose error messages have changed, or
 // whose grammar is not the parser's.
 func TestPage(t *testing.T) {
