--- a/pierctl/internal/cli/cli.go
+++ b/pierctl/internal/cli/cli.go
@@ -64,10 +64,19 @@
 func Run(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	p := program{in: os.Stdin, out: os.Stdout, errs: os.Stderr, http: &http.Client{}}
+	p := program{in: os.Stdin, out: os.Stdout, errs: os.Stderr, http: newHTTPClient()}
 	return p.run(ctx, args)
 }
 
+// newHTTPClient returns a client that ignores the proxy of the environment and follows no redirects,
+// so that the operator key reaches the given addresses only.
+func newHTTPClient() *http.Client {
+	return &http.Client{
+		Transport:     &http.Transport{},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 func (p *program) run(ctx context.Context, args []string) int {
 	if err := p.root().Run(ctx, args); err != nil {
 		fmt.Fprintln(p.errs, "pierctl:", err)
