--- a/controld/internal/controller/controller_test.go
+++ b/controld/internal/controller/controller_test.go
@@ -510,6 +510,28 @@
 	}
 }
 
+// BenchmarkRound measures a round at the two-year target: 7,700 engines and 24 models.
+func BenchmarkRound(b *testing.B) {
+	for name, version := range map[string]string{"steady": "1", "roll-out": "2"} {
+		b.Run(name, func(b *testing.B) {
+			w := newWorld()
+			w.loadTime = time.Hour
+			var models []configuration.Model
+			for i := range 24 {
+				models = append(models, configuration.Model{Name: fmt.Sprint("m", i), Version: version, Replicas: 300})
+			}
+			for i := range 7700 {
+				w.add(fmt.Sprint("e", i), fmt.Sprint("m", i%24), "1", true)
+			}
+			orders := newLeader(w, 1, models...).orders(4)
+			rounds(w, orders, 2)
+			for b.Loop() {
+				rounds(w, orders, 1)
+			}
+		})
+	}
+}
+
 type counter struct{ rounds int }
 
 func (c *counter) Round(context.Context) { c.rounds++ }
--- a/controld/internal/controller/orders.go
+++ b/controld/internal/controller/orders.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
@@ -120,8 +121,16 @@
 		engines[i].drained = conf.Endpoints[engines[i].name].Drain
 	}
 	mayAssign := o.lacks(conf, engines, complete)
-	o.poll(ctx, engines, plan(conf, roles, engines, mayAssign))
-	o.send(ctx, o.decide(conf, engines, plan(conf, roles, engines, mayAssign)))
+	wanted := plan(conf, roles, engines, mayAssign)
+	// The sweep can find a difference that no announcement shows; the second pass then reads the other
+	// engines of the model, on whose readiness an order depends.
+	for _, sweep := range []bool{true, false} {
+		if !o.poll(ctx, engines, wanted, sweep) {
+			break
+		}
+		wanted = plan(conf, roles, engines, mayAssign)
+	}
+	o.send(ctx, o.decide(conf, engines, wanted))
 }
 
 // lacks notes since when models lack replicas, and returns whether a model may be given engines.
@@ -171,26 +180,26 @@
 
 // announced lists the engines with the state that they announce, sorted by name.
 func (o *Orders) announced(views []dispatch.EndpointView) []engine {
-	byName := make(map[string]engine, len(views))
-	for _, view := range views {
+	engines := make([]engine, 0, len(views))
+	for _, view := range sortedByName(views) {
 		a := view.Announcement
 		if a.Type != endpoint.Engine || a.State == endpoint.Leaving {
 			continue
 		}
-		byName[a.Name] = engine{
+		engines = append(engines, engine{
 			name: a.Name, address: a.Address, region: a.Region, checksFencing: a.ChecksFencing, announced: a.State,
 			ordered: o.loads[a.Name].target,
 			state: endpoint.PlatformState{
 				Models: a.Models, Version: a.Version, Adapters: a.Adapters, Role: a.Role, Loading: o.loading[a.Name],
 			},
-		}
+		})
 	}
-	return sortedByName(byName)
+	return engines
 }
 
 // poll reads the state of the engines that may need an order, of all others with the same model, and
-// of those that were not read for the sweep interval.
-func (o *Orders) poll(ctx context.Context, engines []engine, wanted map[string]target) {
+// with sweep, of those that were not read for the sweep interval. It reports whether it read any.
+func (o *Orders) poll(ctx context.Context, engines []engine, wanted map[string]target, sweep bool) bool {
 	now := o.config.Now()
 	differing := make(map[string]bool)
 	for _, e := range engines {
@@ -201,26 +210,43 @@
 			}
 		}
 	}
-	each(engines, func(e *engine) {
-		due := !now.Before(o.polledAt[e.name].Add(o.config.Sweep)) || differing[wanted[e.name].model] ||
-			slices.ContainsFunc(e.state.Models, func(model string) bool { return differing[model] })
-		if !due {
-			return
+	var due []*engine
+	for i := range engines {
+		e := &engines[i]
+		if e.polled {
+			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, stateTimeout)
-		defer cancel()
-		state, err := o.config.Engines.State(ctx, e.address)
-		if err != nil {
-			o.config.Logger.Warn("Cannot read the state of an endpoint", zap.String(logging.Endpoint, e.name), zap.Error(err))
-			return
+		if (sweep && !now.Before(o.sweepAt(e.name))) || differing[wanted[e.name].model] ||
+			slices.ContainsFunc(e.state.Models, func(model string) bool { return differing[model] }) {
+			due = append(due, e)
 		}
-		e.state, e.polled = state, true
-	})
-	for i := range engines {
-		if engines[i].polled {
-			o.remember(&engines[i], now)
+	}
+	each(due, func(e **engine) { o.read(ctx, *e) })
+	for _, e := range due {
+		if e.polled {
+			o.remember(e, now)
 		}
 	}
+	return len(due) > 0
+}
+
+// sweepAt is when the state of an engine must be read again. Engines differ in it, so that those first
+// read in the same round are not all read in the same later one.
+func (o *Orders) sweepAt(name string) time.Time {
+	const steps = 1024
+	share := (1 + float64(xxhash.Sum64String(name)%steps)/steps) / 2
+	return o.polledAt[name].Add(time.Duration(share * float64(o.config.Sweep)))
+}
+
+func (o *Orders) read(ctx context.Context, e *engine) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	state, err := o.config.Engines.State(ctx, e.address)
+	if err != nil {
+		o.config.Logger.Warn("Cannot read the state of an endpoint", zap.String(logging.Endpoint, e.name), zap.Error(err))
+		return
+	}
+	e.state, e.polled = state, true
 }
 
 // remember keeps what later rounds need of an observation. An order to load is forgotten once the
@@ -391,11 +417,16 @@
 	calls.Wait()
 }
 
-func sortedByName(byName map[string]engine) []engine {
-	engines := make([]engine, 0, len(byName))
-	for _, e := range byName {
-		engines = append(engines, e)
+// sortedByName returns each endpoint once. It returns pointers, since views are large to move.
+func sortedByName(views []dispatch.EndpointView) []*dispatch.EndpointView {
+	sorted := make([]*dispatch.EndpointView, len(views))
+	for i := range views {
+		sorted[i] = &views[i]
 	}
-	slices.SortFunc(engines, func(a, b engine) int { return cmp.Compare(a.name, b.name) })
-	return engines
+	slices.SortFunc(sorted, func(a, b *dispatch.EndpointView) int {
+		return cmp.Compare(a.Announcement.Name, b.Announcement.Name)
+	})
+	return slices.CompactFunc(sorted, func(a, b *dispatch.EndpointView) bool {
+		return a.Announcement.Name == b.Announcement.Name
+	})
 }
