Pause between orders that an engine does not accept

An engine whose clock is 150 ms ahead refuses each order; with one a second and many such engines the log would fill. An order that is not accepted is repeated after 5 s.

--- a/controld/internal/controller/controller_test.go
+++ b/controld/internal/controller/controller_test.go
@@ -139,6 +139,9 @@
 	conf   configuration.Configuration
 	cutOff bool
 	held   map[string]endpoint.Order
+	// refuses makes all engines refuse; sent counts the orders.
+	refuses bool
+	sent    int
 }
 
 func newLeader(w *world, term uint64, models ...configuration.Model) *leader {
@@ -183,6 +186,12 @@
 }
 
 func (l *leader) Order(_ context.Context, address string, order endpoint.Order) error {
+	l.mu.Lock()
+	l.sent++
+	l.mu.Unlock()
+	if l.refuses {
+		return fault.New("order", endpoint.Refused, "past its deadline")
+	}
 	if l.cutOff {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -416,6 +425,21 @@
 	})
 }
 
+// Guards against an order each round to an engine that refuses them.
+func TestRefusedOrdersPause(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.add("e1", "oak", "1", true)
+	w.add("e2", "oak", "2", true)
+	l := newLeader(w, 1, oak("2", 2))
+	l.refuses = true
+	rounds(w, l.orders(1), 20)
+	is.Equal(l.sent, 8) // each engine at 0, 5, 10 and 15 s
+	l.refuses = false
+	rounds(w, l.orders(1), 10)
+	is.Equal(w.has("oak", "2"), 2)
+}
+
 // Guards against a roll-out that takes most replicas of a model at once.
 func TestRollOutKeepsCapacity(t *testing.T) {
 	is := is.New(t)
--- a/controld/internal/controller/orders.go
+++ b/controld/internal/controller/orders.go
@@ -39,6 +39,9 @@
 	// unavailableShare of the replicas of a model, a quarter, may load at a time: without that bound a
 	// roll-out with 4 loads at a time left 2 of 6 replicas ready.
 	unavailableShare = 4
+	// failurePause is the time between orders to an engine that does not accept them. It bounds the log
+	// lines when, for example, the clocks of many engines are wrong.
+	failurePause = 5 * time.Second
 	// loadMemory is how long an engine that does not answer after an order to load counts as loading.
 	loadMemory = 5 * time.Minute
 )
@@ -84,6 +87,7 @@
 	loads     map[string]load
 	loading   map[string]bool
 	lacking   map[string]time.Time // by model, since when
+	failed    map[string]time.Time // by engine, the last order that was not accepted
 }
 
 // NewOrders returns the controller.
@@ -94,7 +98,7 @@
 	config.Sweep = cmp.Or(config.Sweep, defaultSweep)
 	return &Orders{
 		config: config, polledAt: make(map[string]time.Time), loads: make(map[string]load),
-		loading: make(map[string]bool), lacking: make(map[string]time.Time),
+		loading: make(map[string]bool), lacking: make(map[string]time.Time), failed: make(map[string]time.Time),
 	}
 }
 
@@ -169,6 +173,7 @@
 		clear(o.loads)
 		clear(o.loading)
 		clear(o.lacking)
+		clear(o.failed)
 	}
 	for name, sent := range o.loads {
 		if o.config.Now().Sub(sent.at) > loadMemory {
@@ -269,7 +274,7 @@
 	taken := make(map[string]bool)
 	for _, e := range engines {
 		t, ok := wanted[e.name]
-		if !ok || !e.polled || e.state.Loading || !o.mayOrder(e) {
+		if !ok || !e.polled || e.state.Loading || o.pauses(e.name) || !o.mayOrder(e) {
 			continue
 		}
 		if e.agrees(t) && !o.unfenced(e) {
@@ -292,6 +297,11 @@
 	return orders
 }
 
+func (o *Orders) pauses(name string) bool {
+	failed, known := o.failed[name]
+	return known && o.config.Now().Sub(failed) < failurePause
+}
+
 // mayOrder reports whether orders of an earlier leader can no longer overtake one of this leader's.
 // An engine that checks the token refuses them. For one that does not, the old lease must have
 // ended, and the deadline of an order that was sent at its end must have passed.
@@ -367,15 +377,17 @@
 		}
 		err := o.give(ctx, *next, now.Add(o.config.OrderTimeout))
 		logger := o.config.Logger.With(zap.String(logging.Endpoint, next.engine.name), zap.String("model", next.target.model), zap.String("version", next.target.version))
+		mu.Lock()
+		defer mu.Unlock()
 		if err == nil {
+			delete(o.failed, next.engine.name)
 			logger.Info("Gave an order", zap.Bool("load", next.load))
 			return
 		}
+		o.failed[next.engine.name] = now
 		logger.Warn("An order was not accepted", zap.Error(err))
 		if fault.Is(err, endpoint.Refused) {
-			mu.Lock()
 			delete(o.loads, next.engine.name)
-			mu.Unlock()
 		}
 	})
 }
