--- a/controld/internal/operator/operator_test.go
+++ b/controld/internal/operator/operator_test.go
@@ -435,3 +435,24 @@
 	is.Equal(len(query(t, api, "show workspaces limit 20000").Rows), 6501)
 	is.Equal(len(query(t, api, "show workspaces by priority").Rows), 10)
 }
+
+// BenchmarkQuery measures a query over the 6,500 workspaces of the two-year target.
+func BenchmarkQuery(b *testing.B) {
+	q := newQuorum()
+	var changes []configuration.Change
+	for i := range 6500 {
+		changes = append(changes, configuration.Change{Workspace: &configuration.Workspace{Name: fmt.Sprintf("w%04d", i), Priority: i % 10}})
+	}
+	q.accept(changes...)
+	api := newAPI(q, nil, "", nil)
+	for _, text := range []string{"show workspaces where priority = 3", "show workspaces limit 10000", "show workspaces by priority"} {
+		b.Run(text, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if code, body := post(api, "/v1/queries", operatorKey, language.QueryRequest{Text: text}); code != http.StatusOK {
+					b.Fatal(body)
+				}
+			}
+		})
+	}
+}
