Add pierctl interactive

Operators who ask several things in a row had to start pierctl for each. It reads queries, which run at once, and transactions, which run at an empty line.

--- a/pierctl/internal/cli/cli.go
+++ b/pierctl/internal/cli/cli.go
@@ -139,6 +139,7 @@
 					{Name: "remove", Usage: "remove a control instance", ArgsUsage: "INSTANCE", OnUsageError: usageError, Action: p.removeMember},
 				},
 			},
+			{Name: "interactive", Usage: "read queries and transactions from standard input", OnUsageError: usageError, Action: p.interactive},
 			{Name: "version", Usage: "print the version", Action: p.version},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
@@ -201,6 +202,10 @@
 	if err != nil {
 		return err
 	}
+	return p.runText(ctx, c, text, check)
+}
+
+func (p *program) runText(ctx context.Context, c *cli.Command, text string, check bool) error {
 	parsed, err := language.Parse(text)
 	if err != nil {
 		return err
@@ -269,6 +274,10 @@
 	if err != nil {
 		return err
 	}
+	return p.ask(ctx, c, text)
+}
+
+func (p *program) ask(ctx context.Context, c *cli.Command, text string) error {
 	parsed, err := language.Parse(text)
 	if err != nil {
 		return err
--- a/pierctl/internal/cli/cli_test.go
+++ b/pierctl/internal/cli/cli_test.go
@@ -178,6 +178,20 @@
 	is.Equal(commands[0].Text, "check\nset model oak\n")
 }
 
+// Guards against an interactive mode that runs a transaction before its end, splits it, or stops at an error.
+func TestInteractive(t *testing.T) {
+	is := is.New(t)
+	c := newInstance(t, answer{200, accepted}, answer{200, rows})
+	got := run(t, []*instance{c}, "shw\n\nset model oak\nset model ash\n\nshow models\nset model lost\n", "interactive")
+	is.Equal(got.code, 0)
+	commands, _ := c.received()
+	is.Equal(len(commands), 2)
+	is.Equal(commands[0].Text, "set model oak\nset model ash\n")
+	is.Equal(commands[1].Text, "show models")
+	is.True(strings.Contains(got.errs, `did you mean "show"?`))
+	is.True(strings.Contains(got.errs, "the last lines were not run"))
+}
+
 // Guards against a resend that shows a fresh key although the first attempt's key is the one in force.
 func TestResendNamesKeyBySum(t *testing.T) {
 	is := is.New(t)
