--- a/controld/internal/controller/controller_test.go
+++ b/controld/internal/controller/controller_test.go
@@ -139,6 +139,9 @@
 	conf   configuration.Configuration
 	cutOff bool
 	held   map[string]endpoint.Order
+	// refuses makes all engines refuse; sent counts the orders.
+	refuses bool
+	sent    int
 }
 
 func newLeader(w *world, term uint64, models ...configuration.Model) *leader {
@@ -183,6 +186,12 @@
 }
 
 func (l *leader) Order(_ context.Context, address string, order endpoint.Order) error {
+	l.mu.Lock()
+	l.sent++
+	l.mu.Unlock()
+	if l.refuses {
+		return fault.New("order", endpoint.Refused, "past its deadline")
+	}
 	if l.cutOff {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -416,6 +425,21 @@
 	})
 }
 
+// Guards against an order each round to an engine that refuses them.
+func TestRefusedOrdersPause(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.add("e1", "oak", "1", true)
+	w.add("e2", "oak", "2", true)
+	l := newLeader(w, 1, oak("2", 2))
+	l.refuses = true
+	rounds(w, l.orders(1), 20)
+	is.Equal(l.sent, 8) // each engine at 0, 5, 10 and 15 s
+	l.refuses = false
+	rounds(w, l.orders(1), 10)
+	is.Equal(w.has("oak", "2"), 2)
+}
+
 // Guards against a roll-out that takes most replicas of a model at once.
 func TestRollOutKeepsCapacity(t *testing.T) {
 	is := is.New(t)
@@ -510,6 +534,28 @@
 	}
 }
 
+// BenchmarkRound measures a round at the two-year target: 7,700 engines and 24 models.
+func BenchmarkRound(b *testing.B) {
+	for name, version := range map[string]string{"steady": "1", "roll-out": "2"} {
+		b.Run(name, func(b *testing.B) {
+			w := newWorld()
+			w.loadTime = time.Hour
+			var models []configuration.Model
+			for i := range 24 {
+				models = append(models, configuration.Model{Name: fmt.Sprint("m", i), Version: version, Replicas: 300})
+			}
+			for i := range 7700 {
+				w.add(fmt.Sprint("e", i), fmt.Sprint("m", i%24), "1", true)
+			}
+			orders := newLeader(w, 1, models...).orders(4)
+			rounds(w, orders, 2)
+			for b.Loop() {
+				rounds(w, orders, 1)
+			}
+		})
+	}
+}
+
 type counter struct{ rounds int }
 
 func (c *counter) Round(context.Context) { c.rounds++ }
--- a/pierctl/internal/cli/cli.go
+++ b/pierctl/internal/cli/cli.go
@@ -64,10 +64,19 @@
 func Run(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	p := program{in: os.Stdin, out: os.Stdout, errs: os.Stderr, http: &http.Client{}}
+	p := program{in: os.Stdin, out: os.Stdout, errs: os.Stderr, http: newHTTPClient()}
 	return p.run(ctx, args)
 }
 
+// newHTTPClient returns a client that ignores the proxy of the environment and follows no redirects,
+// so that the operator key reaches the given addresses only.
+func newHTTPClient() *http.Client {
+	return &http.Client{
+		Transport:     &http.Transport{},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 func (p *program) run(ctx context.Context, args []string) int {
 	if err := p.root().Run(ctx, args); err != nil {
 		fmt.Fprintln(p.errs, "pierctl:", err)
@@ -130,6 +139,7 @@
 					{Name: "remove", Usage: "remove a control instance", ArgsUsage: "INSTANCE", OnUsageError: usageError, Action: p.removeMember},
 				},
 			},
+			{Name: "interactive", Usage: "read queries and transactions from standard input", OnUsageError: usageError, Action: p.interactive},
 			{Name: "version", Usage: "print the version", Action: p.version},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
@@ -192,6 +202,10 @@
 	if err != nil {
 		return err
 	}
+	return p.runText(ctx, c, text, check)
+}
+
+func (p *program) runText(ctx context.Context, c *cli.Command, text string, check bool) error {
 	parsed, err := language.Parse(text)
 	if err != nil {
 		return err
@@ -260,6 +274,10 @@
 	if err != nil {
 		return err
 	}
+	return p.ask(ctx, c, text)
+}
+
+func (p *program) ask(ctx context.Context, c *cli.Command, text string) error {
 	parsed, err := language.Parse(text)
 	if err != nil {
 		return err
