--- a/standin/internal/engine/engine.go
+++ b/standin/internal/engine/engine.go
@@ -189,12 +189,17 @@
 
 // refuse answers with an error of the model.
 func refuse(w http.ResponseWriter, err error, outcome refusal.Outcome) {
+	refusalOf(err, outcome).Write(w)
+}
+
+// refusalOf returns an error of the model as callers see it.
+func refusalOf(err error, outcome refusal.Outcome) refusal.Error {
 	status, code := http.StatusInternalServerError, "engine-error"
 	var e *model.Error
 	if errors.As(err, &e) {
 		status, code = statuses[e.Kind], string(e.Kind)
 	}
-	refusal.New(status, code, outcome, "%s", err.Error()).Write(w)
+	return refusal.New(status, code, outcome, "%s", err.Error())
 }
 
 // refuseSubmit answers with an error of Submit. A holding that has expired is no fault of the
--- a/standin/internal/engine/engine_test.go
+++ b/standin/internal/engine/engine_test.go
@@ -203,6 +203,17 @@
 	})
 }
 
+// Guards against a deadline within a stream that looks like its end, or gives no reason.
+func TestDeadlineInStream(t *testing.T) {
+	bubble(t, []options.Engine{settings()}, func(t *testing.T, n network) {
+		is := is.New(t)
+		deadline := strconv.FormatInt(time.Now().Add(100*time.Millisecond).UnixMilli(), 10)
+		got := stream(n["e0"], endpoint.HeaderDeadline, deadline)
+		is.Equal(len(got), 4) // tokens after 0.4, 33.7, 67.1 ms, then the error
+		is.True(strings.Contains(got[3], `"code":"cancelled"`))
+	})
+}
+
 // Guards against injected faults that do not show up as the fault that a test asks for.
 func TestFaults(t *testing.T) {
 	for name, want := range map[string]func(is *is.I, got, whole []string){
--- a/standin/internal/engine/stream.go
+++ b/standin/internal/engine/stream.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"encoding/json"
 	"net/http"
 
 	"github.com/dandelionpier/dandelionpier/internal/refusal"
@@ -107,9 +108,10 @@
 		refuse(s.response, err, refusal.FailedWhileRunning)
 		return
 	}
-	s.buffer = append(s.buffer, `data: {"error":{"message":`...)
-	s.buffer = appendString(s.buffer, err.Error())
-	s.buffer = append(s.buffer, "}}\n\n"...)
+	payload, _ := json.Marshal(refusalOf(err, refusal.FailedWhileRunning)) // a refusal cannot fail to encode
+	s.buffer = append(s.buffer, "data: "...)
+	s.buffer = append(s.buffer, payload...)
+	s.buffer = append(s.buffer, "\n\n"...)
 	s.flush()
 }
 
