--- a/controld/internal/operator/operator_test.go
+++ b/controld/internal/operator/operator_test.go
@@ -21,9 +21,11 @@
 	"github.com/dandelionpier/dandelionpier/controld/internal/operator"
 	"github.com/dandelionpier/dandelionpier/internal/burn"
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/consensus"
 	"github.com/dandelionpier/dandelionpier/internal/control"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/language"
 	"github.com/dandelionpier/dandelionpier/internal/session"
 )
@@ -33,66 +35,55 @@
 	callerKey   = "caller-secret"
 )
 
-// quorum is a control quorum in memory: results by command id, then the expected revision, then
-// the changes.
+// quorum is the replicated state machine without its log.
 type quorum struct {
 	mu      sync.Mutex
 	leader  string
-	state   configuration.Configuration
-	history []configuration.Revision
-	results map[string]control.SubmitReply
+	machine *control.Machine
 	members []session.Member
 }
 
 func newQuorum() *quorum {
-	return &quorum{results: make(map[string]control.SubmitReply), state: configuration.Configuration{
-		Workspaces: map[string]configuration.Workspace{"shop": {
-			Name: "shop", KeyHashes: []string{language.HashKey(callerKey)},
-		}},
-		Models: map[string]configuration.Model{"oak": {Name: "oak", Version: "2"}},
-	}}
+	q := &quorum{machine: control.NewMachine()}
+	q.accept(
+		configuration.Change{Workspace: &configuration.Workspace{Name: "shop", KeyHashes: []string{language.HashKey(callerKey)}}},
+		configuration.Change{Model: &configuration.Model{Name: "oak", Version: "2"}},
+	)
+	return q
 }
 
-func (q *quorum) Submit(_ context.Context, r control.SubmitRequest) (control.SubmitReply, error) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.leader != "" {
-		return control.SubmitReply{NotLeader: true, Leader: q.leader}, nil
-	}
-	if first, ok := q.results[r.CommandID]; ok {
-		return first, nil
-	}
-	reply := q.decide(r)
-	if reply.Status == control.Accepted || reply.Status == control.Rejected {
-		q.results[r.CommandID] = reply
-	}
-	return reply, nil
+func (q *quorum) accept(changes ...configuration.Change) {
+	expected := q.machine.Configuration().Revision
+	q.apply(control.SubmitRequest{CommandID: fmt.Sprint("setup-", expected), Expected: expected, Changes: changes})
 }
 
-func (q *quorum) decide(r control.SubmitRequest) control.SubmitReply {
-	if r.Expected != q.state.Revision {
-		return control.SubmitReply{Status: control.Conflict, Revision: q.state.Revision, Since: q.history[r.Expected:]}
-	}
-	revision := configuration.Revision{Number: r.Expected + 1, Author: r.Author, Time: 1, Changes: r.Changes}
-	next, err := q.state.WithRevision(revision)
+func (q *quorum) apply(r control.SubmitRequest) control.SubmitReply {
+	data, err := control.Command{Time: 1, Submit: &r}.Encode()
 	if err != nil {
-		return control.SubmitReply{Status: control.Rejected, Revision: q.state.Revision, Message: err.Error()}
-	}
-	if r.Check {
-		return control.SubmitReply{Status: control.Valid, Revision: q.state.Revision}
+		panic(err)
 	}
-	q.state, q.history = next, append(q.history, revision)
-	return control.SubmitReply{Status: control.Accepted, Revision: next.Revision, InForce: true}
+	return q.machine.Apply(0, data).(control.SubmitReply)
 }
 
-func (q *quorum) Query(context.Context, control.QueryRequest) (control.QueryReply, error) {
+func (q *quorum) Submit(_ context.Context, r control.SubmitRequest) (control.SubmitReply, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	switch {
+	case q.leader != "":
+		return control.SubmitReply{NotLeader: true, Leader: q.leader}, nil
+	case r.Check:
+		return q.machine.Check(r), nil
+	default:
+		return q.apply(r), nil
+	}
+}
+
+func (q *quorum) Query(context.Context, control.QueryRequest) (control.QueryReply, error) {
 	if q.leader != "" {
 		return control.QueryReply{NotLeader: true, Leader: q.leader}, nil
 	}
-	state := q.state
-	return control.QueryReply{Configuration: &state, Revision: state.Revision, History: q.history, Members: q.members}, nil
+	state := q.machine.Configuration()
+	return control.QueryReply{Configuration: &state, Revision: state.Revision, History: q.machine.History(10), Members: q.members}, nil
 }
 
 // peers answers Dispatch.Endpoints.
@@ -182,21 +173,37 @@
 	code, other := command(t, api, "delete-again", "unset workspace shop")
 	is.Equal(code, http.StatusUnprocessableEntity)
 	is.True(strings.Contains(other.Message, `workspace "shop" does not exist`))
+	code, other = command(t, api, "delete-shop", "unset workspace mill")
+	is.Equal(code, http.StatusUnprocessableEntity)
+	is.True(strings.Contains(other.Message, "command id was used before"))
 }
 
 // Guards against a lost update, and against a conflict that does not say who changed what.
 func TestConflict(t *testing.T) {
 	is := is.New(t)
 	api := newAPI(newQuorum(), nil, "", nil)
-	code, _ := command(t, api, "first-write", "set workspace shop priority 4", 0)
+	code, _ := command(t, api, "first-write", "set workspace shop priority 4", 1)
 	is.Equal(code, http.StatusOK)
-	code, reply := command(t, api, "second-write", "set workspace shop priority 5", 0)
+	code, reply := command(t, api, "second-write", "set workspace shop priority 5", 1)
 	is.Equal(code, http.StatusConflict)
 	is.Equal(len(reply.Since), 1)
 	is.Equal(reply.Since[0].Author, "itziar")
 	is.True(strings.Contains(reply.Since[0].Changes[0], "set workspace shop models none services none priority 4"))
 }
 
+// Guards against a history that shows the oldest revisions, or the lines of one out of order.
+func TestHistory(t *testing.T) {
+	is := is.New(t)
+	api := newAPI(newQuorum(), nil, "", nil)
+	code, _ := command(t, api, "drain-one", "set endpoint e2 role a; drain endpoint e1")
+	is.Equal(code, http.StatusOK)
+	reply := query(t, api, "show history limit 2")
+	is.Equal(reply.Total, 7)
+	is.True(strings.Contains(string(reply.Rows[0]), `[2,"itziar"`))
+	is.True(strings.Contains(string(reply.Rows[0]), "set endpoint e2 role a"))
+	is.True(strings.Contains(string(reply.Rows[1]), "undrain endpoint e2"))
+}
+
 // Guards against a check that changes the configuration or does not show the change.
 func TestCheck(t *testing.T) {
 	is := is.New(t)
@@ -206,7 +213,7 @@
 	is.Equal(reply.Status, string(control.Valid))
 	is.Equal(len(reply.Changes), 2)
 	is.True(strings.HasPrefix(reply.Changes[1], "+ set model oak version 2 adapters none replicas 3"))
-	is.Equal(q.state.Revision, uint64(0))
+	is.Equal(q.machine.Configuration().Revision, uint64(1))
 }
 
 // Guards against malformed requests that reach the quorum.
@@ -241,8 +248,8 @@
 	following.leader = "peer-of-leader"
 	code, reply := command(t, newAPI(following, nil, leader.Listener.Addr().String(), nil), "forwarded", "set model oak replicas 9")
 	is.Equal(code, http.StatusOK)
-	is.Equal(reply.Revision, uint64(1))
-	is.Equal(leading.state.Models["oak"].Replicas, 9)
+	is.Equal(reply.Revision, uint64(2))
+	is.Equal(leading.machine.Configuration().Models["oak"].Replicas, 9)
 
 	var circular *operator.API
 	follower := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { circular.ServeHTTP(w, r) }))
@@ -313,6 +320,75 @@
 	}
 }
 
+// Guards against controllers that act on a part of the fleet as if it were all of it.
+func TestEndpoints(t *testing.T) {
+	is := is.New(t)
+	q := newQuorum()
+	q.accept(configuration.Change{Model: &configuration.Model{Name: "ash"}})
+	failing, entries := "", members("a")
+	fleet := operator.NewFleet(operator.FleetConfig{
+		Configuration: q.machine.Configuration,
+		Members:       func() []session.Member { return entries },
+		Peers: peers(func(_ context.Context, _, cell string, reply *dispatch.EndpointsReply) error {
+			if cell == failing {
+				return errors.New("connection refused")
+			}
+			reply.Endpoints = []dispatch.EndpointView{{Announcement: endpoint.Announcement{Name: "e1", Models: []string{"oak", "ash"}}}}
+			return nil
+		}),
+	})
+	views, complete := fleet.Endpoints(t.Context())
+	is.Equal(len(views), 1) // e1 is in two cells
+	is.True(complete)
+	failing = "oak/north"
+	_, complete = fleet.Endpoints(t.Context())
+	is.True(!complete)
+	entries = nil
+	_, complete = fleet.Endpoints(t.Context())
+	is.True(!complete)
+}
+
+// voters refuses changes with a fixed error.
+type voters struct {
+	err   error
+	added []consensus.Server
+}
+
+func (v *voters) AddLearner(_ context.Context, server consensus.Server) error {
+	v.added = append(v.added, server)
+	return v.err
+}
+
+func (v *voters) Remove(context.Context, string) error { return v.err }
+
+// Guards against a change of the quorum that a follower seems to accept, or a refusal that pierctl
+// would send to the next instance.
+func TestQuorum(t *testing.T) {
+	for name, test := range map[string]struct {
+		err  error
+		code int
+		body string
+	}{
+		"made":       {nil, http.StatusOK, "accepted"},
+		"refused":    {fault.New("add learner", consensus.Refused, "not caught up"), http.StatusUnprocessableEntity, "not caught up"},
+		"not leader": {fault.New("add learner", consensus.NotLeader, "follower"), http.StatusServiceUnavailable, "follower"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := &voters{err: test.err}
+			api := operator.New(operator.Config{
+				Quorum: q, Logger: zap.NewNop(), Operators: []operator.Operator{{Name: "itziar", KeyHash: language.HashKey(operatorKey)}},
+			})
+			code, body := post(api, "/v1/quorum", operatorKey, language.MemberRequest{ID: "c6", Address: "127.0.0.1:1"})
+			is.Equal(code, test.code)
+			is.True(strings.Contains(body, test.body))
+			is.Equal(q.added, []consensus.Server{{ID: "c6", Address: "127.0.0.1:1"}})
+			code, _ = post(api, "/v1/quorum", callerKey, language.MemberRequest{ID: "c6", Address: "127.0.0.1:1"})
+			is.Equal(code, http.StatusUnauthorized)
+		})
+	}
+}
+
 type burnPeers map[string]burn.Report
 
 func (p burnPeers) Call(_ context.Context, address, method string, _, reply any) error {
@@ -347,10 +423,11 @@
 func TestManyWorkspaces(t *testing.T) {
 	is := is.New(t)
 	q := newQuorum()
+	var changes []configuration.Change
 	for i := range 6500 {
-		name := fmt.Sprintf("w%04d", i)
-		q.state.Workspaces[name] = configuration.Workspace{Name: name, Priority: i % 10}
+		changes = append(changes, configuration.Change{Workspace: &configuration.Workspace{Name: fmt.Sprintf("w%04d", i), Priority: i % 10}})
 	}
+	q.accept(changes...)
 	api := newAPI(q, nil, "", nil)
 	reply := query(t, api, "show workspaces")
 	is.Equal(len(reply.Rows), 200)
--- a/controld/internal/operator/rows.go
+++ b/controld/internal/operator/rows.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -185,8 +186,9 @@
 	return rows
 }
 
+// historyRows lists the newest revision first, and its lines as they were written.
 func historyRows(state control.QueryReply) (rows [][]any) {
-	for _, revision := range state.History {
+	for _, revision := range slices.Backward(state.History) {
 		for _, change := range revision.Changes {
 			for _, line := range language.Describe(change) {
 				rows = append(rows, []any{
@@ -201,7 +203,7 @@
 func quorumRows(state control.QueryReply) (rows [][]any) {
 	for _, v := range state.Voters {
 		rows = append(rows, []any{
-			v.ID, v.Address, v.Voter, v.Leader, int64(v.Match), v.Reached, time.UnixMilli(v.LastSeen).UTC(),
+			v.ID, v.Address, v.Voter, v.Leader, int64(v.Match), v.Reached, language.Seconds(time.Duration(v.LastSeen) * time.Millisecond),
 		})
 	}
 	return rows
--- a/entryd/internal/cell/client.go
+++ b/entryd/internal/cell/client.go
@@ -12,7 +12,6 @@
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/peer"
-	"github.com/dandelionpier/dandelionpier/internal/rendezvous"
 	"github.com/dandelionpier/dandelionpier/internal/session"
 )
 
@@ -58,6 +57,7 @@
 	roster    *roster
 	reporter  *reporter
 	forwarder *forwarder
+	silence   silence
 }
 
 // New returns a client; Run must run for reports and announcements to be sent.
@@ -89,20 +89,20 @@
 func (c *Client) Reserve(ctx context.Context, request dispatch.ReserveRequest, newAttempt func() string) (dispatch.Grant, error) {
 	c.roster.use(request.Cell)
 	request.Entry = c.holder()
+	request.AttemptID = newAttempt()
 	for range maxRounds {
-		request.AttemptID = newAttempt()
 		reply, err := c.reserve(ctx, request)
 		if ctx.Err() != nil {
 			c.reporter.abandon(request)
 			return dispatch.Grant{}, timeLimit(ctx)
 		}
 		if err != nil {
-			c.reporter.abandon(request)
 			c.config.Logger.Debug("The dispatcher did not answer", zap.String("cell", request.Cell),
 				zap.String(logging.RequestID, request.RequestID), zap.Error(err))
 			if !queueLost(err) {
 				break
 			}
+			// The same attempt id keeps the place in the queue where the dispatcher still has it.
 			continue
 		}
 		switch reply.Status {
@@ -119,6 +119,7 @@
 			return dispatch.Grant{}, refused(reply)
 		}
 	}
+	c.reporter.abandon(request)
 	if grant, ok := c.choose(request, newAttempt); ok {
 		return grant, nil
 	}
@@ -158,7 +159,11 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		request.TimeLeft = time.Until(deadline)
 	}
+	if c.silence.skip(target.Instance) {
+		return reply, fault.New("reserve", peer.Lost, "dispatcher %q has not answered the last reservations", target.Instance)
+	}
 	err := c.call(ctx, target, acknowledgeTimeout, "Dispatch.Reserve", request, &reply)
+	c.silence.note(target.Instance, err == nil || ctx.Err() != nil)
 	for err == nil && reply.Status == dispatch.Queued && ctx.Err() == nil {
 		wait := dispatch.AwaitRequest{Ticket: reply.Ticket, Wait: awaitWait}
 		var next dispatch.ReserveReply
@@ -172,23 +177,9 @@
 	return reply, err
 }
 
-// dispatcher returns the entry that dispatches for the cell: the live, non-draining one with the
-// highest rendezvous score.
 func (c *Client) dispatcher(cell string) (session.Member, bool) {
 	view, _ := c.config.View()
-	names := make([]string, 0, len(view.Members))
-	for _, member := range view.Members {
-		if !member.Draining {
-			names = append(names, member.Instance)
-		}
-	}
-	first := rendezvous.First(cell, names)
-	for _, member := range view.Members {
-		if member.Instance == first && !member.Draining {
-			return member, true
-		}
-	}
-	return session.Member{}, false
+	return view.Dispatcher(cell)
 }
 
 // call runs a method at a dispatcher, in this process where it is this instance.
--- a/entryd/internal/cli/fakes_test.go
+++ b/entryd/internal/cli/fakes_test.go
@@ -42,9 +42,15 @@
 	drained atomic.Bool
 	// checks, when set, says after how many views the lease ends.
 	checks int
+	// views receives one value for each view, as far as it has room.
+	views chan struct{}
 }
 
 func (k *fakeKeeper) View() (session.View, error) {
+	select {
+	case k.views <- struct{}{}:
+	default:
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.checks > 0 {
@@ -59,6 +65,13 @@
 
 func (k *fakeKeeper) Drain() { k.drained.Store(true) }
 
+func (k *fakeKeeper) change(change func(*session.View)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	change(&k.view)
+	k.view.Configuration.Revision++
+}
+
 // fakePurse counts what is held and spent.
 type fakePurse struct {
 	mu     sync.Mutex
@@ -144,11 +157,22 @@
 	return claim.SettleReply{Accepted: true}, nil
 }
 
+func (c *fakeClaims) status(key string) claim.Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held := c.claims[claim.Key{Workspace: "norte", IdempotencyKey: key}]; held != nil {
+		return held.status
+	}
+	return ""
+}
+
 // fakeDispatcher grants the first endpoint of the cell that is not excluded.
 type fakeDispatcher struct {
-	mu            sync.Mutex
-	endpoints     []dispatch.GrantMember
-	reply         *dispatch.ReserveReply
+	mu        sync.Mutex
+	endpoints []dispatch.GrantMember
+	reply     *dispatch.ReserveReply
+	// estimates are the expected times to first token, by endpoint.
+	estimates     map[string]time.Duration
 	reserved      []dispatch.ReserveRequest
 	events        []dispatch.Event
 	announcements []endpoint.Announcement
@@ -167,6 +191,7 @@
 		if !slices.Contains(request.Exclude, member.Endpoint) {
 			*reply = dispatch.ReserveReply{Status: dispatch.Granted, Grant: dispatch.Grant{
 				ID: request.AttemptID, Members: []dispatch.GrantMember{member}, Priority: 7,
+				Estimate: d.estimates[member.Endpoint],
 			}}
 			return nil
 		}
@@ -348,7 +373,7 @@
 		if r.Method == http.MethodDelete {
 			return
 		}
-		e := events{w: w, request: r.Header.Get(endpoint.HeaderRequestID), attempt: r.Header.Get(endpoint.HeaderAttemptID)}
+		e := events{w: w, context: r.Context(), request: r.Header.Get(endpoint.HeaderRequestID), attempt: r.Header.Get(endpoint.HeaderAttemptID)}
 		w.Header().Set(endpoint.HeaderRequestID, e.request)
 		w.Header().Set(endpoint.HeaderAttemptID, e.attempt)
 		w.Header().Set("Content-Type", "text/event-stream")
@@ -362,6 +387,7 @@
 // events writes events of one attempt.
 type events struct {
 	w                http.ResponseWriter
+	context          context.Context
 	request, attempt string
 }
 
@@ -392,3 +418,7 @@
 }
 
 const streamBody = `{"model":"oak","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"Which tooth angle?"}]}`
+
+func (o *observations) LongStarted() {}
+
+func (o *observations) LongEnded() {}
--- a/entryd/internal/completion/server.go
+++ b/entryd/internal/completion/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -36,6 +37,9 @@
 // Observer receives the service-level observations. The length class is short, medium or long.
 type Observer interface {
 	Observe(workspace, lengthClass string, ttft, interToken time.Duration, ok bool)
+	// LongStarted and LongEnded frame each long request, so that the slowdown of short ones can be told.
+	LongStarted()
+	LongEnded()
 }
 
 // Limits are the limits of model requests.
@@ -54,8 +58,7 @@
 	// MaxEvent and MaxResponse bound one event and a response without stream, in bytes.
 	MaxEvent    int
 	MaxResponse int
-	// DefaultMaxTokens is the worst case of a request without max_tokens to a model without a context
-	// length.
+	// DefaultMaxTokens is what engines complete at most for a request without max_tokens.
 	DefaultMaxTokens int
 }
 
@@ -118,6 +121,7 @@
 	}
 	c := &call{
 		server: s, ctx: ctx, w: w, flusher: http.NewResponseController(w), x: x, path: path, body: body,
+		bound: boundField(request, maxTokens),
 		model: model, stream: request.Stream,
 		reserve: dispatch.ReserveRequest{
 			RequestID:    x.RequestID,
@@ -131,9 +135,16 @@
 			Fingerprint:  fingerprint,
 		},
 	}
+	long := LengthClass(x.PromptTokens) == longClass
+	if long {
+		s.config.Observer.LongStarted()
+	}
 	err = c.run()
+	if long {
+		s.config.Observer.LongEnded()
+	}
 	c.settle(hold)
-	s.observe(c, err == nil)
+	s.observe(c, err)
 	return err
 }
 
@@ -161,7 +172,7 @@
 	case request.MaxTokens > 0:
 		return request.MaxTokens, nil
 	case model.MaxContext > 0:
-		return left, nil
+		return min(left, s.config.Limits.DefaultMaxTokens), nil
 	default:
 		return s.config.Limits.DefaultMaxTokens, nil
 	}
@@ -186,6 +197,7 @@
 const (
 	shortTokens = 4_000
 	longTokens  = 100_000
+	longClass   = "long"
 )
 
 // LengthClass names the class of a prompt by its tokens: short, medium or long.
@@ -194,16 +206,21 @@
 	case tokens < shortTokens:
 		return "short"
 	case tokens > longTokens:
-		return "long"
+		return longClass
 	default:
 		return "medium"
 	}
 }
 
-func (s *Server) observe(c *call, ok bool) {
+// observe leaves out failures that the caller caused: a rejected request, a closed connection.
+func (s *Server) observe(c *call, err error) {
+	var refused refusal.Error
+	if errors.As(err, &refused) && refused.Status < http.StatusInternalServerError && refused.Status != http.StatusTooManyRequests {
+		return
+	}
 	var between time.Duration
 	if c.forwarded > 1 {
 		between = c.lastEvent.Sub(c.firstEvent) / time.Duration(c.forwarded-1)
 	}
-	s.config.Observer.Observe(c.x.Workspace.Name, LengthClass(c.x.PromptTokens), c.x.FirstToken, between, ok)
+	s.config.Observer.Observe(c.x.Workspace.Name, LengthClass(c.x.PromptTokens), c.x.FirstToken, between, err == nil)
 }
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -45,13 +45,17 @@
 // renewCall keeps a holding of a group.
 type renewCall struct {
 	endpoint, address, holding string
+	// head says that the holding is the head's, which ends when the request arrives there.
+	head bool
 }
 
 func (c renewCall) make(ctx context.Context, d *Dispatcher) {
 	err := bounded(ctx, func(ctx context.Context) error {
 		return d.config.Holdings.Renew(ctx, c.address, c.holding, GrantTTL)
 	})
-	d.warn(err, "Holding not renewed", c.endpoint, c.holding)
+	if !c.head {
+		d.warn(err, "Holding not renewed", c.endpoint, c.holding)
+	}
 }
 
 // quarantineCall reports a new quarantine.
@@ -216,7 +220,8 @@
 }
 
 // compared takes the holdings of an engine that no grant explains. One that stays without a grant for
-// GrantTTL is an orphan: by then its entry would have reported it, also to a new dispatcher.
+// GrantTTL is an orphan: by then its entry would have reported it, also to a new dispatcher. Attempts
+// that have just ended are about to free their memory and are not counted as taken.
 func (c *cell) compared(now time.Time, name, incarnation string, unknown []endpoint.Holding) {
 	r := c.replicas[name]
 	if r == nil || r.announcement.Incarnation != incarnation {
@@ -230,24 +235,26 @@
 			first = now
 		}
 		seen[h.ID] = first
-		r.foreignHeld += h.Tokens
+		if _, ended := c.ended[h.ID]; !ended {
+			r.foreignHeld += h.Tokens
+		}
 		if now.Sub(first) >= GrantTTL {
 			c.callCancel(r, h.ID)
 			c.callDelete(r, h.ID)
 		}
 	}
 	r.unknown = seen
-	c.pump(now)
+	c.pump(now, eventScan)
 }
 
 // renew has the holdings of all groups renewed.
 func (c *cell) renew(time.Time) {
-	for _, id := range sortedKeys(c.grants) {
-		g := c.grants[id]
-		for _, p := range g.parts {
-			if p.holding != "" && !g.creating {
+	held := func(g *grant) bool { return !g.creating && g.parts[0].holding != "" }
+	for _, id := range sortedKeys(c.grants, held) {
+		for i, p := range c.grants[id].parts {
+			if p.holding != "" {
 				c.calls = append(c.calls, renewCall{
-					endpoint: p.replica.name, address: p.replica.announcement.Address, holding: p.holding,
+					endpoint: p.replica.name, address: p.replica.announcement.Address, holding: p.holding, head: i == 0,
 				})
 			}
 		}
