--- a/internal/burn/chart/chart.go
+++ b/internal/burn/chart/chart.go
@@ -53,7 +53,7 @@
 	limit := plotter.NewFunction(func(float64) float64 { return 1 })
 	limit.Dashes = plotutil.Dashes(1)
 	p.Add(limit)
-	p.Y.Max = max(p.Y.Max, 1.2) // the line at 1 stays in sight
+	p.Y.Max = max(1.5*p.Y.Max, 2) // room for the legend above the lines and the limit of 1
 	writer, err := p.WriterTo(width, height, "png")
 	if err != nil {
 		return fault.Wrap(err, op, burn.Invalid, "PNG")
