Ask the entries of a cell's own region first

Entries look for a dispatcher in the cell's region; the operators' view ranked all regions together, so that a lost entry elsewhere could make a cell count as missing.

--- a/controld/internal/operator/fleet.go
+++ b/controld/internal/operator/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
@@ -75,22 +76,29 @@
 	return dispatch.EndpointsReply{}, fmt.Errorf("none of %d instances dispatches for it", len(members))
 }
 
-// dispatcherOrder ranks the members for a cell: live ones before draining ones, by rendezvous score.
+// dispatcherOrder ranks the members for a cell by rendezvous score, in the order in which entries look
+// for a dispatcher (session.View.Dispatcher): live ones of the cell's region, other live ones, then
+// those that are draining.
 func dispatcherOrder(cell string, members []session.Member) []session.Member {
+	region := cell[strings.LastIndexByte(cell, '/')+1:]
 	byName := make(map[string]session.Member, len(members))
-	var live, draining []string
+	var near, far, draining []string
 	for _, member := range members {
 		byName[member.Instance] = member
-		if member.Draining {
+		switch {
+		case member.Draining:
 			draining = append(draining, member.Instance)
-			continue
+		case member.Region == region:
+			near = append(near, member.Instance)
+		default:
+			far = append(far, member.Instance)
 		}
-		live = append(live, member.Instance)
 	}
-	names := append(rendezvous.Rank(cell, live), rendezvous.Rank(cell, draining)...)
-	ordered := make([]session.Member, len(names))
-	for i, name := range names {
-		ordered[i] = byName[name]
+	var ordered []session.Member
+	for _, group := range [][]string{near, far, draining} {
+		for _, name := range rendezvous.Rank(cell, group) {
+			ordered = append(ordered, byName[name])
+		}
 	}
 	return ordered
 }
--- a/controld/internal/operator/operator_test.go
+++ b/controld/internal/operator/operator_test.go
@@ -320,6 +320,27 @@
 	}
 }
 
+// Guards against an entry of another region, or one that drains, that hides a cell's dispatcher.
+func TestFleetAsksOwnRegionFirst(t *testing.T) {
+	is := is.New(t)
+	q := newQuorum()
+	for i := range 20 {
+		far := session.Member{Instance: fmt.Sprint("far", i), Region: "south", Peer: "down:1"}
+		drained := session.Member{Instance: fmt.Sprint("drained", i), Region: "north", Peer: "down:1", Draining: true}
+		q.members = append(q.members, far, drained)
+	}
+	q.members = append(q.members, members("a")...)
+	api := newAPI(q, peers(func(_ context.Context, address, cell string, _ *dispatch.EndpointsReply) error {
+		if address == "down:1" {
+			return errors.New("connection refused")
+		}
+		return nil
+	}), "", nil)
+	reply := query(t, api, "show versions")
+	is.Equal(len(reply.Missing), 1) // the cell of the other region
+	is.Equal(reply.Missing[0].Part, "cell oak/south")
+}
+
 // Guards against controllers that act on a part of the fleet as if it were all of it.
 func TestEndpoints(t *testing.T) {
 	is := is.New(t)
