Ask the next control instance when one is silent for 2 s

A frozen control instance kept pierctl for 10 s, the bound of an attempt. Commands and queries are now also sent to the next address after 2 s; commands run once by their command id. Changes of the quorum have no such id and wait for the attempt's end.

--- a/pierctl/internal/client/client.go
+++ b/pierctl/internal/client/client.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/dandelionpier/dandelionpier/internal/fault"
@@ -34,8 +35,11 @@
 	attemptTimeout = 10 * time.Second
 	// maxReplyBytes holds the largest answer of a control instance.
 	maxReplyBytes = 16 << 20
-	firstPause    = 200 * time.Millisecond
-	maxPause      = 2 * time.Second
+	// hedgeAfter is the time without an answer after which the next address is asked as well: more than
+	// a command takes in a healthy deployment, and less than an operator wants to wait.
+	hedgeAfter = 2 * time.Second
+	firstPause = 200 * time.Millisecond
+	maxPause   = 2 * time.Second
 )
 
 // Config sets up a Client.
@@ -50,7 +54,8 @@
 	Pause func(ctx context.Context, d time.Duration) bool
 }
 
-// Client sends requests. A request without a result is sent to the next address, until its context ends.
+// Client sends requests. A request without a result is sent to the next address, until its context ends;
+// commands run once all the same, by their command id.
 type Client struct {
 	config Config
 }
@@ -77,28 +82,28 @@
 // Command sends a transaction. Each attempt has the same command id, so that it runs at most once.
 func (c *Client) Command(ctx context.Context, request language.CommandRequest) (language.CommandReply, error) {
 	var reply language.CommandReply
-	err := c.send(ctx, http.MethodPost, "/v1/commands", request, &reply)
+	err := c.send(ctx, http.MethodPost, "/v1/commands", request, &reply, true)
 	return reply, err
 }
 
 // Query sends a query.
 func (c *Client) Query(ctx context.Context, text string) (language.QueryReply, error) {
 	var reply language.QueryReply
-	err := c.send(ctx, http.MethodPost, "/v1/queries", language.QueryRequest{Text: text}, &reply)
+	err := c.send(ctx, http.MethodPost, "/v1/queries", language.QueryRequest{Text: text}, &reply, true)
 	return reply, err
 }
 
 // AddMember adds a control instance as a learner of the quorum.
 func (c *Client) AddMember(ctx context.Context, request language.MemberRequest) (language.CommandReply, error) {
 	var reply language.CommandReply
-	err := c.send(ctx, http.MethodPost, "/v1/quorum", request, &reply)
+	err := c.send(ctx, http.MethodPost, "/v1/quorum", request, &reply, false)
 	return reply, err
 }
 
 // RemoveMember removes a control instance from the quorum.
 func (c *Client) RemoveMember(ctx context.Context, id string) (language.CommandReply, error) {
 	var reply language.CommandReply
-	err := c.send(ctx, http.MethodDelete, "/v1/quorum/"+url.PathEscape(id), nil, &reply)
+	err := c.send(ctx, http.MethodDelete, "/v1/quorum/"+url.PathEscape(id), nil, &reply, false)
 	return reply, err
 }
 
@@ -108,68 +113,118 @@
 	query := url.Values{"workspace": {workspace}, "total": {strconv.FormatBool(total)}}
 	path := "/v1/reports/burn?" + query.Encode()
 	var reply language.BurnReply
-	err := c.send(ctx, http.MethodGet, path, nil, &reply)
+	err := c.send(ctx, http.MethodGet, path, nil, &reply, true)
 	return reply, err
 }
 
-// send tries the addresses in turn, and first the leader that an answer names.
-func (c *Client) send(ctx context.Context, method, path string, request, reply any) error {
+// send tries the addresses in rounds until one gives a result. Requests that may be sent twice are
+// also sent to the next address when one does not answer for hedgeAfter.
+func (c *Client) send(ctx context.Context, method, path string, request, reply any, twice bool) error {
 	const op = "ask control instances"
 	body, err := json.Marshal(request)
 	if err != nil {
 		return fault.Wrap(err, op, Refused, path)
 	}
-	last := error(fault.New(op, Unavailable, "no address is given"))
+	if len(c.config.Addresses) == 0 {
+		return fault.New(op, Unavailable, "no address is given")
+	}
 	for wait := firstPause; ; wait = min(2*wait, maxPause) {
-		queue := slices.Clone(c.config.Addresses)
-		tried := make(map[string]bool)
-		for len(queue) > 0 && ctx.Err() == nil {
-			address := queue[0]
-			queue = queue[1:]
-			if tried[address] {
-				continue
+		data, err := c.round(ctx, method, path, body, twice)
+		if err == nil {
+			return fault.Wrap(json.Unmarshal(data, reply), op, Unavailable, "read the result")
+		}
+		if fault.Is(err, Refused) || ctx.Err() != nil || !c.config.Pause(ctx, wait) {
+			return err
+		}
+	}
+}
+
+// result is the end of one attempt.
+type result struct {
+	data   []byte
+	leader string
+	err    error
+}
+
+// round tries each address once, and first the leader that an answer names. It returns when one has
+// given a result or all have failed, and ends the other attempts.
+func (c *Client) round(ctx context.Context, method, path string, body []byte, twice bool) ([]byte, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var attempts sync.WaitGroup
+	defer attempts.Wait()
+	defer cancel()
+	results := make(chan result)
+	queue := slices.Clone(c.config.Addresses)
+	tried := make(map[string]bool)
+	running := 0
+	start := func() {
+		queue = slices.DeleteFunc(queue, func(address string) bool { return tried[address] })
+		if len(queue) == 0 {
+			return
+		}
+		address := queue[0]
+		tried[address] = true
+		running++
+		attempts.Go(func() {
+			data, leader, err := c.attempt(ctx, method, address, path, body)
+			select {
+			case results <- result{data, leader, err}:
+			case <-ctx.Done():
 			}
-			tried[address] = true
-			leader, err := c.attempt(ctx, method, address, path, body, reply)
-			if err == nil || fault.Is(err, Refused) {
-				return err
+		})
+	}
+	hedge := time.NewTicker(hedgeAfter)
+	defer hedge.Stop()
+	var last error
+	for start(); running > 0; {
+		select {
+		case r := <-results:
+			running--
+			if r.err == nil || fault.Is(r.err, Refused) {
+				return r.data, r.err
 			}
-			last = err
-			if leader != "" {
-				queue = append([]string{leader}, queue...)
+			last = r.err
+			if r.leader != "" {
+				queue = append([]string{r.leader}, queue...)
 			}
-		}
-		if len(c.config.Addresses) == 0 || ctx.Err() != nil || !c.config.Pause(ctx, wait) {
-			return last
+			start()
+		case <-hedge.C:
+			if twice {
+				start()
+			}
+		case <-ctx.Done():
+			return nil, fault.Wrap(ctx.Err(), "ask control instances", Unavailable, "no result in time")
 		}
 	}
+	return nil, last
 }
 
 // attempt sends the request once. Results of transactions come with several status codes; any body
 // without an error field is one.
-func (c *Client) attempt(ctx context.Context, method, address, path string, body []byte, reply any) (leader string, err error) {
+func (c *Client) attempt(ctx context.Context, method, address, path string, body []byte) (data []byte, leader string, err error) {
 	const op = "ask control instance"
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
-		return "", fault.Wrap(err, op, Refused, address)
+		return nil, "", fault.Wrap(err, op, Refused, address)
 	}
 	request.Header.Set("Authorization", "Bearer "+c.config.Key)
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.config.HTTP.Do(request)
 	if err != nil {
-		return "", fault.Wrap(err, op, Unavailable, address)
+		return nil, "", fault.Wrap(err, op, Unavailable, address)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	data, err = io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if err != nil {
-		return "", fault.Wrap(err, op, Unavailable, address)
+		return nil, "", fault.Wrap(err, op, Unavailable, address)
 	}
-	return read(address, response.StatusCode, data, reply)
+	leader, err = judge(address, response.StatusCode, data)
+	return data, leader, err
 }
 
-func read(address string, status int, data []byte, reply any) (leader string, err error) {
+func judge(address string, status int, data []byte) (leader string, err error) {
 	const op = "ask control instance"
 	var failure language.ErrorReply
 	if err := json.Unmarshal(data, &failure); err != nil {
@@ -183,6 +238,6 @@
 	case failure.Error != "":
 		return "", fault.New(op, Refused, "%s", failure.Error)
 	default:
-		return "", fault.Wrap(json.Unmarshal(data, reply), op, Unavailable, address)
+		return "", nil
 	}
 }
