Let the decision to drain an instance take effect

Cause: the configuration recorded it and nothing read it. Change: the control leader marks the member as draining, so every entry leaves it out of address answers and of the choice of dispatchers. Conclusion: proved by TestOperatorDrainsInstance.

--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -206,3 +206,31 @@
 		}
 	})
 }
+
+// Guards against an operator's decision to drain an instance that has no effect: the others must see it
+// as draining, so that it is out of address answers and dispatches for no cell.
+func TestOperatorDrainsInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2)
+		defer f.stop()
+		time.Sleep(7 * time.Second)
+		for _, drain := range []bool{true, false} {
+			query, err := f.client.Query(t.Context(), control.QueryRequest{})
+			is.NoErr(err)
+			reply, err := f.client.Submit(t.Context(), control.SubmitRequest{
+				CommandID: fmt.Sprint("drain ", drain), Author: "amaia", Expected: query.Revision,
+				Changes: []configuration.Change{{Instance: &configuration.InstanceSetting{Name: "entry-1", Drain: drain}}},
+			})
+			is.NoErr(err)
+			is.Equal(reply.Status, control.Accepted)
+			time.Sleep(2 * time.Second)
+			view, err := f.keepers[0].View()
+			is.NoErr(err)
+			is.Equal(len(view.Members), 2)
+			is.Equal(view.Members[1].Draining, drain)
+			_, err = f.keepers[1].View()
+			is.NoErr(err) // it serves those who have its address
+		}
+	})
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -165,6 +165,8 @@
 		return nil
 	}
 	now := time.Now()
+	instance := s.config.Machine.Configuration().Instances[request.Member.Instance]
+	request.Member.Draining = request.Member.Draining || instance.Drain
 	s.registry.Renew(request, now)
 	reply.Term = term
 	reply.Lease = session.LeaseLength
