Weigh paused streams and long prompts less by default

Cause: in a trial at 70 % load, short prompts queued behind each other rather than join an engine with running streams, and kept away from engines with a long prefill although a second matters less there. Change: the delay of a running stream counts by a tenth; by default the delay of medium and long prompts counts 0.5 and 0.3; the chunk of a group's member counts twice, since members keep in step beside their own work.

--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -100,8 +100,10 @@
 	// ChunkTokens is the part of a prefill that an engine finishes before it turns to work of a higher
 	// priority.
 	ChunkTokens int `yaml:"chunk-tokens" validate:"gte=0"`
-	// DecodeInterference is the share of a prefill's time by which running streams are delayed; an
-	// engine whose steps have both prefill and decode delays them by all of it.
+	// DecodeInterference is the share of a prefill's time that counts as delay of each running stream. An
+	// engine whose steps have both prefill and decode delays them by all of it, but a stream that pauses
+	// is worth less than a first token: with 1, short prompts queued behind each other rather than join
+	// streams, and their p95 time to first token at 70 % load was 0.89 s instead of 0.67 s with 0.1.
 	DecodeInterference float64 `yaml:"decode-interference" validate:"gte=0,lte=1"`
 	// DecodeWeight adds to the own time to first token, with this weight, the time by which prefills
 	// that are already there would delay the own stream; 0 leaves it out.
@@ -131,13 +133,14 @@
 	BreakerMaxBackOff time.Duration `yaml:"breaker-max-back-off" validate:"gt=0"`
 }
 
-// DefaultSettings returns settings that weigh all lengths alike.
+// DefaultSettings returns settings between the two samples: a second is worth less to prompts whose time
+// to first token is longer anyway.
 func DefaultSettings() Settings {
 	return Settings{
 		OwnWeight:           ClassWeights{Short: 1, Medium: 1, Long: 1},
-		OthersWeight:        ClassWeights{Short: 1, Medium: 1, Long: 1},
+		OthersWeight:        ClassWeights{Short: 1, Medium: 0.5, Long: 0.3},
 		ChunkTokens:         2048,
-		DecodeInterference:  1,
+		DecodeInterference:  0.1,
 		Headroom:            500 * time.Millisecond,
 		AgeingFactor:        2,
 		AgeingLimit:         30 * time.Second,
--- a/internal/dispatch/replica.go
+++ b/internal/dispatch/replica.go
@@ -81,6 +81,16 @@
 	holding   string
 }
 
+// chunk is what remains of the part in tokens before its engine turns to other work. Members of a group
+// run its prefill in step with each other, beside a chunk of their own work, so it counts twice.
+func (p *part) chunk(s *Settings) float64 {
+	chunk := min(p.remaining, float64(s.ChunkTokens))
+	if len(p.grant.parts) > 1 {
+		return 2 * chunk
+	}
+	return chunk
+}
+
 func (r *replica) engine() bool {
 	return r.announcement.Type != endpoint.Service
 }
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -210,7 +210,7 @@
 		}
 		d.later += p.remaining / rate
 		d.queued += c.settings.OthersWeight.of(p.grant.class)
-		chunk = max(chunk, min(p.remaining, float64(c.settings.ChunkTokens)))
+		chunk = max(chunk, p.chunk(c.settings))
 	}
 	ahead += chunk
 	for class, count := range r.decoding {
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -43,7 +43,7 @@
 			default:
 				queued += weight
 				later += p.remaining
-				chunk = max(chunk, min(p.remaining, float64(c.settings.ChunkTokens)))
+				chunk = max(chunk, min(p.remaining, float64(c.settings.ChunkTokens))*float64(min(2, len(g.parts))))
 			}
 		}
 	}
