--- a/controld/internal/operator/fleet.go
+++ b/controld/internal/operator/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strings"
 	"sync"
 
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
@@ -31,7 +30,7 @@
 
 // askFleet asks the dispatcher of each cell for its view. A cell whose dispatcher does not answer
 // within fleetTimeout is named in missing.
-func askFleet(ctx context.Context, peers Caller, cells []string, members []session.Member) fleet {
+func askFleet(ctx context.Context, peers Caller, c configuration.Configuration, members []session.Member) fleet {
 	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
 	defer cancel()
 	var (
@@ -40,11 +39,12 @@
 		calls   sync.WaitGroup
 		permits = make(chan struct{}, maxFleetCalls)
 	)
-	for _, cell := range cells {
+	dispatchers := session.Dispatchers(c, members)
+	for _, cell := range cellsOf(c, members) {
 		calls.Go(func() {
 			permits <- struct{}{}
 			defer func() { <-permits }()
-			reply, err := askCell(ctx, peers, cell, members)
+			reply, err := askCell(ctx, peers, cell, dispatcherOrder(cell, dispatchers[cell], members))
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -60,10 +60,10 @@
 	return result
 }
 
-// askCell asks the entries in the order in which they are likely to dispatch for the cell, until one
-// does. The first entry that does not answer ends the search with an error: it may be the dispatcher.
+// askCell asks the entries in order until one dispatches for the cell. The first that does not answer
+// ends the search with an error: it may be the dispatcher.
 func askCell(ctx context.Context, peers Caller, cell string, members []session.Member) (dispatch.EndpointsReply, error) {
-	for _, member := range dispatcherOrder(cell, members) {
+	for _, member := range members {
 		var reply dispatch.EndpointsReply
 		err := peers.Call(ctx, member.Peer, "Dispatch.Endpoints", dispatch.EndpointsRequest{Cell: cell}, &reply)
 		if err != nil {
@@ -76,29 +76,23 @@
 	return dispatch.EndpointsReply{}, fmt.Errorf("none of %d instances dispatches for it", len(members))
 }
 
-// dispatcherOrder ranks the members for a cell by rendezvous score, in the order in which entries look
-// for a dispatcher (session.View.Dispatcher): live ones of the cell's region, other live ones, then
-// those that are draining.
-func dispatcherOrder(cell string, members []session.Member) []session.Member {
-	region := cell[strings.LastIndexByte(cell, '/')+1:]
+// dispatcherOrder puts the member to which the cell is assigned first. The others follow by rendezvous
+// score: while views differ, one of the first of them may still dispatch for the cell.
+func dispatcherOrder(cell string, assigned session.Member, members []session.Member) []session.Member {
 	byName := make(map[string]session.Member, len(members))
-	var near, far, draining []string
+	names := make([]string, 0, len(members))
 	for _, member := range members {
 		byName[member.Instance] = member
-		switch {
-		case member.Draining:
-			draining = append(draining, member.Instance)
-		case member.Region == region:
-			near = append(near, member.Instance)
-		default:
-			far = append(far, member.Instance)
+		if member.Instance != assigned.Instance {
+			names = append(names, member.Instance)
 		}
 	}
-	var ordered []session.Member
-	for _, group := range [][]string{near, far, draining} {
-		for _, name := range rendezvous.Rank(cell, group) {
-			ordered = append(ordered, byName[name])
-		}
+	ordered := make([]session.Member, 0, len(members))
+	if assigned.Instance != "" {
+		ordered = append(ordered, assigned)
+	}
+	for _, name := range rendezvous.Rank(cell, names) {
+		ordered = append(ordered, byName[name])
 	}
 	return ordered
 }
@@ -144,6 +138,6 @@
 // entry has a session, complete is false.
 func (f *Fleet) Endpoints(ctx context.Context) (views []dispatch.EndpointView, complete bool) {
 	members := f.config.Members()
-	seen := askFleet(ctx, f.config.Peers, cellsOf(f.config.Configuration(), members), members)
+	seen := askFleet(ctx, f.config.Peers, f.config.Configuration(), members)
 	return endpointsOf(seen), len(members) > 0 && len(seen.missing) == 0
 }
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -34,6 +34,8 @@
 	Term          uint64
 	// Quarantined are the fingerprints of requests that crash endpoints.
 	Quarantined map[uint64]bool
+	// dispatchers is Dispatchers of the configuration and the members.
+	dispatchers map[string]Member
 }
 
 // Keeper holds the session of an entry with the control leader. It is safe for concurrent use.
@@ -45,6 +47,8 @@
 	view              View
 	membershipVersion uint64
 	quarantineVersion uint64
+	// cells is the configuration whose cells are assigned in the view.
+	cells configuration.Configuration
 	// wanted is the newest accepted revision that a leader has named.
 	wanted   uint64
 	leaseEnd time.Time
@@ -156,14 +160,18 @@
 	if reply.Term < k.view.Term || reply.Revision < k.wanted {
 		return false
 	}
-	before := k.view.Configuration.Revision
+	before := k.view.Configuration
 	if err := k.apply(reply); err != nil {
 		k.config.Logger.Error("Could not apply the configuration", zap.Error(err))
 		return false
 	}
 	k.view.Term = reply.Term
 	k.wanted = reply.Revision
-	k.applyMembers(reply)
+	moved := k.applyMembers(reply)
+	if moved || !sameCells(k.cells, k.view.Configuration) {
+		k.cells = k.view.Configuration
+		k.view = k.view.WithDispatchers()
+	}
 	if reply.QuarantineChanged {
 		k.view.Quarantined = set(reply.Quarantined)
 		k.quarantineVersion = QuarantineVersion(reply.Quarantined)
@@ -174,12 +182,13 @@
 	if end := sent.Add(reply.Lease); end.After(k.leaseEnd) {
 		k.leaseEnd = end
 	}
-	return k.view.Configuration.Revision > before
+	return k.view.Configuration.Revision > before.Revision
 }
 
 // applyMembers brings the member list to the version of the reply. Views share the old list, so it is
-// copied. The caller holds k.mu.
-func (k *Keeper) applyMembers(reply HeartbeatReply) {
+// copied. It reports whether there were changes. The caller holds k.mu.
+func (k *Keeper) applyMembers(reply HeartbeatReply) bool {
+	k.membershipVersion = reply.MembershipVersion
 	switch {
 	case reply.AllMembers:
 		k.view.Members = reply.Members
@@ -193,8 +202,10 @@
 		}
 		sortMembers(members)
 		k.view.Members = members
+	default:
+		return false
 	}
-	k.membershipVersion = reply.MembershipVersion
+	return true
 }
 
 // apply moves the configuration forward by the revisions that follow. The caller holds k.mu.
--- a/internal/session/member.go
+++ b/internal/session/member.go
@@ -1,34 +1,89 @@
 package session
 
 import (
-	"strings"
+	"maps"
+	"slices"
 
+	"github.com/dandelionpier/dandelionpier/internal/configuration"
 	"github.com/dandelionpier/dandelionpier/internal/rendezvous"
 )
 
-// Dispatcher returns the entry that dispatches for a cell: the live, non-draining one with the highest
-// rendezvous score in the cell's region, or in any region when there is none.
-func (v View) Dispatcher(cell string) (Member, bool) {
-	region := cell[strings.LastIndex(cell, "/")+1:]
-	names := v.names(func(m Member) bool { return !m.Draining && m.Region == region })
-	if len(names) == 0 {
-		names = v.names(func(m Member) bool { return !m.Draining })
+// Dispatchers assigns each cell of the declared models and services to an entry of its region, or of
+// any region when that has none. Draining members get no cell. A cell goes to the first entry by
+// rendezvous hashing (Thaler and Ravishankar, 1998) that has not its share yet: without the bound, the
+// fullest of 380 entries would have 6 times the mean of 240 cells.
+func Dispatchers(c configuration.Configuration, members []Member) map[string]Member {
+	live := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Draining })
+	regions := make(map[string][]string)
+	byName := make(map[string]Member, len(live))
+	for _, m := range live {
+		regions[m.Region] = append(regions[m.Region], m.Instance)
+		byName[m.Instance] = m
 	}
-	first := rendezvous.First(cell, names)
-	for _, m := range v.Members {
-		if m.Instance == first {
-			return m, first != ""
+	assigned := make(map[string]Member)
+	for region, names := range regions {
+		for cell, name := range assign(cells(c, region), names) {
+			assigned[cell] = byName[name]
+		}
+	}
+	return assigned
+}
+
+// cells names the cells of all declared models and services in a region, sorted.
+func cells(c configuration.Configuration, region string) []string {
+	names := make([]string, 0, len(c.Models)+len(c.Services))
+	for name := range c.Models {
+		names = append(names, name+"/"+region)
+	}
+	for name := range c.Services {
+		names = append(names, name+"/"+region)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func assign(cells, names []string) map[string]string {
+	share := (len(cells) + len(names) - 1) / len(names)
+	count := make(map[string]int, len(names))
+	assigned := make(map[string]string, len(cells))
+	for _, cell := range cells {
+		for _, name := range rendezvous.Rank(cell, names) {
+			if count[name] < share {
+				count[name]++
+				assigned[cell] = name
+				break
+			}
 		}
 	}
-	return Member{}, false
+	return assigned
 }
 
-func (v View) names(match func(Member) bool) []string {
-	names := make([]string, 0, len(v.Members))
+// Dispatcher returns the entry that dispatches for a cell. A cell of nothing that is declared goes to
+// the first live entry by rendezvous hashing.
+func (v View) Dispatcher(cell string) (Member, bool) {
+	if m, ok := v.dispatchers[cell]; ok {
+		return m, true
+	}
+	var names []string
+	byName := make(map[string]Member)
 	for _, m := range v.Members {
-		if match(m) {
+		if !m.Draining {
 			names = append(names, m.Instance)
+			byName[m.Instance] = m
 		}
 	}
-	return names
+	m, ok := byName[rendezvous.First(cell, names)]
+	return m, ok
+}
+
+// WithDispatchers returns the view with its cells assigned.
+func (v View) WithDispatchers() View {
+	v.dispatchers = Dispatchers(v.Configuration, v.Members)
+	return v
+}
+
+// sameCells reports whether two configurations declare the same models and services.
+func sameCells(a, b configuration.Configuration) bool {
+	return slices.Equal(slices.Sorted(maps.Keys(a.Models)), slices.Sorted(maps.Keys(b.Models))) &&
+		slices.Equal(slices.Sorted(maps.Keys(a.Services)), slices.Sorted(maps.Keys(b.Services)))
 }
