--- a/internal/fleet/failure_test.go
+++ b/internal/fleet/failure_test.go
@@ -316,3 +316,41 @@
 	_ = conn.Close()
 	return false
 }
+
+// Guards against a spending limit that concurrent entries exceed, or that strands most of itself, when
+// entries are killed while they hold slices of it. Entries that count on their own would spend the limit
+// once each.
+func TestSpendingLimitHolds(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, size{controls: 3, entries: 3, engines: 2, services: 1})
+	// The prompts have 100 tokens and the completions 5. What awaitReady spent counts as well.
+	const cost, limit = 105 * tokenPrice, 200 * 105 * tokenPrice
+	d.submit(workspaceWithLimit(limit))
+	var mu sync.Mutex
+	answered := 0
+	var callers sync.WaitGroup
+	for i := range 6 {
+		callers.Go(func() {
+			refusals := 0
+			for n := 0; refusals < 5 && n < 500; n++ {
+				prompt := fmt.Sprintf("%08d%08d", i, n) + strings.Repeat("saw ", 96)
+				a := d.complete(context.Background(), d.callers[(i+n)%len(d.callers)], prompt, 5)
+				mu.Lock()
+				switch {
+				case a.err == nil:
+					answered++
+				case a.status == http.StatusPaymentRequired:
+					refusals++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wait(300 * time.Millisecond)
+	d.killOne("entry-1")
+	d.restart("entry-1")
+	callers.Wait()
+	t.Logf("%d answers of %d micro-cents, limit %d", answered, cost, limit)
+	is.True(answered*cost <= limit)
+	is.True(answered*cost >= limit/2)
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -272,18 +272,29 @@
 	return revision
 }
 
+// tokenPrice is in micro-cents, for prompt and completion alike.
+const tokenPrice = 1000
+
 func (d *deployment) declare() {
-	hash := sha256.Sum256([]byte(workspaceKey))
 	d.submit(
-		configuration.Change{Model: &configuration.Model{Name: model, Version: "v1", Replicas: len(d.engines), MaxContext: 1_200_000}},
-		configuration.Change{Service: &configuration.Service{Name: service, UnrepeatableMethods: []string{http.MethodPost}}},
-		configuration.Change{Workspace: &configuration.Workspace{
-			Name: "norte", KeyHashes: []string{hex.EncodeToString(hash[:])},
-			Models: []string{model}, Services: []string{service}, SpendLimit: -1,
+		configuration.Change{Model: &configuration.Model{
+			Name: model, Version: "v1", Replicas: len(d.engines), MaxContext: 1_200_000,
+			PromptPrice: tokenPrice, CachedPrice: tokenPrice, OutputPrice: tokenPrice,
 		}},
+		configuration.Change{Service: &configuration.Service{Name: service, UnrepeatableMethods: []string{http.MethodPost}}},
+		workspaceWithLimit(-1),
 	)
 }
 
+// workspaceWithLimit declares the callers' workspace with a spending limit in micro-cents.
+func workspaceWithLimit(limit int64) configuration.Change {
+	hash := sha256.Sum256([]byte(workspaceKey))
+	return configuration.Change{Workspace: &configuration.Workspace{
+		Name: "norte", KeyHashes: []string{hex.EncodeToString(hash[:])},
+		Models: []string{model}, Services: []string{service}, SpendLimit: limit,
+	}}
+}
+
 func (d *deployment) awaitReady() {
 	for i := range d.callers {
 		d.eventually("an answer of entry "+fmt.Sprint(i), func() bool {
