Route requests for adapters to endpoints that have them loaded

Cause: operators declare adapters, engines load them, and a request could not name one. Change: the field model may name an adapter; its model's cell places the request on an endpoint that announces it. Adapter names are unique.

--- a/entryd/internal/api/api.go
+++ b/entryd/internal/api/api.go
@@ -186,6 +186,9 @@
 	for _, name := range slices.Sorted(maps.Keys(x.View.Configuration.Models)) {
 		if slices.Contains(x.Workspace.Models, name) {
 			list.Data = append(list.Data, model{ID: name, Object: "model", OwnedBy: "dandelionpier"})
+			for _, adapter := range x.View.Configuration.Models[name].Adapters {
+				list.Data = append(list.Data, model{ID: adapter, Object: "model", OwnedBy: "dandelionpier"})
+			}
 		}
 	}
 	respond(w, x, list)
--- a/entryd/internal/cell/roster.go
+++ b/entryd/internal/cell/roster.go
@@ -121,6 +121,7 @@
 		a := k.announcement
 		usable := a.State == endpoint.Ready && !k.open && now.Sub(k.at) <= endpoint.DeadAfter &&
 			!settings[name].Drain && !slices.Contains(request.Exclude, name) &&
+			(request.Adapter == "" || slices.Contains(a.Adapters, request.Adapter)) &&
 			(a.Type == endpoint.Service || a.Memory >= need)
 		if usable {
 			candidates = append(candidates, k)
--- a/entryd/internal/completion/server.go
+++ b/entryd/internal/completion/server.go
@@ -101,8 +101,8 @@
 	}
 	x.Model = request.Model
 	x.PromptTokens = request.PromptTokens
-	model, ok := x.View.Configuration.Models[request.Model]
-	if !ok || !slices.Contains(x.Workspace.Models, request.Model) {
+	model, adapter, ok := resolve(x.View.Configuration, request.Model)
+	if !ok || !slices.Contains(x.Workspace.Models, model.Name) {
 		return refusal.New(http.StatusNotFound, "model-not-found", refusal.DidNotRun,
 			"The model %.64q does not exist or the workspace may not use it.", request.Model).WithParam("model")
 	}
@@ -125,7 +125,8 @@
 		model: model, stream: request.Stream,
 		reserve: dispatch.ReserveRequest{
 			RequestID:    x.RequestID,
-			Cell:         dispatch.Cell(request.Model, s.config.Region),
+			Cell:         dispatch.Cell(model.Name, s.config.Region),
+			Adapter:      adapter,
 			Workspace:    x.Workspace.Name,
 			Weight:       max(1, x.Workspace.Weight),
 			Priority:     x.Workspace.Priority,
@@ -148,6 +149,19 @@
 	return err
 }
 
+// resolve finds a model by its name or by that of one of its adapters.
+func resolve(c configuration.Configuration, name string) (model configuration.Model, adapter string, ok bool) {
+	if model, ok = c.Models[name]; ok {
+		return model, "", true
+	}
+	for _, model := range c.Models {
+		if slices.Contains(model.Adapters, name) {
+			return model, name, true
+		}
+	}
+	return configuration.Model{}, "", false
+}
+
 // Fingerprint identifies equal requests: it is the hash of workspace, path and body.
 func Fingerprint(workspace, path string, body []byte) uint64 {
 	var digest xxhash.Digest
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -207,6 +207,9 @@
 // check refuses references to objects that do not exist and keys that two workspaces share.
 func (c *Configuration) check() error {
 	const op = "check configuration"
+	if err := c.checkAdapters(); err != nil {
+		return err
+	}
 	owners := make(map[string]string)
 	for _, name := range slices.Sorted(maps.Keys(c.Workspaces)) {
 		w := c.Workspaces[name]
@@ -229,3 +232,20 @@
 	}
 	return nil
 }
+
+// checkAdapters refuses a name that stands for two models or adapters: callers name either as the model.
+func (c *Configuration) checkAdapters() error {
+	owners := make(map[string]string)
+	for _, name := range slices.Sorted(maps.Keys(c.Models)) {
+		for _, adapter := range c.Models[name].Adapters {
+			if _, taken := c.Models[adapter]; taken {
+				return fault.New("check configuration", Invalid, "adapter %q of model %q has the name of a model", adapter, name)
+			}
+			if other, taken := owners[adapter]; taken && other != name {
+				return fault.New("check configuration", Invalid, "models %q and %q have an adapter %q", other, name, adapter)
+			}
+			owners[adapter] = name
+		}
+	}
+	return nil
+}
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -63,7 +63,7 @@
 // request has not tried.
 func (c *cell) groupCandidates(it *item) (all, candidates []*replica) {
 	for _, r := range c.order {
-		if r.takesWork() && r.engine() {
+		if r.takesWork() && r.engine() && r.has(it.request.Adapter) {
 			all = append(all, r)
 		}
 	}
--- a/internal/dispatch/replica.go
+++ b/internal/dispatch/replica.go
@@ -100,6 +100,11 @@
 	return r.announced && r.announcement.State == endpoint.Ready && !r.drained
 }
 
+// has reports whether an adapter is loaded; no adapter always is.
+func (r *replica) has(adapter string) bool {
+	return adapter == "" || slices.Contains(r.announcement.Adapters, adapter)
+}
+
 func (r *replica) prefillRate(s *Settings) float64 {
 	rate := r.announcement.Load.PrefillRate
 	if rate <= 0 {
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -124,7 +124,7 @@
 	left := it.deadline.Sub(now).Seconds()
 	restricted := where.suspect || where.only != nil
 	for _, r := range c.order {
-		if !r.takesWork() || r.ejected {
+		if !r.takesWork() || r.ejected || !r.has(request.Adapter) {
 			continue
 		}
 		if slices.Contains(request.Exclude, r.name) {
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -128,7 +128,12 @@
 		"memory taken":          {func(c *cell, _ *ReserveRequest) { c.fill() }, Queued, ""},
 		"an operator's drain":   {func(c *cell, _ *ReserveRequest) { c.drainAll(endpoint.Ready, true) }, Queued, ""},
 		"larger ones waiting":   {func(c *cell, _ *ReserveRequest) { c.crowd() }, Granted, ""},
-		"leaving":               {func(c *cell, _ *ReserveRequest) { c.drainAll(endpoint.Leaving, false) }, Queued, ""},
+		"adapter not loaded":    {func(_ *cell, r *ReserveRequest) { r.Adapter = "fine" }, Queued, ""},
+		"adapter loaded": {func(c *cell, r *ReserveRequest) {
+			r.Adapter = "fine"
+			c.replicas["engine-001"].announcement.Adapters = []string{"fine"}
+		}, Granted, ""},
+		"leaving": {func(c *cell, _ *ReserveRequest) { c.drainAll(endpoint.Leaving, false) }, Queued, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/dispatch/wire.go
+++ b/internal/dispatch/wire.go
@@ -48,6 +48,8 @@
 	Entry     string
 	Cell      string
 	Workspace string
+	// Adapter must be loaded at the endpoint; empty for none.
+	Adapter string
 	// Weight is the workspace's share in fair queueing, Priority its class (0 is served first).
 	Weight   int
 	Priority int
