--- /dev/null
+++ b/internal/consensus/protocol_test.go
@@ -0,0 +1,193 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/journal"
+)
+
+// fixed returns node a of the voters a, b and c and the learner d, in term 3 and with entries of the
+// terms 1, 2 and 2, one second after its start.
+func fixed() *core {
+	var m Membership
+	for _, id := range []string{"a", "b", "c", "d"} {
+		m = m.with(Member{ID: id, Address: id, Voter: id != "d", Incarnation: id + "-0"})
+	}
+	contents := &journal.Contents{
+		Identity: journal.Identity{ID: "a", Incarnation: "a-0"},
+		State:    journal.HardState{Term: 3},
+		Entries:  []journal.Entry{{Index: 1, Term: 1, Type: membershipEntry, Data: m.encode()}, {Index: 2, Term: 2}, {Index: 3, Term: 2}},
+	}
+	c, err := newCore(Config{ID: "a"}, contents, rand.New(rand.NewPCG(1, 1)), time.Hour)
+	if err != nil {
+		panic(err)
+	}
+	c.now += time.Second
+	return c
+}
+
+// from returns the envelope of a message to node a.
+func from(id string, term uint64) Envelope {
+	return Envelope{From: id, FromIncarnation: id + "-0", To: "a", ToIncarnation: "a-0", Term: term, Asked: term}
+}
+
+// leading returns fixed as the leader of term 4, whose first entry is stored and not committed.
+func leading() *core {
+	c := fixed()
+	c.campaign(false)
+	c.onVoteReply(&VoteReply{Envelope: from("b", 4), Granted: true})
+	c.take()
+	c.stored()
+	return c
+}
+
+// Guards against a vote for a candidate that lacks entries, a second vote in a term, a vote that
+// breaks a lease, a vote under an identity that was lost, and a vote that is not stored.
+func TestVoteRequest(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*core, *VoteRequest)
+		want   bool
+	}{
+		"same log":                      {func(*core, *VoteRequest) {}, true},
+		"longer log":                    {func(_ *core, r *VoteRequest) { r.LastIndex = 9 }, true},
+		"later term, shorter log":       {func(_ *core, r *VoteRequest) { r.LastTerm, r.LastIndex = 3, 1 }, true},
+		"shorter log":                   {func(_ *core, r *VoteRequest) { r.LastIndex = 2 }, false},
+		"earlier term, longer log":      {func(_ *core, r *VoteRequest) { r.LastTerm, r.LastIndex = 1, 9 }, false},
+		"another incarnation asked":     {func(_ *core, r *VoteRequest) { r.ToIncarnation = "a-1" }, false},
+		"not a voter for the candidate": {func(_ *core, r *VoteRequest) { r.ToIncarnation = "" }, false},
+		"another incarnation asks":      {func(_ *core, r *VoteRequest) { r.FromIncarnation = "b-1" }, false},
+		"leader heard":                  {func(c *core, _ *VoteRequest) { c.leaderContact = c.now - 299*time.Millisecond }, false},
+		"just started":                  {func(c *core, _ *VoteRequest) { c.now = time.Hour + 299*time.Millisecond }, false},
+		"voted for another":             {func(c *core, _ *VoteRequest) { c.state = journal.HardState{Term: 4, Vote: "c"} }, false},
+		"voted for it":                  {func(c *core, _ *VoteRequest) { c.state = journal.HardState{Term: 4, Vote: "b"} }, true},
+		"not voted":                     {func(c *core, _ *VoteRequest) { c.state = journal.HardState{Term: 4} }, true},
+		"earlier term":                  {func(_ *core, r *VoteRequest) { r.Term = 2 }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := fixed()
+			request := &VoteRequest{Envelope: from("b", 4), LastIndex: 3, LastTerm: 2}
+			test.change(c, request)
+			c.onVoteRequest(1, request)
+			out := c.take()
+			is.Equal(out.messages[0].body.(*VoteReply).Granted, test.want)
+			is.True(!test.want || out.store && out.state.Vote == "b")
+		})
+	}
+}
+
+// Guards against votes that count for a candidate although they were given in another term, by a
+// learner or by a node that lost its files.
+func TestVoteReply(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*VoteReply)
+		want   Role
+	}{
+		"granted":             {func(*VoteReply) {}, Leader},
+		"refused":             {func(r *VoteReply) { r.Granted = false }, Candidate},
+		"another incarnation": {func(r *VoteReply) { r.FromIncarnation = "b-1" }, Candidate},
+		"learner":             {func(r *VoteReply) { r.From, r.FromIncarnation = "d", "d-0" }, Candidate},
+		"asked in term 3":     {func(r *VoteReply) { r.Asked = 3 }, Candidate},
+		"pre-vote":            {func(r *VoteReply) { r.Pre = true }, Candidate},
+		"later term":          {func(r *VoteReply) { r.Term, r.Granted = 5, false }, Follower},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := fixed()
+			c.campaign(false)
+			reply := &VoteReply{Envelope: from("b", 4), Granted: true}
+			test.change(reply)
+			c.onVoteReply(reply)
+			is.New(t).Equal(c.role, test.want)
+		})
+	}
+}
+
+// Guards against a commit of an earlier term's entry by counting (figure 8 of the Raft paper), and
+// against changes, reads and leases before the leader has committed an entry of its term.
+func TestNewLeader(t *testing.T) {
+	is := is.New(t)
+	c := leading()
+	c.log.commit = 1
+	c.onAppendReply(&AppendReply{Envelope: from("b", 4), Success: true, Match: 3})
+	is.Equal(c.log.commit, uint64(1))
+	_, err := c.addLearner(Server{ID: "e"})
+	is.True(fault.Is(err, Refused))
+	c.read(c.now, 7)
+	is.Equal(len(c.take().reads), 0)
+	is.Equal(c.lease(), time.Duration(0))
+	stale := from("b", 4)
+	stale.Asked, stale.Sent = 3, int64(c.now)
+	c.onAppendReply(&AppendReply{Envelope: stale})
+	is.Equal(c.peers["b"].confirmed, time.Duration(0)) // the answer is to a request of term 3
+	answer := from("b", 4)
+	answer.Sent = int64(c.now)
+	c.onAppendReply(&AppendReply{Envelope: answer, Success: true, Match: 3})
+	is.Equal(len(c.take().reads), 0) // a quorum answered, but the commit is not known yet
+	c.onAppendReply(&AppendReply{Envelope: answer, Success: true, Match: 4})
+	is.Equal(c.log.commit, uint64(4))
+	is.Equal(c.take().reads, []readResult{{token: 7, index: 4}})
+	is.Equal(c.lease(), c.now+270*time.Millisecond)
+	_, err = c.addLearner(Server{ID: "e"})
+	is.NoErr(err)
+}
+
+// Guards against a follower that commits what the leader did not send, keeps conflicting entries or
+// accepts a gap.
+func TestFollowerAppends(t *testing.T) {
+	for name, test := range map[string]struct {
+		request             AppendRequest
+		success             bool
+		match, commit, last uint64
+	}{
+		"heartbeat at a prefix": {AppendRequest{PreviousIndex: 1, PreviousTerm: 1, Commit: 3}, true, 1, 1, 3},
+		"known entry":           {AppendRequest{PreviousIndex: 1, PreviousTerm: 1, Entries: []journal.Entry{{Index: 2, Term: 2}}, Commit: 9}, true, 2, 2, 3},
+		"conflict":              {AppendRequest{PreviousIndex: 1, PreviousTerm: 1, Entries: []journal.Entry{{Index: 2, Term: 3}}, Commit: 9}, true, 2, 2, 2},
+		"gap":                   {AppendRequest{PreviousIndex: 5, PreviousTerm: 3}, false, 3, 0, 3},
+		"previous disagrees":    {AppendRequest{PreviousIndex: 3, PreviousTerm: 3}, false, 1, 0, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := fixed()
+			test.request.Envelope = from("b", 4)
+			c.onAppend(1, &test.request)
+			reply := c.take().messages[0].body.(*AppendReply)
+			is.Equal(reply.Success, test.success)
+			is.Equal([]uint64{reply.Match, c.log.commit, c.log.last()}, []uint64{test.match, test.commit, test.last})
+		})
+	}
+}
+
+// Guards against a snapshot with missing or damaged parts, and against entries after it that belong to
+// another history.
+func TestSnapshotChunks(t *testing.T) {
+	for name, test := range map[string]struct {
+		change    func(meta *journal.Meta, second *SnapshotRequest)
+		installed bool
+		last      uint64
+	}{
+		"agrees":        {func(*journal.Meta, *SnapshotRequest) {}, true, 3},
+		"disagrees":     {func(m *journal.Meta, _ *SnapshotRequest) { m.Term = 3 }, true, 2},
+		"wrong offset":  {func(_ *journal.Meta, r *SnapshotRequest) { r.Offset = 1 }, false, 3},
+		"damaged chunk": {func(_ *journal.Meta, r *SnapshotRequest) { r.Data = []byte("ce") }, false, 3},
+		"damaged whole": {func(m *journal.Meta, _ *SnapshotRequest) { m.Checksum++ }, false, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := fixed()
+			meta := journal.Meta{Index: 2, Term: 2, Size: 4, Checksum: xxhash.Sum64String("abcd")}
+			second := &SnapshotRequest{Envelope: from("b", 4), Offset: 2, Data: []byte("cd"), Checksum: xxhash.Sum64String("cd")}
+			test.change(&meta, second)
+			second.Meta = meta
+			c.onSnapshot(1, &SnapshotRequest{Envelope: from("b", 4), Meta: meta, Data: []byte("ab"), Checksum: xxhash.Sum64String("ab")})
+			c.onSnapshot(2, second)
+			is.Equal(c.take().messages[1].body.(*SnapshotReply).Installed, test.installed)
+			is.Equal(c.log.last(), test.last)
+		})
+	}
+}
