entryd: answer callers that do not send the body that they announced, or do not read

Cause: TestBrokenBodies with a body that never arrives hung: net/http reads on in a refused body before it writes the answer, without a limit, so a request with a wrong key and no body held its connection for ever. The same held for a stalled announcement. Change: 200 ms for what is left of a refused body, 408 when the time limit passes before the body has arrived, 500 ms after the time limit for the last write, 5 s for an announcement.

--- a/entryd/internal/api/api.go
+++ b/entryd/internal/api/api.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -138,6 +139,7 @@
 	if err != nil {
 		return nil, err
 	}
+	x.BodyRead = true
 	return body, filter.Readmit(s.config.View, x)
 }
 
@@ -146,15 +148,17 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(deadline)
 	body, err := readAll(r)
-	// The server goes on reading the connection to notice that the caller left.
-	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		// The server goes on reading the connection to notice that the caller left.
+		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	case errors.As(err, &tooLarge):
 		return nil, refusal.New(http.StatusRequestEntityTooLarge, "body-too-large", refusal.DidNotRun,
 			"The body has more than %d bytes.", tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, refusal.New(http.StatusRequestTimeout, "time-limit", refusal.DidNotRun, "The time limit passed before the body had arrived.")
 	default:
 		return nil, refusal.New(http.StatusBadRequest, "body-incomplete", refusal.DidNotRun, "The body could not be read to its end.")
 	}
--- a/entryd/internal/cli/failure_test.go
+++ b/entryd/internal/cli/failure_test.go
@@ -245,6 +245,28 @@
 	is.Equal(len(s.purse.spends), 1)
 }
 
+// Guards against a caller that does not read and holds its request, and the engine, beyond the time limit.
+func TestCallerDoesNotRead(t *testing.T) {
+	is := is.New(t)
+	left := make(chan struct{})
+	url := engine(t, func(_ http.ResponseWriter, r *http.Request, e events) {
+		defer close(left)
+		padding := strings.Repeat("x", 64<<10)
+		for i := 0; r.Context().Err() == nil; i++ {
+			e.write(fmt.Sprintf(`{"request_id":%q,"attempt_id":%q,"index":%d,"padding":%q}`, e.request, e.attempt, i, padding))
+		}
+	})
+	s := start(t, url)
+	conn, err := net.Dial("tcp", s.listening.Caller)
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Time-Limit: 0.5\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(streamBody), streamBody)
+	is.NoErr(err)
+	<-left
+	is.NoErr(s.stop())
+	is.Equal(s.purse.held, int64(0))
+}
+
 // Guards against a response without stream that is passed on incomplete, crossed or unchecked.
 func TestWholeResponse(t *testing.T) {
 	body := func(e events, attempt string) string {
--- a/entryd/internal/cli/input_test.go
+++ b/entryd/internal/cli/input_test.go
@@ -106,18 +106,22 @@
 	is.New(t).Equal(s.purse.held, int64(0))
 }
 
-// Guards against a body of unknown length that passes the limit, or a truncated one that is run.
+// Guards against a body of unknown length that passes the limit, and against one that is cut or never
+// arrives and is run or waited for beyond the time limit.
 func TestBrokenBodies(t *testing.T) {
 	s := start(t)
 	for name, test := range map[string]struct {
-		raw  string
-		want string
+		raw   string
+		close bool
+		want  string
 	}{
 		"chunked over the limit": {
 			"Transfer-Encoding: chunked\r\n\r\n" + "900000\r\n" + strings.Repeat(" ", 0x900000) + "\r\n0\r\n\r\n",
-			"HTTP/1.1 413",
+			true, "HTTP/1.1 413",
 		},
-		"truncated": {"Content-Length: 100\r\n\r\n{}", "HTTP/1.1 400"},
+		"truncated":                 {"Content-Length: 100\r\n\r\n{}", true, "HTTP/1.1 400"},
+		"refused before it arrives": {"X-Time-Limit: -1\r\nContent-Length: 100\r\n\r\n", false, "HTTP/1.1 400"},
+		"never arrives":             {"X-Time-Limit: 0.2\r\nContent-Length: 100\r\n\r\n{}", false, "HTTP/1.1 408"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -126,7 +130,9 @@
 			defer conn.Close()
 			go func() {
 				_, _ = io.WriteString(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "+testKey+"\r\n"+test.raw)
-				_ = conn.(*net.TCPConn).CloseWrite()
+				if test.close {
+					_ = conn.(*net.TCPConn).CloseWrite()
+				}
 			}()
 			line, err := bufio.NewReader(conn).ReadString('\n')
 			is.NoErr(err)
--- a/entryd/internal/cli/serve.go
+++ b/entryd/internal/cli/serve.go
@@ -32,7 +32,9 @@
 	// headerTimeout and maxHeader keep callers that send slowly or endlessly from holding memory.
 	headerTimeout = 5 * time.Second
 	maxHeader     = 64 << 10
-	idleTimeout   = 2 * time.Minute
+	// announceTimeout is the time for a whole announcement; endpoints send one each second.
+	announceTimeout = 5 * time.Second
+	idleTimeout     = 2 * time.Minute
 	// finishGrace is added to the largest time limit when running requests are awaited.
 	finishGrace     = 5 * time.Second
 	engineDial      = 2 * time.Second
@@ -150,6 +152,7 @@
 	}
 	callers := e.httpServer(e.callerHandler())
 	platform := e.httpServer(e.platformHandler())
+	platform.ReadTimeout = announceTimeout
 	observers := e.httpServer(metrics.Handler(metrics.HandlerConfig{Registry: e.metrics, Ready: e.ready, Profiles: e.options.Profiles}))
 	// The background work outlives ctx: it ends after the last request.
 	stops := []func(){e.background(func(ctx context.Context) error { return e.peers.Serve(ctx, e.listeners.peer) })}
--- a/entryd/internal/exchange/exchange.go
+++ b/entryd/internal/exchange/exchange.go
@@ -23,6 +23,9 @@
 	// KeyHash is the hexadecimal SHA-256 of the caller's key. It is not logged.
 	KeyHash string
 
+	// BodyRead says that the body has been read to its end.
+	BodyRead bool
+
 	// The fields below are for the access log and the metrics.
 
 	Attempts     []string
--- a/entryd/internal/filter/limits.go
+++ b/entryd/internal/filter/limits.go
@@ -32,7 +32,7 @@
 const TimeLimitHeader = "X-Time-Limit"
 
 // writeGrace is the time after the time limit in which an error can still be written to the caller.
-const writeGrace = 2 * time.Second
+const writeGrace = 500 * time.Millisecond
 
 // TimeLimit sets the deadline of the request from the caller's header, or from the default.
 func TimeLimit(standard, largest time.Duration) Filter {
--- a/entryd/internal/filter/record.go
+++ b/entryd/internal/filter/record.go
@@ -42,13 +42,23 @@
 			if config.Draining() {
 				w.Header().Set("Connection", "close")
 			}
-			finish(w, x, guarded(config.Access, handler, w, r, x))
+			err := guarded(config.Access, handler, w, r, x)
+			if !x.BodyRead && r.ContentLength != 0 {
+				// net/http reads on in a body that was refused before it answers; a caller that does not
+				// send it must not hold the answer.
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
+			}
+			finish(w, x, err)
 			config.Access.Info("Request", x.Fields(time.Now())...)
 			count(config.Metrics, x)
 		})
 	}
 }
 
+// discardTimeout bounds the reading of a body that was refused. It is shorter than writeGrace, so that
+// the answer to a body that did not arrive within the time limit can still be written.
+const discardTimeout = 200 * time.Millisecond
+
 // guarded keeps a fault in the handling of one request from ending the process.
 func guarded(logger *zap.Logger, handler Handler, w http.ResponseWriter, r *http.Request, x *exchange.Exchange) (err error) {
 	defer func() {
