--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -88,6 +88,7 @@
 	return operator.New(operator.Config{
 		Submitter:     client,
 		Querier:       client,
+		Quorum:        d.node,
 		Peers:         d.pool,
 		Operators:     d.settings.Operators,
 		LeaderAddress: func(string) string { return "" },
@@ -97,6 +98,35 @@
 	})
 }
 
+// controllers returns the loops that bring the endpoints into the declared state.
+func (d *daemon) controllers() (orders, roles controller.Controller) {
+	fleet := operator.NewFleet(operator.FleetConfig{
+		Peers: d.pool, Configuration: d.machine.Configuration, Members: d.service.Members,
+	})
+	r := controller.NewRoles(controller.RolesConfig{
+		Lease: d.node, Configuration: d.machine, Fleet: fleet, Now: time.Now, Logger: d.logger,
+	})
+	o := controller.NewOrders(controller.OrdersConfig{
+		Lease:         d.node,
+		Configuration: d.machine,
+		Fleet:         fleet,
+		Engines:       endpoint.NewClient(endpoint.ClientConfig{}),
+		Roles:         r,
+		MaxLoads:      d.settings.MaxLoads,
+		Now:           time.Now,
+		Logger:        d.logger,
+	})
+	return o, r
+}
+
+// The intervals of the controllers' rounds. Each round asks the dispatchers for all endpoints, 180 bytes
+// each; with a round of orders a second that was 4.5 KB/s for a dispatcher of 25. Roles change after 30 s
+// at the earliest.
+const (
+	ordersInterval = 3 * time.Second
+	rolesInterval  = 5 * time.Second
+)
+
 // controlAddresses are the peer addresses of this instance and of the first voters.
 func (s Settings) controlAddresses() []string {
 	addresses := []string{s.peerAddress()}
@@ -108,34 +138,6 @@
 	return addresses
 }
 
-// controllerInterval is the time between two rounds of a controller.
-const controllerInterval = time.Second
-
-// controllers starts the controllers. Their rounds do nothing on an instance that does not lead.
-func (d *daemon) controllers(ctx context.Context) []<-chan error {
-	fleet := operator.NewFleet(operator.FleetConfig{
-		Peers:         d.pool,
-		Configuration: d.machine.Configuration,
-		Members:       d.service.Members,
-	})
-	roles := controller.NewRoles(controller.RolesConfig{
-		Lease: d.node, Configuration: d.machine, Fleet: fleet, Now: time.Now, Logger: d.logger,
-	})
-	orders := controller.NewOrders(controller.OrdersConfig{
-		Lease: d.node, Configuration: d.machine, Fleet: fleet, Roles: roles,
-		Engines: endpoint.NewClient(endpoint.ClientConfig{}),
-		Now:     time.Now,
-		Logger:  d.logger,
-	})
-	var ends []<-chan error
-	for _, c := range []controller.Controller{roles, orders} {
-		ends = append(ends, task.Start(ctx, func(ctx context.Context) error {
-			return controller.Run(ctx, c, controllerInterval)
-		}))
-	}
-	return ends
-}
-
 func (d *daemon) gauges() {
 	d.registry.GaugeFunc("control_leader", func() int64 {
 		if remaining, _ := d.node.LeaderLease(); remaining > 0 {
@@ -144,6 +146,7 @@
 		return 0
 	})
 	d.registry.GaugeFunc("control_applied_index", func() int64 { return int64(d.node.Status().Applied) })
+	d.registry.GaugeFunc("peer_bytes_total", func() int64 { return d.pool.Traffic() + d.server.Traffic() })
 	d.registry.GaugeFunc("control_sessions", func() int64 { return int64(len(d.service.Members())) })
 }
 
@@ -190,7 +193,10 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	orders, roles := d.controllers()
 	ends := []<-chan error{
+		task.Start(ctx, func(ctx context.Context) error { return controller.Run(ctx, orders, ordersInterval) }),
+		task.Start(ctx, func(ctx context.Context) error { return controller.Run(ctx, roles, rolesInterval) }),
 		task.Start(ctx, func(ctx context.Context) error {
 			return serveHTTP(ctx, d.settings.OperatorListen, d.operators())
 		}),
@@ -198,7 +204,6 @@
 		task.Start(ctx, d.node.Run),
 		task.Start(ctx, d.service.Run),
 	}
-	ends = append(ends, d.controllers(ctx)...)
 	if d.settings.MetricsListen != "" {
 		handler := metrics.Handler(metrics.HandlerConfig{Registry: d.registry, Ready: d.ready, Profiles: true})
 		ends = append(ends, task.Start(ctx, func(ctx context.Context) error {
--- a/controld/internal/cli/settings.go
+++ b/controld/internal/cli/settings.go
@@ -15,12 +15,12 @@
 	// DataDirectory holds the log and snapshots; it needs a disk that keeps synced files.
 	DataDirectory string `yaml:"data-directory" validate:"required"`
 	// PeerListen is host:port for other processes of the system.
-	PeerListen    string `yaml:"peer-listen" validate:"required,hostname_port"`
+	PeerListen    string `yaml:"peer-listen" validate:"required,listen_address"`
 	AdvertisePeer string `yaml:"advertise-peer" validate:"omitempty,hostname_port"`
 	// OperatorListen is host:port for operators.
-	OperatorListen    string `yaml:"operator-listen" validate:"required,hostname_port"`
+	OperatorListen    string `yaml:"operator-listen" validate:"required,listen_address"`
 	AdvertiseOperator string `yaml:"advertise-operator" validate:"omitempty,hostname_port"`
-	MetricsListen     string `yaml:"metrics-listen" validate:"omitempty,hostname_port"`
+	MetricsListen     string `yaml:"metrics-listen" validate:"omitempty,listen_address"`
 	// ClusterKey proves to other processes that they belong to the same system.
 	ClusterKey string `yaml:"cluster-key" validate:"required,min=16"`
 	// Bootstrap lists the first voters. It is used only when the data directory is new.
@@ -31,7 +31,9 @@
 	SnapshotEvery int `yaml:"snapshot-every" validate:"min=16"`
 	// ReplaceAfter is how long a voter may be unreachable before a standby takes its place.
 	ReplaceAfter time.Duration `yaml:"replace-after" validate:"gt=0"`
-	LogLevel     string        `yaml:"log-level" validate:"oneof=debug info warn error"`
+	// MaxLoads is the number of engines that the weight store can serve at a time.
+	MaxLoads int    `yaml:"max-loads" validate:"min=1"`
+	LogLevel string `yaml:"log-level" validate:"oneof=debug info warn error"`
 }
 
 // Voter is a control instance of the first quorum.
@@ -45,6 +47,7 @@
 const (
 	defaultSnapshotEvery = 4096
 	defaultReplaceAfter  = 10 * time.Second
+	defaultMaxLoads      = 4
 )
 
 // loadSettings reads the file over the defaults.
@@ -52,6 +55,7 @@
 	s := Settings{
 		SnapshotEvery: defaultSnapshotEvery,
 		ReplaceAfter:  defaultReplaceAfter,
+		MaxLoads:      defaultMaxLoads,
 		LogLevel:      "info",
 	}
 	if err := settings.Load(path, &s); err != nil {
--- a/controld/internal/controller/orders.go
+++ b/controld/internal/controller/orders.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
@@ -35,6 +36,12 @@
 	// lackBefore is how long a model must lack replicas before another engine is given to it. It covers
 	// a new dispatcher that has not heard of all endpoints yet, and the restart of an endpoint.
 	lackBefore = 10 * time.Second
+	// unavailableShare of the replicas of a model, a quarter, may load at a time: without that bound a
+	// roll-out with 4 loads at a time left 2 of 6 replicas ready.
+	unavailableShare = 4
+	// failurePause is the time between orders to an engine that does not accept them. It bounds the log
+	// lines when, for example, the clocks of many engines are wrong.
+	failurePause = 5 * time.Second
 	// loadMemory is how long an engine that does not answer after an order to load counts as loading.
 	loadMemory = 5 * time.Minute
 )
@@ -80,6 +87,7 @@
 	loads     map[string]load
 	loading   map[string]bool
 	lacking   map[string]time.Time // by model, since when
+	failed    map[string]time.Time // by engine, the last order that was not accepted
 }
 
 // NewOrders returns the controller.
@@ -90,7 +98,7 @@
 	config.Sweep = cmp.Or(config.Sweep, defaultSweep)
 	return &Orders{
 		config: config, polledAt: make(map[string]time.Time), loads: make(map[string]load),
-		loading: make(map[string]bool), lacking: make(map[string]time.Time),
+		loading: make(map[string]bool), lacking: make(map[string]time.Time), failed: make(map[string]time.Time),
 	}
 }
 
@@ -117,8 +125,16 @@
 		engines[i].drained = conf.Endpoints[engines[i].name].Drain
 	}
 	mayAssign := o.lacks(conf, engines, complete)
-	o.poll(ctx, engines, plan(conf, roles, engines, mayAssign))
-	o.send(ctx, o.decide(conf, engines, plan(conf, roles, engines, mayAssign)))
+	wanted := plan(conf, roles, engines, mayAssign)
+	// The sweep can find a difference that no announcement shows; the second pass then reads the other
+	// engines of the model, on whose readiness an order depends.
+	for _, sweep := range []bool{true, false} {
+		if !o.poll(ctx, engines, wanted, sweep) {
+			break
+		}
+		wanted = plan(conf, roles, engines, mayAssign)
+	}
+	o.send(ctx, o.decide(conf, engines, wanted))
 }
 
 // lacks notes since when models lack replicas, and returns whether a model may be given engines.
@@ -157,6 +173,7 @@
 		clear(o.loads)
 		clear(o.loading)
 		clear(o.lacking)
+		clear(o.failed)
 	}
 	for name, sent := range o.loads {
 		if o.config.Now().Sub(sent.at) > loadMemory {
@@ -168,26 +185,26 @@
 
 // announced lists the engines with the state that they announce, sorted by name.
 func (o *Orders) announced(views []dispatch.EndpointView) []engine {
-	byName := make(map[string]engine, len(views))
-	for _, view := range views {
+	engines := make([]engine, 0, len(views))
+	for _, view := range sortedByName(views) {
 		a := view.Announcement
 		if a.Type != endpoint.Engine || a.State == endpoint.Leaving {
 			continue
 		}
-		byName[a.Name] = engine{
+		engines = append(engines, engine{
 			name: a.Name, address: a.Address, region: a.Region, checksFencing: a.ChecksFencing, announced: a.State,
 			ordered: o.loads[a.Name].target,
 			state: endpoint.PlatformState{
 				Models: a.Models, Version: a.Version, Adapters: a.Adapters, Role: a.Role, Loading: o.loading[a.Name],
 			},
-		}
+		})
 	}
-	return sortedByName(byName)
+	return engines
 }
 
 // poll reads the state of the engines that may need an order, of all others with the same model, and
-// of those that were not read for the sweep interval.
-func (o *Orders) poll(ctx context.Context, engines []engine, wanted map[string]target) {
+// with sweep, of those that were not read for the sweep interval. It reports whether it read any.
+func (o *Orders) poll(ctx context.Context, engines []engine, wanted map[string]target, sweep bool) bool {
 	now := o.config.Now()
 	differing := make(map[string]bool)
 	for _, e := range engines {
@@ -198,26 +215,43 @@
 			}
 		}
 	}
-	each(engines, func(e *engine) {
-		due := !now.Before(o.polledAt[e.name].Add(o.config.Sweep)) || differing[wanted[e.name].model] ||
-			slices.ContainsFunc(e.state.Models, func(model string) bool { return differing[model] })
-		if !due {
-			return
+	var due []*engine
+	for i := range engines {
+		e := &engines[i]
+		if e.polled {
+			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, stateTimeout)
-		defer cancel()
-		state, err := o.config.Engines.State(ctx, e.address)
-		if err != nil {
-			o.config.Logger.Warn("Cannot read the state of an endpoint", zap.String(logging.Endpoint, e.name), zap.Error(err))
-			return
+		if (sweep && !now.Before(o.sweepAt(e.name))) || differing[wanted[e.name].model] ||
+			slices.ContainsFunc(e.state.Models, func(model string) bool { return differing[model] }) {
+			due = append(due, e)
 		}
-		e.state, e.polled = state, true
-	})
-	for i := range engines {
-		if engines[i].polled {
-			o.remember(&engines[i], now)
+	}
+	each(due, func(e **engine) { o.read(ctx, *e) })
+	for _, e := range due {
+		if e.polled {
+			o.remember(e, now)
 		}
 	}
+	return len(due) > 0
+}
+
+// sweepAt is when the state of an engine must be read again. Engines differ in it, so that those first
+// read in the same round are not all read in the same later one.
+func (o *Orders) sweepAt(name string) time.Time {
+	const steps = 1024
+	share := (1 + float64(xxhash.Sum64String(name)%steps)/steps) / 2
+	return o.polledAt[name].Add(time.Duration(share * float64(o.config.Sweep)))
+}
+
+func (o *Orders) read(ctx context.Context, e *engine) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	state, err := o.config.Engines.State(ctx, e.address)
+	if err != nil {
+		o.config.Logger.Warn("Cannot read the state of an endpoint", zap.String(logging.Endpoint, e.name), zap.Error(err))
+		return
+	}
+	e.state, e.polled = state, true
 }
 
 // remember keeps what later rounds need of an observation. An order to load is forgotten once the
@@ -233,14 +267,14 @@
 }
 
 // decide returns the orders of this round: only to engines whose state was read in it, within the
-// bound on loads, and none that takes the last ready replica of a model.
+// bound on loads, and none that takes too many ready replicas of a model.
 func (o *Orders) decide(conf configuration.Configuration, engines []engine, wanted map[string]target) []order {
 	var orders []order
 	loads := o.runningLoads(engines)
 	taken := make(map[string]bool)
 	for _, e := range engines {
 		t, ok := wanted[e.name]
-		if !ok || !e.polled || e.state.Loading || !o.mayOrder(e) {
+		if !ok || !e.polled || e.state.Loading || o.pauses(e.name) || !o.mayOrder(e) {
 			continue
 		}
 		if e.agrees(t) && !o.unfenced(e) {
@@ -249,7 +283,7 @@
 		next := order{engine: e, target: t, load: e.needsLoad(t)}
 		// An order that is sent again is counted in loads already.
 		again := e.ordered.model != ""
-		if next.load && ((loads >= o.config.MaxLoads && !again) || takesLast(conf, e, engines, taken)) {
+		if next.load && ((loads >= o.config.MaxLoads && !again) || takesTooMany(conf, e, engines, taken)) {
 			continue
 		}
 		if next.load {
@@ -263,6 +297,11 @@
 	return orders
 }
 
+func (o *Orders) pauses(name string) bool {
+	failed, known := o.failed[name]
+	return known && o.config.Now().Sub(failed) < failurePause
+}
+
 // mayOrder reports whether orders of an earlier leader can no longer overtake one of this leader's.
 // An engine that checks the token refuses them. For one that does not, the old lease must have
 // ended, and the deadline of an order that was sent at its end must have passed.
@@ -295,17 +334,25 @@
 	return count
 }
 
-// takesLast reports whether an order to load would leave a declared model that the engine serves
-// without a ready replica. An engine that serves none now can always be taken.
-func takesLast(conf configuration.Configuration, e engine, engines []engine, taken map[string]bool) bool {
+// takesTooMany reports whether an order to load would leave a declared model that the engine serves
+// without a ready replica, or with more than a share of its replicas not ready. An engine that serves
+// none now can always be taken.
+func takesTooMany(conf configuration.Configuration, e engine, engines []engine, taken map[string]bool) bool {
 	for _, model := range e.state.Models {
 		if _, declared := conf.Models[model]; !declared || !e.ready(model) {
 			continue
 		}
-		others := slices.ContainsFunc(engines, func(other engine) bool {
-			return other.name != e.name && !taken[other.name] && other.ready(model)
-		})
-		if !others {
+		replicas, others := 0, 0
+		for _, other := range engines {
+			if other.drained || !slices.Contains(other.state.Models, model) {
+				continue
+			}
+			replicas++
+			if other.name != e.name && !taken[other.name] && other.ready(model) {
+				others++
+			}
+		}
+		if others < max(1, replicas-max(1, replicas/unavailableShare)) {
 			return true
 		}
 	}
@@ -330,15 +377,17 @@
 		}
 		err := o.give(ctx, *next, now.Add(o.config.OrderTimeout))
 		logger := o.config.Logger.With(zap.String(logging.Endpoint, next.engine.name), zap.String("model", next.target.model), zap.String("version", next.target.version))
+		mu.Lock()
+		defer mu.Unlock()
 		if err == nil {
+			delete(o.failed, next.engine.name)
 			logger.Info("Gave an order", zap.Bool("load", next.load))
 			return
 		}
+		o.failed[next.engine.name] = now
 		logger.Warn("An order was not accepted", zap.Error(err))
 		if fault.Is(err, endpoint.Refused) {
-			mu.Lock()
 			delete(o.loads, next.engine.name)
-			mu.Unlock()
 		}
 	})
 }
@@ -380,11 +429,16 @@
 	calls.Wait()
 }
 
-func sortedByName(byName map[string]engine) []engine {
-	engines := make([]engine, 0, len(byName))
-	for _, e := range byName {
-		engines = append(engines, e)
+// sortedByName returns each endpoint once. It returns pointers, since views are large to move.
+func sortedByName(views []dispatch.EndpointView) []*dispatch.EndpointView {
+	sorted := make([]*dispatch.EndpointView, len(views))
+	for i := range views {
+		sorted[i] = &views[i]
 	}
-	slices.SortFunc(engines, func(a, b engine) int { return cmp.Compare(a.name, b.name) })
-	return engines
+	slices.SortFunc(sorted, func(a, b *dispatch.EndpointView) int {
+		return cmp.Compare(a.Announcement.Name, b.Announcement.Name)
+	})
+	return slices.CompactFunc(sorted, func(a, b *dispatch.EndpointView) bool {
+		return a.Announcement.Name == b.Announcement.Name
+	})
 }
--- a/controld/internal/operator/operator.go
+++ b/controld/internal/operator/operator.go
@@ -50,6 +50,8 @@
 type Config struct {
 	Submitter Submitter
 	Querier   Querier
+	// Quorum changes the members of the quorum, if this instance leads.
+	Quorum Quorum
 	// Peers reaches the entries.
 	Peers Caller
 	// Operators are the operators with the sums of their keys.
@@ -67,8 +69,9 @@
 const (
 	// maxRequestBytes holds the longest text with JSON escapes.
 	maxRequestBytes = 2*language.MaxTextBytes + 4096
-	// requestTimeout covers an election (a few seconds) and the time until a revision is in force.
-	requestTimeout = 15 * time.Second
+	// requestTimeout covers an election, a commit (2 s at most) and the time until a revision is in force
+	// (4.3 s at most), and lets pierctl try three instances within its 30 s.
+	requestTimeout = 8 * time.Second
 	// fleetTimeout bounds how long a query waits for the entries.
 	fleetTimeout = time.Second
 )
@@ -84,6 +87,8 @@
 	a := &API{config: config, router: mux.NewRouter()}
 	a.router.HandleFunc("/v1/commands", a.commands).Methods(http.MethodPost)
 	a.router.HandleFunc("/v1/queries", a.queries).Methods(http.MethodPost)
+	a.router.HandleFunc("/v1/quorum", a.addMember).Methods(http.MethodPost)
+	a.router.HandleFunc("/v1/quorum/{id}", a.removeMember).Methods(http.MethodDelete)
 	a.router.HandleFunc("/v1/reports/burn", a.burnReport).Methods(http.MethodGet)
 	a.router.Use(a.authenticate)
 	return a
--- a/controld/internal/operator/operator_test.go
+++ b/controld/internal/operator/operator_test.go
@@ -21,9 +21,11 @@
 	"github.com/dandelionpier/dandelionpier/controld/internal/operator"
 	"github.com/dandelionpier/dandelionpier/internal/burn"
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/consensus"
 	"github.com/dandelionpier/dandelionpier/internal/control"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/language"
 	"github.com/dandelionpier/dandelionpier/internal/session"
 )
@@ -189,6 +191,19 @@
 	is.True(strings.Contains(reply.Since[0].Changes[0], "set workspace shop models none services none priority 4"))
 }
 
+// Guards against a history that shows the oldest revisions, or the lines of one out of order.
+func TestHistory(t *testing.T) {
+	is := is.New(t)
+	api := newAPI(newQuorum(), nil, "", nil)
+	code, _ := command(t, api, "drain-one", "set endpoint e2 role a; drain endpoint e1")
+	is.Equal(code, http.StatusOK)
+	reply := query(t, api, "show history limit 2")
+	is.Equal(reply.Total, 7)
+	is.True(strings.Contains(string(reply.Rows[0]), `[2,"itziar"`))
+	is.True(strings.Contains(string(reply.Rows[0]), "set endpoint e2 role a"))
+	is.True(strings.Contains(string(reply.Rows[1]), "undrain endpoint e2"))
+}
+
 // Guards against a check that changes the configuration or does not show the change.
 func TestCheck(t *testing.T) {
 	is := is.New(t)
@@ -305,6 +320,27 @@
 	}
 }
 
+// Guards against an entry of another region, or one that drains, that hides a cell's dispatcher.
+func TestFleetAsksOwnRegionFirst(t *testing.T) {
+	is := is.New(t)
+	q := newQuorum()
+	for i := range 20 {
+		far := session.Member{Instance: fmt.Sprint("far", i), Region: "south", Peer: "down:1"}
+		drained := session.Member{Instance: fmt.Sprint("drained", i), Region: "north", Peer: "down:1", Draining: true}
+		q.members = append(q.members, far, drained)
+	}
+	q.members = append(q.members, members("a")...)
+	api := newAPI(q, peers(func(_ context.Context, address, cell string, _ *dispatch.EndpointsReply) error {
+		if address == "down:1" {
+			return errors.New("connection refused")
+		}
+		return nil
+	}), "", nil)
+	reply := query(t, api, "show versions")
+	is.Equal(len(reply.Missing), 1) // the cell of the other region
+	is.Equal(reply.Missing[0].Part, "cell oak/south")
+}
+
 // Guards against controllers that act on a part of the fleet as if it were all of it.
 func TestEndpoints(t *testing.T) {
 	is := is.New(t)
@@ -333,6 +369,47 @@
 	is.True(!complete)
 }
 
+// voters refuses changes with a fixed error.
+type voters struct {
+	err   error
+	added []consensus.Server
+}
+
+func (v *voters) AddLearner(_ context.Context, server consensus.Server) error {
+	v.added = append(v.added, server)
+	return v.err
+}
+
+func (v *voters) Remove(context.Context, string) error { return v.err }
+
+// Guards against a change of the quorum that a follower seems to accept, or a refusal that pierctl
+// would send to the next instance.
+func TestQuorum(t *testing.T) {
+	for name, test := range map[string]struct {
+		err  error
+		code int
+		body string
+	}{
+		"made":       {nil, http.StatusOK, "accepted"},
+		"refused":    {fault.New("add learner", consensus.Refused, "not caught up"), http.StatusUnprocessableEntity, "not caught up"},
+		"not leader": {fault.New("add learner", consensus.NotLeader, "follower"), http.StatusServiceUnavailable, "follower"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := &voters{err: test.err}
+			api := operator.New(operator.Config{
+				Quorum: q, Logger: zap.NewNop(), Operators: []operator.Operator{{Name: "itziar", KeyHash: language.HashKey(operatorKey)}},
+			})
+			code, body := post(api, "/v1/quorum", operatorKey, language.MemberRequest{ID: "c6", Address: "127.0.0.1:1"})
+			is.Equal(code, test.code)
+			is.True(strings.Contains(body, test.body))
+			is.Equal(q.added, []consensus.Server{{ID: "c6", Address: "127.0.0.1:1"}})
+			code, _ = post(api, "/v1/quorum", callerKey, language.MemberRequest{ID: "c6", Address: "127.0.0.1:1"})
+			is.Equal(code, http.StatusUnauthorized)
+		})
+	}
+}
+
 type burnPeers map[string]burn.Report
 
 func (p burnPeers) Call(_ context.Context, address, method string, _, reply any) error {
@@ -379,3 +456,24 @@
 	is.Equal(len(query(t, api, "show workspaces limit 20000").Rows), 6501)
 	is.Equal(len(query(t, api, "show workspaces by priority").Rows), 10)
 }
+
+// BenchmarkQuery measures a query over the 6,500 workspaces of the two-year target.
+func BenchmarkQuery(b *testing.B) {
+	q := newQuorum()
+	var changes []configuration.Change
+	for i := range 6500 {
+		changes = append(changes, configuration.Change{Workspace: &configuration.Workspace{Name: fmt.Sprintf("w%04d", i), Priority: i % 10}})
+	}
+	q.accept(changes...)
+	api := newAPI(q, nil, "", nil)
+	for _, text := range []string{"show workspaces where priority = 3", "show workspaces limit 10000", "show workspaces by priority"} {
+		b.Run(text, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if code, body := post(api, "/v1/queries", operatorKey, language.QueryRequest{Text: text}); code != http.StatusOK {
+					b.Fatal(body)
+				}
+			}
+		})
+	}
+}
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -9,6 +9,9 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/journal"
 )
 
 func TestMain(m *testing.M) {
@@ -208,12 +211,44 @@
 	is.NoErr(err)
 	_, err = l.core.addLearner(Server{ID: "e", Address: "e"})
 	is.True(err != nil) // the promotion is not committed
-	s.settle(l)
 	s.partition([]string{"d"}, true, true)
-	s.advance(200 * time.Millisecond)
+	s.settle(l)
+	s.advance(time.Second)
+	is.True(l.core.log.commit >= l.core.membershipIndex()) // three of four voters committed it
+	_, err = l.core.addLearner(Server{ID: "e", Address: "e"})
+	is.True(err != nil) // the fresh voter has not caught up
 	is.Equal(s.violation, "")
 }
 
+// Guards against a first election before all first voters know each other's incarnations: a voter
+// that was wiped then could vote twice.
+func TestBootstrapNeedsAllVoters(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(10, 3, 0)
+	s.crash("c")
+	s.advance(5 * time.Second)
+	is.True(s.leader() == nil)
+	s.start("c")
+	s.awaitLeader()
+	is.Equal(s.violation, "")
+}
+
+// Guards against a removal that leaves fewer reachable voters than a quorum.
+func TestRemovalKeepsQuorum(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(9, 5, 0)
+	l := s.awaitLeader()
+	s.advance(time.Second)
+	others := s.except(l.id)
+	s.crash(others[0])
+	s.crash(others[1])
+	s.advance(time.Second)
+	_, err := l.core.remove(others[2])
+	is.True(fault.Is(err, Refused)) // two of four would be reachable
+	_, err = l.core.remove(others[0])
+	is.NoErr(err) // three of four are reachable
+}
+
 // Guards against a second loss right after a repair: two of five voters are lost in succession, each
 // replaced by a standby, and a third loss must still leave a quorum.
 func TestReplaceLostVoters(t *testing.T) {
@@ -267,3 +302,31 @@
 	is.True(s.highest > highest)
 	is.Equal(s.violation, "")
 }
+
+// Guards against a log that drops entries which a reachable member still needs, or keeps them without
+// bound.
+func TestCompactKeepsNeededEntries(t *testing.T) {
+	const last = 5000
+	for name, test := range map[string]struct {
+		needed uint64
+		size   int
+		want   uint64
+	}{
+		"all are up to date":     {last, 1, last - trailingEntries},
+		"one is behind":          {1000, 1, 1000},
+		"one is far behind":      {1000, trailingBytes / 1000, last - 1000},
+		"large trailing entries": {last, trailingBytes / 10, last - 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var l entryLog
+			data := make([]byte, test.size)
+			for i := uint64(1); i <= last; i++ {
+				l.append(journal.Entry{Index: i, Term: 1, Data: data})
+			}
+			l.compact(journal.Meta{Index: last, Term: 1}, test.needed)
+			is.Equal(l.base, test.want)
+			is.Equal(l.last(), uint64(last))
+		})
+	}
+}
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -63,7 +63,7 @@
 // request has not tried.
 func (c *cell) groupCandidates(it *item) (all, candidates []*replica) {
 	for _, r := range c.order {
-		if r.takesWork() && r.engine() {
+		if r.takesWork() && r.engine() && r.has(it.request.Adapter) {
 			all = append(all, r)
 		}
 	}
@@ -117,8 +117,7 @@
 	for _, r := range members {
 		r.advance(now, c.settings)
 		rate := r.prefillRate(c.settings)
-		ahead, _ := c.delays(r, it.key, rate)
-		wait = max(wait, ahead)
+		wait = max(wait, c.delays(r, it.key, rate).wait)
 		rates += rate
 	}
 	return wait + float64(it.request.PromptTokens)/rates
@@ -184,7 +183,7 @@
 	if !succeeded {
 		it.notBefore = now.Add(groupRetry + time.Duration(c.config.Jitter()*float64(groupRetry)))
 		c.endGrant(now, g, nil)
-		c.pump(now)
+		c.pump(now, eventScan)
 		return false
 	}
 	it.pending = nil
--- a/internal/dispatch/machine_test.go
+++ b/internal/dispatch/machine_test.go
@@ -69,9 +69,11 @@
 }
 
 func (m *machine) advance(d time.Duration) {
-	m.now = m.now.Add(d)
-	m.cell.tick(m.now)
-	m.settle()
+	for ; d > 0; d -= stall {
+		m.now = m.now.Add(min(d, stall))
+		m.cell.tick(m.now)
+		m.settle()
+	}
 }
 
 func (m *machine) announceAll() {
@@ -103,7 +105,7 @@
 	m.settle()
 	m.cell = newCell(testCell, &m.config, m.now)
 	m.given = make(map[string]Grant)
-	for _, id := range sortedKeys(old.grants) {
+	for _, id := range allKeys(old.grants) {
 		m.cell.report(m.now, Event{Cell: testCell, Grant: id, Type: Alive, Members: old.grants[id].Members})
 	}
 	m.announceAll()
@@ -111,6 +113,11 @@
 
 // check compares the counters that decisions use with the grants that they are derived from.
 func (m *machine) check(t *rapid.T) {
+	for id := range m.given {
+		if _, ended := m.cell.ended[id]; !ended && m.cell.grants[id] == nil {
+			delete(m.given, id) // ended longer ago than endedTTL: the id may be used again
+		}
+	}
 	queued := 0
 	for _, f := range m.cell.queue.flows {
 		queued += len(f.items)
@@ -162,7 +169,7 @@
 	}
 	if len(m.cell.grants) != 0 || len(m.cell.items) != 0 || len(m.cell.suspects.running) != 0 || len(m.holdings) != 0 {
 		t.Fatalf("left: grants %v, items %v, fingerprints %v, holdings %v",
-			sortedKeys(m.cell.grants), sortedKeys(m.cell.items), m.cell.suspects.running, m.holdings)
+			allKeys(m.cell.grants), allKeys(m.cell.items), m.cell.suspects.running, m.holdings)
 	}
 	for _, r := range m.cell.order {
 		if r.reserved != 0 || r.queuedPrefill() != 0 {
@@ -240,6 +247,11 @@
 			"time": func(t *rapid.T) {
 				m.advance(time.Duration(rapid.IntRange(50, 4000).Draw(t, "ms")) * time.Millisecond)
 			},
+			"stall": func(*rapid.T) {
+				m.now = m.now.Add(20 * time.Second)
+				m.cell.tick(m.now)
+				m.settle()
+			},
 			"replace": func(*rapid.T) { m.replace() },
 			"":        func(t *rapid.T) { m.check(t) },
 		})
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -27,7 +27,7 @@
 	}
 	cached := max(0, min(hit*prefix.BlockTokens, it.request.PromptTokens-1))
 	own := float64(it.request.PromptTokens-cached) / rate
-	ahead, behind, chunk, reserved := r.foreignPrefill, 0.0, 0.0, 0
+	ahead, queued, streams, later, chunk, reserved := r.foreignPrefill, 0.0, 0.0, 0.0, 0.0, 0
 	for _, g := range c.grants {
 		for _, p := range g.parts {
 			if p.replica != r {
@@ -37,12 +37,13 @@
 			reserved += p.tokens
 			switch {
 			case g.prefilled:
-				behind += weight * c.settings.DecodeInterference
+				streams += weight
 			case g.key <= it.key:
 				ahead += p.remaining
 			default:
-				behind += weight
-				chunk = max(chunk, min(p.remaining, float64(c.settings.ChunkTokens)))
+				queued += weight
+				later += p.remaining
+				chunk = max(chunk, min(p.remaining, float64(c.settings.ChunkTokens))*float64(min(2, len(g.parts))))
 			}
 		}
 	}
@@ -55,7 +56,11 @@
 		latest := now.Add(seconds(first + float64(it.request.MaxTokens)/c.settings.DecodeRate))
 		fits = fits && !latest.After(h.start)
 	}
-	return first*c.settings.OwnWeight.of(it.class) + own*behind, fits && soon && done <= it.deadline.Sub(now).Seconds()
+	step := float64(c.settings.ChunkTokens) / rate
+	slower := min(later/rate, step*min(float64(it.request.MaxTokens), c.meanOutput))
+	cost = (first+slower*c.settings.DecodeWeight)*c.settings.OwnWeight.of(it.class) + own*queued +
+		min(own, step*max(1, c.meanOutput))*c.settings.DecodeInterference*streams
+	return cost, fits && soon && done <= it.deadline.Sub(now).Seconds()
 }
 
 // Guards against a choice that the sorted queues, counters and bit maps make and a plain sum over all
@@ -99,6 +104,7 @@
 			if rapid.Bool().Draw(t, "first token") {
 				id := fmt.Sprintf("a%d", rapid.IntRange(0, i).Draw(t, "attempt"))
 				c.report(now, Event{Cell: testCell, Grant: id, Type: FirstToken, Elapsed: time.Second})
+				c.meanOutput = float64(i)
 			}
 		}
 	})
@@ -121,7 +127,13 @@
 		"the workspace's limit": {func(c *cell, r *ReserveRequest) { c.queue.perWorkspace[r.Workspace] = 512; c.fill() }, Refused, Overloaded},
 		"memory taken":          {func(c *cell, _ *ReserveRequest) { c.fill() }, Queued, ""},
 		"an operator's drain":   {func(c *cell, _ *ReserveRequest) { c.drainAll(endpoint.Ready, true) }, Queued, ""},
-		"leaving":               {func(c *cell, _ *ReserveRequest) { c.drainAll(endpoint.Leaving, false) }, Queued, ""},
+		"larger ones waiting":   {func(c *cell, _ *ReserveRequest) { c.crowd() }, Granted, ""},
+		"adapter not loaded":    {func(_ *cell, r *ReserveRequest) { r.Adapter = "fine" }, Queued, ""},
+		"adapter loaded": {func(c *cell, r *ReserveRequest) {
+			r.Adapter = "fine"
+			c.replicas["engine-001"].announcement.Adapters = []string{"fine"}
+		}, Granted, ""},
+		"leaving": {func(c *cell, _ *ReserveRequest) { c.drainAll(endpoint.Leaving, false) }, Queued, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -153,6 +165,18 @@
 	}
 }
 
+// crowd has more reservations wait for memory than one event tries to place.
+func (c *cell) crowd() {
+	for i, r := range c.order {
+		r.foreignUsed = r.announcement.Memory / 2
+		for j := range eventScan {
+			large := request(fmt.Sprintf("large-%d-%d", i, j), 80_000, 10)
+			large.Workspace = large.AttemptID
+			c.reserve(c.created, large)
+		}
+	}
+}
+
 func (c *cell) drainAll(state endpoint.State, operator bool) {
 	for _, r := range c.order {
 		r.announcement.State, r.drained = state, operator
@@ -190,7 +214,7 @@
 			if ms%100 == 0 {
 				c.tick(now)
 			}
-			for _, id := range sortedKeys(c.items) {
+			for _, id := range allKeys(c.items) {
 				if c.endAwait(now, id, false).Status == Granted {
 					queue = append(queue, id)
 					granted[id] = now
--- a/pierctl/internal/cli/cli_test.go
+++ b/pierctl/internal/cli/cli_test.go
@@ -111,6 +111,8 @@
 		},
 		"rejected":       {answer{422, rejected}, []string{"run", "unset workspace a"}, 4, "rejected, revision 7\nworkspace \"a\" does not exist\n", ""},
 		"denied":         {answer{401, `{"error":"no operator key"}`}, []string{"query", "show models"}, 4, "", "no operator key"},
+		"quorum add":     {answer{200, `{"status":"accepted"}`}, []string{"quorum", "add", "c6", "127.0.0.1:1"}, 0, "accepted \n", ""},
+		"quorum refused": {answer{422, `{"status":"rejected","message":"not caught up"}`}, []string{"quorum", "remove", "c6"}, 4, "rejected not caught up\n", ""},
 		"parse error":    {answer{200, accepted}, []string{"run", "st model oak"}, 2, "", "1:1: unexpected \"st\"; did you mean \"set\"?"},
 		"usage error":    {answer{200, accepted}, []string{"run", "--unknown"}, 2, "", "unknown"},
 		"unknown verb":   {answer{200, accepted}, []string{"runn"}, 2, "", "unknown command"},
@@ -176,6 +178,20 @@
 	is.Equal(commands[0].Text, "check\nset model oak\n")
 }
 
+// Guards against an interactive mode that runs a transaction before its end, splits it, or stops at an error.
+func TestInteractive(t *testing.T) {
+	is := is.New(t)
+	c := newInstance(t, answer{200, accepted}, answer{200, rows})
+	got := run(t, []*instance{c}, "shw\n\nset model oak\nset model ash\n\nshow models\nset model lost\n", "interactive")
+	is.Equal(got.code, 0)
+	commands, _ := c.received()
+	is.Equal(len(commands), 2)
+	is.Equal(commands[0].Text, "set model oak\nset model ash\n")
+	is.Equal(commands[1].Text, "show models")
+	is.True(strings.Contains(got.errs, `did you mean "show"?`))
+	is.True(strings.Contains(got.errs, "the last lines were not run"))
+}
+
 // Guards against a resend that shows a fresh key although the first attempt's key is the one in force.
 func TestResendNamesKeyBySum(t *testing.T) {
 	is := is.New(t)
