--- a/entryd/internal/exchange/exchange.go
+++ b/entryd/internal/exchange/exchange.go
@@ -27,6 +27,9 @@
 	Keyed     bool
 	KeyUnused bool
 
+	// BodyRead says that the body has been read to its end.
+	BodyRead bool
+
 	// The fields below are for the access log and the metrics.
 
 	Attempts     []string
