--- a/standin/internal/engine/engine_test.go
+++ b/standin/internal/engine/engine_test.go
@@ -364,3 +364,20 @@
 		is.Equal(call(n["e1"], http.MethodGet, "/platform/kv/unknown", "").Code, http.StatusNotFound)
 	})
 }
+
+// Guards against fault injection in an engine that does not allow it, and against faults that stay
+// active after they were cleared.
+func TestFaultSwitch(t *testing.T) {
+	const truncate = `{"kind":"truncate","after-events":2}`
+	o := settings()
+	o.Admin = true
+	bubble(t, []options.Engine{settings(), o}, func(t *testing.T, n network) {
+		is := is.New(t)
+		is.Equal(call(n["e0"], http.MethodPost, "/standin/faults", truncate).Code, http.StatusNotFound)
+		is.Equal(call(n["e1"], http.MethodPost, "/standin/faults", `{"kind":"trunkate"}`).Code, http.StatusBadRequest)
+		is.Equal(call(n["e1"], http.MethodPost, "/standin/faults", truncate).Code, http.StatusOK)
+		is.Equal(len(stream(n["e1"])), 2)
+		is.Equal(call(n["e1"], http.MethodDelete, "/standin/faults", "").Code, http.StatusOK)
+		is.Equal(len(stream(n["e1"])), 7)
+	})
+}
--- a/standin/internal/faults/faults.go
+++ b/standin/internal/faults/faults.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,6 +35,9 @@
 	CloseBeforeRead = "close-before-read"
 )
 
+// kinds are all kinds of faults.
+var kinds = []string{Silent, Drip, Truncate, Duplicate, Reorder, Cross, Garbage, CloseAfterRead, CloseBeforeRead}
+
 // Switch holds the active faults. Its methods may be called concurrently.
 type Switch struct {
 	mu     sync.Mutex
@@ -95,8 +100,8 @@
 		return
 	}
 	var f options.Fault
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil || f.Kind == "" {
-		http.Error(w, "a fault needs a kind", http.StatusBadRequest)
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil || !slices.Contains(kinds, f.Kind) {
+		http.Error(w, "a fault needs a kind: "+strings.Join(kinds, ", "), http.StatusBadRequest)
 		return
 	}
 	s.Add(f)
