--- a/controld/internal/operator/operator_test.go
+++ b/controld/internal/operator/operator_test.go
@@ -320,6 +320,27 @@
 	}
 }
 
+// Guards against an entry of another region, or one that drains, that hides a cell's dispatcher.
+func TestFleetAsksOwnRegionFirst(t *testing.T) {
+	is := is.New(t)
+	q := newQuorum()
+	for i := range 20 {
+		far := session.Member{Instance: fmt.Sprint("far", i), Region: "south", Peer: "down:1"}
+		drained := session.Member{Instance: fmt.Sprint("drained", i), Region: "north", Peer: "down:1", Draining: true}
+		q.members = append(q.members, far, drained)
+	}
+	q.members = append(q.members, members("a")...)
+	api := newAPI(q, peers(func(_ context.Context, address, cell string, _ *dispatch.EndpointsReply) error {
+		if address == "down:1" {
+			return errors.New("connection refused")
+		}
+		return nil
+	}), "", nil)
+	reply := query(t, api, "show versions")
+	is.Equal(len(reply.Missing), 1) // the cell of the other region
+	is.Equal(reply.Missing[0].Part, "cell oak/south")
+}
+
 // Guards against controllers that act on a part of the fleet as if it were all of it.
 func TestEndpoints(t *testing.T) {
 	is := is.New(t)
@@ -435,3 +456,24 @@
 	is.Equal(len(query(t, api, "show workspaces limit 20000").Rows), 6501)
 	is.Equal(len(query(t, api, "show workspaces by priority").Rows), 10)
 }
+
+// BenchmarkQuery measures a query over the 6,500 workspaces of the two-year target.
+func BenchmarkQuery(b *testing.B) {
+	q := newQuorum()
+	var changes []configuration.Change
+	for i := range 6500 {
+		changes = append(changes, configuration.Change{Workspace: &configuration.Workspace{Name: fmt.Sprintf("w%04d", i), Priority: i % 10}})
+	}
+	q.accept(changes...)
+	api := newAPI(q, nil, "", nil)
+	for _, text := range []string{"show workspaces where priority = 3", "show workspaces limit 10000", "show workspaces by priority"} {
+		b.Run(text, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if code, body := post(api, "/v1/queries", operatorKey, language.QueryRequest{Text: text}); code != http.StatusOK {
+					b.Fatal(body)
+				}
+			}
+		})
+	}
+}
--- a/internal/dispatch/replica.go
+++ b/internal/dispatch/replica.go
@@ -81,6 +81,16 @@
 	holding   string
 }
 
+// chunk is what remains of the part in tokens before its engine turns to other work. Members of a group
+// run its prefill in step with each other, beside a chunk of their own work, so it counts twice.
+func (p *part) chunk(s *Settings) float64 {
+	chunk := min(p.remaining, float64(s.ChunkTokens))
+	if len(p.grant.parts) > 1 {
+		return 2 * chunk
+	}
+	return chunk
+}
+
 func (r *replica) engine() bool {
 	return r.announcement.Type != endpoint.Service
 }
@@ -90,6 +100,11 @@
 	return r.announced && r.announcement.State == endpoint.Ready && !r.drained
 }
 
+// has reports whether an adapter is loaded; no adapter always is.
+func (r *replica) has(adapter string) bool {
+	return adapter == "" || slices.Contains(r.announcement.Adapters, adapter)
+}
+
 func (r *replica) prefillRate(s *Settings) float64 {
 	rate := r.announcement.Load.PrefillRate
 	if rate <= 0 {
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -124,7 +124,7 @@
 	left := it.deadline.Sub(now).Seconds()
 	restricted := where.suspect || where.only != nil
 	for _, r := range c.order {
-		if !r.takesWork() || r.ejected {
+		if !r.takesWork() || r.ejected || !r.has(request.Adapter) {
 			continue
 		}
 		if slices.Contains(request.Exclude, r.name) {
@@ -210,7 +210,7 @@
 		}
 		d.later += p.remaining / rate
 		d.queued += c.settings.OthersWeight.of(p.grant.class)
-		chunk = max(chunk, min(p.remaining, float64(c.settings.ChunkTokens)))
+		chunk = max(chunk, p.chunk(c.settings))
 	}
 	ahead += chunk
 	for class, count := range r.decoding {
