Let peers talk over TLS

Cause: net/rpc between the processes is authenticated but not encrypted.

Change: PoolConfig and ServerConfig take a TLS configuration, which wraps connections before the proof of the cluster key. Connections close without the closing alert of TLS, since sending it to a peer that does not read takes up to 5 s. A refused certificate is an error of kind denied.

Measured: go test -race ./internal/certificate ./internal/peer passes.

Conclusion: without a TLS configuration nothing changes.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,17 +1,21 @@
 // Package peer carries net/rpc calls between the processes of the system. It adds what net/rpc lacks:
-// contexts, write deadlines, a bound on pending calls, reconnection, and proof that both sides hold
-// the cluster key.
+// contexts, write deadlines, a bound on pending calls, reconnection, proof that both sides hold the
+// cluster key, and optionally TLS.
 package peer
 
 import (
+	"context"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
+	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"sync/atomic"
 	"time"
 
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 )
 
@@ -21,7 +25,8 @@
 const (
 	// Unreachable means that no connection could be made; the call did not reach the peer.
 	Unreachable Kind = "unreachable"
-	// Denied means that the peer does not hold the cluster key.
+	// Denied means that the peer does not hold the cluster key, or that one side refused the other's
+	// certificate or TLS version; the call did not reach the peer.
 	Denied Kind = "denied"
 	// Busy means that too many calls are pending on the connection; the call was not sent.
 	Busy Kind = "busy"
@@ -66,6 +71,44 @@
 	return n, err
 }
 
+// secureConn is a TLS connection that closes without a closing alert: tls.Conn.Close waits up to 5 s to
+// send one to a peer that does not read, while Close is called with locks held. The messages of
+// net/rpc carry their lengths, so a cut connection is noticed without the alert.
+type secureConn struct {
+	*tls.Conn
+}
+
+func (c secureConn) Close() error {
+	return c.NetConn().Close()
+}
+
+// handshake completes the TLS handshake before ctx ends and within handshakeTimeout.
+func handshake(ctx context.Context, conn *tls.Conn) (net.Conn, error) {
+	const op = "secure peer connection"
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	if err := conn.HandshakeContext(ctx); err != nil {
+		return nil, fault.Wrap(err, op, kindOf(err, Unreachable), "TLS handshake")
+	}
+	return secureConn{conn}, nil
+}
+
+// kindOf returns Denied if err says that one side refused the other in the TLS handshake, and otherwise
+// the other kind. With TLS 1.3 a client learns that its certificate was refused from its first read
+// after the handshake; crypto/tls reports alerts of the other side as "remote error".
+func kindOf(err error, other Kind) Kind {
+	var verification *tls.CertificateVerificationError
+	var alert *net.OpError
+	switch {
+	case errors.As(err, &verification), fault.Is(err, certificate.Untrusted):
+		return Denied
+	case errors.As(err, &alert) && alert.Op == "remote error":
+		return Denied
+	default:
+		return other
+	}
+}
+
 // authenticate proves to the other side that this side holds the key, and checks the same of it.
 // Both sides send a nonce and answer the other's with its HMAC; the role keeps a reflected answer
 // from being accepted.
@@ -83,7 +126,7 @@
 	}
 	other := make([]byte, nonceBytes)
 	if _, err := io.ReadFull(conn, other); err != nil {
-		return fault.Wrap(err, op, Unreachable, "receive nonce")
+		return fault.Wrap(err, op, kindOf(err, Unreachable), "receive nonce")
 	}
 	if _, err := conn.Write(proof(key, role, other)); err != nil {
 		return fault.Wrap(err, op, Unreachable, "send proof")
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/rpc"
@@ -9,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 )
 
@@ -20,6 +22,9 @@
 	DialTimeout time.Duration
 	// MaxPending bounds the calls pending on one connection; 0 means 4,096.
 	MaxPending int
+	// TLS, if set, wraps each connection before the cluster key is proved. The host of the address is
+	// the server name.
+	TLS *tls.Config
 	// Dial makes connections; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -35,7 +40,7 @@
 	mu     sync.Mutex
 	links  map[string]*link
 	closed bool
-	// traffic is in bytes, both ways.
+	// traffic is in bytes, both ways, without the overhead of TLS.
 	traffic atomic.Int64
 }
 
@@ -171,7 +176,10 @@
 		return nil, fault.Wrap(err, "dial peer", Unreachable, address)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
-	err = authenticate(raw, p.config.Key, clientRole, serverRole)
+	conn, err := p.secure(ctx, raw, address)
+	if err == nil {
+		err = authenticate(conn, p.config.Key, clientRole, serverRole)
+	}
 	if !stop() {
 		err = fault.Wrap(ctx.Err(), "dial peer", Unreachable, address)
 	}
@@ -179,7 +187,19 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	return raw, nil
+	return conn, nil
+}
+
+// secure does the TLS handshake, if TLS is configured.
+func (p *Pool) secure(ctx context.Context, raw net.Conn, address string) (net.Conn, error) {
+	if p.config.TLS == nil {
+		return raw, nil
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, fault.Wrap(err, "dial peer", Unreachable, address)
+	}
+	return handshake(ctx, tls.Client(raw, certificate.ForServer(p.config.TLS, host)))
 }
 
 func (l *link) drop(client *rpc.Client) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/rpc"
@@ -16,7 +17,9 @@
 // ServerConfig sets up a Server.
 type ServerConfig struct {
 	// Key is the cluster key.
-	Key    string
+	Key string
+	// TLS, if set, wraps each connection before the cluster key is proved.
+	TLS    *tls.Config
 	Logger *zap.Logger
 }
 
@@ -26,7 +29,7 @@
 	rpc    *rpc.Server
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
-	// traffic is in bytes, both ways.
+	// traffic is in bytes, both ways, without the overhead of TLS.
 	traffic atomic.Int64
 }
 
@@ -76,11 +79,23 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if err := authenticate(conn, s.config.Key, serverRole, clientRole); err != nil {
+	secured, err := s.secure(ctx, conn)
+	if err == nil {
+		err = authenticate(secured, s.config.Key, serverRole, clientRole)
+	}
+	if err != nil {
 		s.config.Logger.Warn("Refused a peer connection", zap.String("peer", conn.RemoteAddr().String()), zap.Error(err))
 		return
 	}
-	s.rpc.ServeConn(&deadlineConn{Conn: conn, traffic: &s.traffic})
+	s.rpc.ServeConn(&deadlineConn{Conn: secured, traffic: &s.traffic})
+}
+
+// secure does the TLS handshake, if TLS is configured.
+func (s *Server) secure(ctx context.Context, raw net.Conn) (net.Conn, error) {
+	if s.config.TLS == nil {
+		return raw, nil
+	}
+	return handshake(ctx, tls.Server(raw, s.config.TLS))
 }
 
 // Traffic returns the bytes sent and received.
