Let the settings of entryd and controld turn on TLS

Cause: package certificate and the TLS of peers had no user.

Change: a tls section names the files and the listeners: callers, platform and peers in entryd, operators and peers in controld. The metrics listener stays plain, and address answers stay host:port. Files without a listener, and a listener without its files, are refused at the start. HTTP/2 is not offered, as before. The settings reference lists nested options as parent.child. controld logs errors of its HTTP servers as JSON at level debug, since failed TLS handshakes would otherwise be plain lines on standard error.

Measured: go test -race passes for controld, entryd/internal/cli and internal/certificate.

Conclusion: without a tls section nothing changes.

--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/dandelionpier/dandelionpier/controld/internal/controller"
 	"github.com/dandelionpier/dandelionpier/controld/internal/operator"
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
 	"github.com/dandelionpier/dandelionpier/internal/consensus"
 	"github.com/dandelionpier/dandelionpier/internal/control"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
@@ -29,6 +31,8 @@
 	machine  *control.Machine
 	service  *control.Service
 	registry *metrics.Registry
+
+	certificates certificate.Configs
 }
 
 func run(ctx context.Context, s Settings) error {
@@ -48,10 +52,13 @@
 func build(s Settings, logger *zap.Logger) (*daemon, error) {
 	d := &daemon{settings: s, logger: logger, registry: metrics.NewRegistry()}
 	metrics.RegisterProcess(d.registry)
-	d.pool = peer.NewPool(peer.PoolConfig{Key: s.ClusterKey})
-	d.server = peer.NewServer(peer.ServerConfig{Key: s.ClusterKey, Logger: logger})
-	d.machine = control.NewMachine()
 	var err error
+	if d.certificates, err = s.TLS.Open(s.TLS.use(), logger); err != nil {
+		return nil, err
+	}
+	d.pool = peer.NewPool(peer.PoolConfig{Key: s.ClusterKey, TLS: d.certificates.PeerClient})
+	d.server = peer.NewServer(peer.ServerConfig{Key: s.ClusterKey, TLS: d.certificates.PeerServer, Logger: logger})
+	d.machine = control.NewMachine()
 	d.node, err = consensus.New(consensus.Config{
 		ID:            s.Instance,
 		Address:       s.peerAddress(),
@@ -198,7 +205,7 @@
 		task.Start(ctx, func(ctx context.Context) error { return controller.Run(ctx, orders, ordersInterval) }),
 		task.Start(ctx, func(ctx context.Context) error { return controller.Run(ctx, roles, rolesInterval) }),
 		task.Start(ctx, func(ctx context.Context) error {
-			return serveHTTP(ctx, d.settings.OperatorListen, d.operators())
+			return d.serveOperators(ctx, d.settings.OperatorListen, func(net.Addr) {})
 		}),
 		task.Start(ctx, func(ctx context.Context) error { return d.server.Serve(ctx, peers) }),
 		task.Start(ctx, d.node.Run),
@@ -207,7 +214,11 @@
 	if d.settings.MetricsListen != "" {
 		handler := metrics.Handler(metrics.HandlerConfig{Registry: d.registry, Ready: d.ready, Profiles: true})
 		ends = append(ends, task.Start(ctx, func(ctx context.Context) error {
-			return serveHTTP(ctx, d.settings.MetricsListen, handler)
+			listener, err := net.Listen("tcp", d.settings.MetricsListen)
+			if err != nil {
+				return err
+			}
+			return d.serveHTTP(ctx, listener, handler)
 		}))
 	}
 	d.logger.Info("Started", zap.String("peer", d.settings.peerAddress()))
@@ -216,6 +227,19 @@
 	return err
 }
 
+// serveOperators serves the operators' API until ctx ends, over TLS if the settings say so.
+func (d *daemon) serveOperators(ctx context.Context, address string, started func(net.Addr)) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	if d.certificates.Server != nil {
+		listener = tls.NewListener(listener, d.certificates.Server)
+	}
+	started(listener.Addr())
+	return d.serveHTTP(ctx, listener, d.operators())
+}
+
 // ready fails on an instance that knows no leader.
 func (d *daemon) ready() error {
 	if _, _, term := d.node.Leader(); term == 0 {
@@ -233,10 +257,11 @@
 )
 
 // serveHTTP serves until ctx ends and then finishes the requests in flight.
-func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
-	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+func (d *daemon) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	errorLog, _ := zap.NewStdLogAt(d.logger, zap.DebugLevel)
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: errorLog}
 	end := make(chan error, 1)
-	go func() { end <- server.ListenAndServe() }()
+	go func() { end <- server.Serve(listener) }()
 	select {
 	case err := <-end:
 		return err
--- a/controld/internal/cli/settings.go
+++ b/controld/internal/cli/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dandelionpier/dandelionpier/controld/internal/operator"
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
 	"github.com/dandelionpier/dandelionpier/internal/settings"
 )
 
@@ -34,6 +35,20 @@
 	// MaxLoads is the number of engines that the weight store can serve at a time.
 	MaxLoads int    `yaml:"max-loads" validate:"min=1"`
 	LogLevel string `yaml:"log-level" validate:"oneof=debug info warn error"`
+	TLS      TLS    `yaml:"tls"`
+}
+
+// TLS are the files of the certificate and the listeners that use it. The metrics listener never does.
+type TLS struct {
+	certificate.Files `yaml:",inline"`
+	// Operators serves the operators' API over TLS.
+	Operators bool `yaml:"operators"`
+	// Peers uses mutual TLS with the other processes of the system.
+	Peers bool `yaml:"peers"`
+}
+
+func (t TLS) use() certificate.Use {
+	return certificate.Use{Server: t.Operators, Peers: t.Peers}
 }
 
 // Voter is a control instance of the first quorum.
@@ -61,7 +76,7 @@
 	if err := settings.Load(path, &s); err != nil {
 		return Settings{}, err
 	}
-	return s, nil
+	return s, s.TLS.Check(s.TLS.use())
 }
 
 var errNoLeader = errors.New("no control leader is known")
--- a/entryd/internal/cli/serve.go
+++ b/entryd/internal/cli/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"net"
@@ -20,6 +21,7 @@
 	"github.com/dandelionpier/dandelionpier/entryd/internal/retry"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/service"
 	"github.com/dandelionpier/dandelionpier/internal/burn"
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
@@ -60,8 +62,9 @@
 	services    *service.Server
 	peers       *peer.Server
 
-	listeners listeners
-	failures  chan error
+	certificates certificate.Configs
+	listeners    listeners
+	failures     chan error
 }
 
 type listeners struct {
@@ -79,10 +82,13 @@
 		options: o, logger: logger, metrics: metrics.NewRegistry(),
 		addresses: address.NewBook(o.AddressCount), failures: make(chan error, 8),
 	}
+	if e.certificates, err = o.TLS.Open(o.TLS.Use(), logger); err != nil {
+		return err
+	}
 	if err := e.listen(); err != nil {
 		return err
 	}
-	pool := peer.NewPool(peer.PoolConfig{Key: o.ClusterKey})
+	pool := peer.NewPool(peer.PoolConfig{Key: o.ClusterKey, TLS: e.certificates.PeerClient})
 	defer pool.Close()
 	e.member = e.newMember()
 	e.parts, err = connect(Site{Options: o, Member: e.member, Pool: pool, Metrics: e.metrics, Logger: logger})
@@ -97,17 +103,22 @@
 	for _, l := range []struct {
 		address string
 		target  *net.Listener
+		secure  bool
 	}{
-		{e.options.CallerListen, &e.listeners.caller},
-		{e.options.PlatformListen, &e.listeners.platform},
-		{e.options.PeerListen, &e.listeners.peer},
-		{e.options.MetricsListen, &e.listeners.metrics},
+		{e.options.CallerListen, &e.listeners.caller, e.options.TLS.Callers},
+		{e.options.PlatformListen, &e.listeners.platform, e.options.TLS.Platform},
+		// The peer server does its TLS handshakes itself.
+		{e.options.PeerListen, &e.listeners.peer, false},
+		{e.options.MetricsListen, &e.listeners.metrics, false},
 	} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			e.listeners.close()
 			return fault.Wrap(err, "start", Listen, l.address)
 		}
+		if l.secure {
+			listener = tls.NewListener(listener, e.certificates.Server)
+		}
 		*l.target = listener
 	}
 	return nil
@@ -220,7 +231,7 @@
 		Entry: o.Instance + "/" + e.member.Incarnation, Region: o.Region, Cells: e.cells, Claims: e.parts.Claims,
 		View: view, Retries: retries, MaxAttempts: o.MaxAttempts, MaxResponse: o.MaxResponse, Logger: e.logger,
 	})
-	e.peers = peer.NewServer(peer.ServerConfig{Key: o.ClusterKey, Logger: e.logger})
+	e.peers = peer.NewServer(peer.ServerConfig{Key: o.ClusterKey, TLS: e.certificates.PeerServer, Logger: e.logger})
 	metrics.RegisterProcess(e.metrics)
 	e.metrics.GaugeFunc("peer_bytes_total", func() int64 { return pool.Traffic() + e.peers.Traffic() })
 }
--- a/entryd/internal/options/options.go
+++ b/entryd/internal/options/options.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/settings"
@@ -65,6 +66,22 @@
 	StallTimeout    time.Duration `yaml:"stall-timeout" validate:"min=10ms,max=900s" description:"Longest pause between two events of a stream."`
 	DispatchProfile string        `yaml:"dispatch-profile" validate:"oneof=balanced long-prompts short-slowdown" description:"What the dispatcher weighs higher: time to first token of long prompts, or slowdown of short requests."`
 	EngineIdle      int           `yaml:"idle-connections" validate:"min=0,max=10000" description:"Idle connections kept to each engine."`
+
+	TLS TLS `yaml:"tls"`
+}
+
+// TLS are the files of the certificate and the listeners that use it. The metrics listener never does.
+type TLS struct {
+	certificate.Files `yaml:",inline"`
+
+	Callers  bool `yaml:"callers" description:"Serve the callers' API over TLS."`
+	Platform bool `yaml:"platform" description:"Receive announcements of endpoints over TLS."`
+	Peers    bool `yaml:"peers" description:"Use mutual TLS with the other processes of the system."`
+}
+
+// Use returns what the files are needed for.
+func (t TLS) Use() certificate.Use {
+	return certificate.Use{Server: t.Callers || t.Platform, Peers: t.Peers}
 }
 
 // Default returns the settings with all defaults.
@@ -124,7 +141,7 @@
 			return fault.New(op, Conflict, "%s-listen is %s, which others cannot connect to; advertise-%s must be set", name, pair[0], name)
 		}
 	}
-	return nil
+	return o.TLS.Check(o.TLS.Use())
 }
 
 // DispatchSettings returns the dispatcher's settings of the profile.
@@ -139,17 +156,28 @@
 	}
 }
 
-// Reference returns a Markdown table of all options.
+// Reference returns a Markdown table of all options; nested ones are named parent.child.
 func Reference() string {
 	var b strings.Builder
 	b.WriteString("| option | type | default | bounds | description |\n|---|---|---|---|---|\n")
-	value := reflect.ValueOf(Default()).Elem()
+	writeRows(&b, "", reflect.ValueOf(Default()).Elem())
+	return b.String()
+}
+
+func writeRows(b *strings.Builder, parent string, value reflect.Value) {
 	for i := range value.NumField() {
 		field := value.Type().Field(i)
-		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", field.Tag.Get("yaml"), typeName(field.Type),
-			defaultText(value.Field(i)), bounds(field.Tag.Get("validate")), field.Tag.Get("description"))
+		name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+		switch {
+		case field.Type.Kind() == reflect.Struct && name == "":
+			writeRows(b, parent, value.Field(i))
+		case field.Type.Kind() == reflect.Struct:
+			writeRows(b, parent+name+".", value.Field(i))
+		default:
+			fmt.Fprintf(b, "| `%s` | %s | %s | %s | %s |\n", parent+name, typeName(field.Type),
+				defaultText(value.Field(i)), bounds(field.Tag.Get("validate")), field.Tag.Get("description"))
+		}
 	}
-	return b.String()
 }
 
 func typeName(t reflect.Type) string {
--- /dev/null
+++ b/internal/certificate/files.go
@@ -0,0 +1,73 @@
+package certificate
+
+import (
+	"crypto/tls"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+)
+
+// Files are the settings of the files, for the `tls` section of a program. The description tag is the
+// text of its reference.
+type Files struct {
+	Certificate string `yaml:"certificate" description:"PEM file of this instance's certificate chain, leaf first."`
+	Key         string `yaml:"key" description:"PEM file of the private key of the certificate."`
+	CA          string `yaml:"ca" description:"PEM file of the certificates that other processes of the system are verified against."`
+}
+
+// Use says what a process needs the files for.
+type Use struct {
+	// Server is TLS without client certificates, on any listener.
+	Server bool
+	// Peers is mutual TLS with the other processes of the system.
+	Peers bool
+}
+
+// Configs are the TLS configurations of a process. Those that are not in use are nil.
+type Configs struct {
+	Server     *tls.Config
+	PeerServer *tls.Config
+	PeerClient *tls.Config
+}
+
+// Check returns an *Error of kind Missing if the use needs a file that is not set, or if files are set
+// and no listener uses them, which would leave connections plain that were meant to be encrypted.
+func (f Files) Check(use Use) error {
+	const op = "check settings"
+	switch {
+	case use == Use{} && f != Files{}:
+		return fault.New(op, Missing, "tls names files but no listener that uses them")
+	case use == Use{}:
+		return nil
+	case f.Certificate == "" || f.Key == "":
+		return fault.New(op, Missing, "tls.certificate and tls.key must be set when a listener uses TLS")
+	case use.Peers && f.CA == "":
+		return fault.New(op, Missing, "tls.ca must be set when peers use TLS")
+	default:
+		return nil
+	}
+}
+
+// Open loads the files and returns the configurations of the use. Errors are of type *Error.
+func (f Files) Open(use Use, logger *zap.Logger) (Configs, error) {
+	if err := f.Check(use); err != nil || use == (Use{}) {
+		return Configs{}, err
+	}
+	store, err := New(Config{Certificate: f.Certificate, Key: f.Key, CA: f.CA, Logger: logger})
+	if err != nil {
+		return Configs{}, err
+	}
+	var configs Configs
+	if use.Server {
+		configs.Server = store.Server()
+	}
+	if !use.Peers {
+		return configs, nil
+	}
+	if configs.PeerServer, err = store.MutualServer(); err != nil {
+		return Configs{}, err
+	}
+	configs.PeerClient, err = store.Client()
+	return configs, err
+}
