Let pierctl use https addresses

Cause: the operators' API of controld can use TLS, and pierctl could not.

Change: addresses may be https://host:port, verified against the setting or flag ca-file, or else against the CAs of the operating system. With ca-file a plain address is refused. A leader that an encrypted answer names is asked over TLS. The HTTP client is made once per run, when the settings are known.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,6 +66,11 @@
 	if err := v.RegisterValidation("listen_address", isListenAddress); err != nil {
 		panic(err) // the tag is constant
 	}
+	if err := v.RegisterValidation("https_address", func(level validator.FieldLevel) bool {
+		return v.Var(strings.TrimPrefix(level.Field().String(), "https://"), "hostname_port") == nil
+	}); err != nil {
+		panic(err) // the tag is constant
+	}
 	return v
 }
 
@@ -152,6 +157,8 @@
 		return "it must be one of " + failure.Param()
 	case "hostname_port", "listen_address":
 		return "it must be an address such as 127.0.0.1:8080"
+	case "https_address":
+		return "it must be an address such as 127.0.0.1:8080 or https://127.0.0.1:8080"
 	default:
 		return strings.TrimSpace(fmt.Sprintf("it must satisfy %s %s", failure.Tag(), failure.Param()))
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -24,6 +24,7 @@
 	Limit   int           `yaml:"limit" validate:"min=1,max=10"`
 	Timeout time.Duration `yaml:"timeout" validate:"gt=0"`
 	HTTP    inner         `yaml:"http"`
+	Remote  string        `yaml:"remote" validate:"omitempty,https_address"`
 }
 
 func defaults() *sample {
@@ -44,6 +45,8 @@
 		"nested value":  {"name: a\nhttp:\n  listen: nowhere\n", []string{"f.yaml:3:3", "http.listen", "127.0.0.1:8080"}},
 		"inline value":  {"name: a\ncount: -1\n", []string{"f.yaml:2:1: count is -1"}},
 		"inline key":    {"name: a\ncuont: 1\n", []string{"f.yaml:2:1", "cuont", "count"}},
+		"other scheme":  {"name: a\nremote: http://127.0.0.1:1\n", []string{"f.yaml:2:1", "https://127.0.0.1:8080"}},
+		"no port":       {"name: a\nremote: https://127.0.0.1\n", []string{"f.yaml:2:1", "https://127.0.0.1:8080"}},
 		"not yaml":      {"name: [a\n", []string{"f.yaml:"}},
 		"zero duration": {"name: a\ntimeout: 0s\n", []string{"f.yaml:2:1", "more than 0"}},
 	} {
@@ -64,7 +67,7 @@
 func TestParseKeepsDefaults(t *testing.T) {
 	is := is.New(t)
 	s := defaults()
-	is.NoErr(settings.Parse("f.yaml", []byte("name: a\n"), s))
+	is.NoErr(settings.Parse("f.yaml", []byte("name: a\nremote: https://127.0.0.1:1\n"), s))
 	is.Equal(s.Limit, 5)
 	is.Equal(s.Timeout, time.Second)
 }
--- a/pierctl/internal/cli/cli.go
+++ b/pierctl/internal/cli/cli.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -17,6 +18,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
 	"github.com/dandelionpier/dandelionpier/internal/control"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/language"
@@ -54,7 +56,10 @@
 	in   io.Reader
 	out  io.Writer
 	errs io.Writer
-	http *http.Client
+	// http makes the client for a TLS configuration, used for https addresses.
+	http func(*tls.Config) *http.Client
+	// made is the client of the run, so that lines of an interactive run share its connections.
+	made *http.Client
 	// pause is client.Config's.
 	pause func(ctx context.Context, d time.Duration) bool
 	code  int
@@ -64,15 +69,15 @@
 func Run(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	p := program{in: os.Stdin, out: os.Stdout, errs: os.Stderr, http: newHTTPClient()}
+	p := program{in: os.Stdin, out: os.Stdout, errs: os.Stderr, http: newHTTPClient}
 	return p.run(ctx, args)
 }
 
 // newHTTPClient returns a client that ignores the proxy of the environment and follows no redirects,
 // so that the operator key reaches the given addresses only.
-func newHTTPClient() *http.Client {
+func newHTTPClient(config *tls.Config) *http.Client {
 	return &http.Client{
-		Transport:     &http.Transport{},
+		Transport:     &http.Transport{TLSClientConfig: config},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -109,8 +114,9 @@
 		OnUsageError:   usageError,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Sources: cli.EnvVars("PIERCTL_SETTINGS"), Usage: "settings `FILE`; by default dandelionpier/pierctl.yaml in the user's configuration directory"},
-			&cli.StringSliceFlag{Name: "address", Usage: "operator `ADDRESS` of a control instance; may be repeated"},
+			&cli.StringSliceFlag{Name: "address", Usage: "operator `ADDRESS` of a control instance, host:port or https://host:port; may be repeated"},
 			&cli.StringFlag{Name: "key-file", Usage: "`FILE` with the operator key"},
+			&cli.StringFlag{Name: "ca-file", Usage: "`FILE` with the certificates that https addresses are verified against"},
 			&cli.StringFlag{Name: "output", Usage: "output `FORMAT`: table, json (one object a line) or csv"},
 			&cli.DurationFlag{Name: "timeout", Usage: "bound of all attempts"},
 		},
@@ -194,7 +200,24 @@
 	if err != nil {
 		return nil, s, fault.Wrap(err, "read key", Usage, "the operator key")
 	}
-	return client.New(client.Config{Addresses: s.Addresses, Key: key, HTTP: p.http, Pause: p.pause}), s, nil
+	if p.made == nil {
+		config, err := tlsConfig(s.CAFile)
+		if err != nil {
+			return nil, s, err
+		}
+		p.made = p.http(config)
+	}
+	return client.New(client.Config{Addresses: s.Addresses, Key: key, HTTP: p.made, Pause: p.pause}), s, nil
+}
+
+func tlsConfig(caFile string) (*tls.Config, error) {
+	config := &tls.Config{MinVersion: tls.VersionTLS13}
+	if caFile == "" {
+		return config, nil
+	}
+	var err error
+	config.RootCAs, err = certificate.LoadCA(caFile)
+	return config, err
 }
 
 func (p *program) command(ctx context.Context, c *cli.Command, check bool) error {
--- a/pierctl/internal/cli/cli_test.go
+++ b/pierctl/internal/cli/cli_test.go
@@ -79,7 +79,7 @@
 		all = append(all, "--address", c.Listener.Addr().String())
 	}
 	var out, errs bytes.Buffer
-	p := program{in: strings.NewReader(in), out: &out, errs: &errs, http: &http.Client{}, pause: func(context.Context, time.Duration) bool { return false }}
+	p := program{in: strings.NewReader(in), out: &out, errs: &errs, http: newHTTPClient, pause: func(context.Context, time.Duration) bool { return false }}
 	code := p.run(t.Context(), append(all, args...))
 	return result{code, out.String(), errs.String()}
 }
--- a/pierctl/internal/cli/settings.go
+++ b/pierctl/internal/cli/settings.go
@@ -8,13 +8,17 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/settings"
 )
 
 // Settings are the options of the settings file; flags take precedence.
 type Settings struct {
-	// Addresses are the operator addresses of the control instances.
-	Addresses []string `yaml:"addresses" validate:"min=1,dive,hostname_port"`
+	// Addresses are the operator addresses of the control instances: host:port, or https://host:port.
+	Addresses []string `yaml:"addresses" validate:"min=1,dive,https_address"`
+	// CAFile holds the certificates that https addresses are verified against, in PEM; without it,
+	// those of the operating system are used.
+	CAFile string `yaml:"ca-file"`
 	// KeyFile holds the operator key on one line.
 	KeyFile string `yaml:"key-file" validate:"required"`
 	// Output is the output format.
@@ -43,13 +47,29 @@
 	if c.IsSet("key-file") {
 		s.KeyFile = c.String("key-file")
 	}
+	if c.IsSet("ca-file") {
+		s.CAFile = c.String("ca-file")
+	}
 	if c.IsSet("output") {
 		s.Output = c.String("output")
 	}
 	if c.IsSet("timeout") {
 		s.Timeout = c.Duration("timeout")
 	}
-	return s, settings.Parse("settings and flags", []byte("{}"), &s)
+	if err := settings.Parse("settings and flags", []byte("{}"), &s); err != nil {
+		return s, err
+	}
+	return s, s.checkTLS()
+}
+
+// checkTLS refuses a CA file together with a plain address, to which the key would go unencrypted.
+func (s Settings) checkTLS() error {
+	for _, address := range s.Addresses {
+		if s.CAFile != "" && !strings.HasPrefix(address, "https://") {
+			return fault.New("check settings", Usage, "address %s is not encrypted; with ca-file each address must start with https://", address)
+		}
+	}
+	return nil
 }
 
 // defaultPath returns the settings file in the user's configuration directory, if it exists.
--- a/pierctl/internal/client/client.go
+++ b/pierctl/internal/client/client.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,7 +45,7 @@
 
 // Config sets up a Client.
 type Config struct {
-	// Addresses are the operator addresses (host:port) of the control instances.
+	// Addresses are the operator addresses of the control instances: host:port, or https://host:port.
 	Addresses []string
 	// Key is the operator key.
 	Key  string
@@ -205,7 +206,7 @@
 	const op = "ask control instance"
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, origin(address)+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, "", fault.Wrap(err, op, Refused, address)
 	}
@@ -221,9 +222,23 @@
 		return nil, "", fault.Wrap(err, op, Unavailable, address)
 	}
 	leader, err = judge(address, response.StatusCode, data)
+	if leader != "" && strings.HasPrefix(address, secure) {
+		// The answer names host:port; the operator key must not go there unencrypted.
+		leader = secure + leader
+	}
 	return data, leader, err
 }
 
+// secure starts the addresses that use TLS.
+const secure = "https://"
+
+func origin(address string) string {
+	if strings.HasPrefix(address, secure) {
+		return address
+	}
+	return "http://" + address
+}
+
 func judge(address string, status int, data []byte) (leader string, err error) {
 	const op = "ask control instance"
 	var failure language.ErrorReply
--- a/pierctl/internal/client/client_test.go
+++ b/pierctl/internal/client/client_test.go
@@ -65,3 +65,31 @@
 func quorum(ctx context.Context, c *client.Client) (language.CommandReply, error) {
 	return c.RemoveMember(ctx, "c1")
 }
+
+// named answers every address but leader with the name of the leader, and notes the addresses asked.
+type named struct {
+	leader string
+	asked  *[]string
+}
+
+func (n named) RoundTrip(request *http.Request) (*http.Response, error) {
+	*n.asked = append(*n.asked, request.URL.Scheme+"://"+request.URL.Host)
+	status, body := http.StatusOK, `{"status":"accepted"}`
+	if request.URL.Host != n.leader {
+		status, body = http.StatusServiceUnavailable, `{"error":"not the leader","leader":"`+n.leader+`"}`
+	}
+	return &http.Response{StatusCode: status, Body: io.NopCloser(strings.NewReader(body))}, nil
+}
+
+// Guards against an operator key that goes unencrypted to a leader that an encrypted answer names.
+func TestLeaderKeepsTheScheme(t *testing.T) {
+	for address, want := range map[string]string{"https://first:1": "https://second:1", "first:1": "http://second:1"} {
+		var asked []string
+		c := client.New(client.Config{
+			Addresses: []string{address}, HTTP: &http.Client{Transport: named{"second:1", &asked}},
+		})
+		_, err := command(t.Context(), c)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(asked[1:], []string{want})
+	}
+}
