Export the end of validity of the certificate in force

Cause: bad new files were logged only at the next TLS handshake, which may be hours away between peers, and an expiring certificate was not visible.

Change: the gauge tls_certificate_not_after, in Unix seconds, is present when TLS is on. Each scrape also checks the files.

Conclusion: a scrape after a rotation shows whether it took effect.

--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -146,6 +146,7 @@
 }
 
 func (d *daemon) gauges() {
+	d.certificates.Register(d.registry)
 	d.registry.GaugeFunc("control_leader", func() int64 {
 		if remaining, _ := d.node.LeaderLease(); remaining > 0 {
 			return 1
--- a/entryd/internal/cli/serve.go
+++ b/entryd/internal/cli/serve.go
@@ -233,6 +233,7 @@
 	})
 	e.peers = peer.NewServer(peer.ServerConfig{Key: o.ClusterKey, TLS: e.certificates.PeerServer, Logger: e.logger})
 	metrics.RegisterProcess(e.metrics)
+	e.certificates.Register(e.metrics)
 	e.metrics.GaugeFunc("peer_bytes_total", func() int64 { return pool.Traffic() + e.peers.Traffic() })
 }
 
--- a/internal/certificate/certificate.go
+++ b/internal/certificate/certificate.go
@@ -89,6 +89,11 @@
 	return s, nil
 }
 
+// NotAfter returns the end of validity of the certificate in force. Like a handshake, it checks the files.
+func (s *Store) NotAfter() time.Time {
+	return s.current().pair.Leaf.NotAfter
+}
+
 // LoadCA reads the certificates of a CA file in PEM. Errors are of type *Error.
 func LoadCA(path string) (*x509.CertPool, error) {
 	const op = "load CA certificates"
--- a/internal/certificate/certificate_test.go
+++ b/internal/certificate/certificate_test.go
@@ -177,6 +177,21 @@
 	is.Equal(serial, int64(11))
 }
 
+// Guards against a bad file that is noticed only by the next connection: a scrape of the metrics
+// notices it too.
+func TestScrapeChecksFiles(t *testing.T) {
+	is := is.New(t)
+	ca := newAuthority(t)
+	pair := ca.issue(t, 11, "127.0.0.1")
+	s := newSite(t, pair, ca.pem)
+	leaf, _ := pem.Decode([]byte(pair.certificate))
+	parsed, err := x509.ParseCertificate(leaf.Bytes)
+	is.NoErr(err)
+	s.write(issued{pair.certificate, ca.pem}, ca.pem)
+	is.Equal(s.NotAfter(), parsed.NotAfter)
+	is.Equal(s.logs.FilterLevelExact(zap.WarnLevel).Len(), 1)
+}
+
 // Guards against a start with files that cannot serve, and against verification without a CA file,
 // which would trust the CAs of the operating system.
 func TestConfiguration(t *testing.T) {
--- a/internal/certificate/files.go
+++ b/internal/certificate/files.go
@@ -2,10 +2,12 @@
 
 import (
 	"crypto/tls"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/metrics"
 )
 
 // Files are the settings of the files, for the `tls` section of a program. The description tag is the
@@ -29,6 +31,16 @@
 	Server     *tls.Config
 	PeerServer *tls.Config
 	PeerClient *tls.Config
+	// NotAfter returns the end of validity of the certificate in force.
+	NotAfter func() time.Time
+}
+
+// Register adds the end of validity, in Unix seconds, to the metrics if TLS is in use. A scrape checks
+// the files, so that bad new files are logged before the next handshake.
+func (c Configs) Register(registry *metrics.Registry) {
+	if c.NotAfter != nil {
+		registry.GaugeFunc("tls_certificate_not_after", func() int64 { return c.NotAfter().Unix() })
+	}
 }
 
 // Check returns an *Error of kind Missing if the use needs a file that is not set, or if files are set
@@ -58,7 +70,7 @@
 	if err != nil {
 		return Configs{}, err
 	}
-	var configs Configs
+	configs := Configs{NotAfter: store.NotAfter}
 	if use.Server {
 		configs.Server = store.Server()
 	}
