Test the limit of stalled TLS handshakes and fold similar tests

Cause: no test covered the 2 s limit of a TLS handshake for a call without a deadline, and tests of settings and files were spread over two packages.

Change: TestHandshakeTimeout runs such a call in a bubble. TestOpen replaces TestConfiguration and the TestTLSSettings of controld with the same cases, and TestReload takes over TestScrapeChecksFiles. Two rows of TestPeers that other tests cover go away.

--- a/controld/internal/cli/tls_test.go
+++ b/controld/internal/cli/tls_test.go
@@ -20,7 +20,6 @@
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/internal/certificate"
-	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/task"
 )
 
@@ -44,21 +43,17 @@
 	return path
 }
 
-func tlsSettings(t *testing.T, file string) Settings {
-	return Settings{
-		Instance: "control-1", DataCentre: "vitoria", DataDirectory: t.TempDir(), PeerListen: "127.0.0.1:1",
-		ClusterKey: "0123456789abcdef", SnapshotEvery: defaultSnapshotEvery, ReplaceAfter: defaultReplaceAfter,
-		MaxLoads: defaultMaxLoads, Bootstrap: []Voter{{Instance: "control-1", Address: "127.0.0.1:1"}},
-		TLS: TLS{Files: certificate.Files{Certificate: file, Key: file, CA: file}, Operators: true, Peers: true},
-	}
-}
-
 // Guards against operators' requests that pass unencrypted although the settings ask for TLS, and
 // against calls to peers that stay plain.
 func TestOperatorsOverTLS(t *testing.T) {
 	is := is.New(t)
 	file := selfSigned(t)
-	d, err := build(tlsSettings(t, file), zap.NewNop())
+	d, err := build(Settings{
+		Instance: "control-1", DataDirectory: t.TempDir(), PeerListen: "127.0.0.1:1", ClusterKey: "0123456789abcdef",
+		SnapshotEvery: defaultSnapshotEvery, ReplaceAfter: defaultReplaceAfter, MaxLoads: defaultMaxLoads,
+		Bootstrap: []Voter{{Instance: "control-1", Address: "127.0.0.1:1"}},
+		TLS:       TLS{Files: certificate.Files{Certificate: file, Key: file, CA: file}, Operators: true, Peers: true},
+	}, zap.NewNop())
 	is.NoErr(err)
 	defer d.pool.Close()
 	is.True(d.certificates.PeerServer != nil && d.certificates.PeerClient != nil)
@@ -84,24 +79,3 @@
 	cancel()
 	is.NoErr(<-end)
 }
-
-// Guards against a start that leaves a listener plain because a file is not named or not usable.
-func TestTLSSettings(t *testing.T) {
-	file := selfSigned(t)
-	for name, test := range map[string]struct {
-		tls  TLS
-		want certificate.Kind
-	}{
-		"off":            {TLS{}, ""},
-		"operators":      {TLS{Files: certificate.Files{Certificate: file, Key: file}, Operators: true}, ""},
-		"no listener":    {TLS{Files: certificate.Files{Certificate: file, Key: file}}, certificate.Missing},
-		"no certificate": {TLS{Operators: true}, certificate.Missing},
-		"peers, no CA":   {TLS{Files: certificate.Files{Certificate: file, Key: file}, Peers: true}, certificate.Missing},
-		"no such file":   {TLS{Files: certificate.Files{Certificate: file, Key: file + "x"}, Operators: true}, certificate.Unreadable},
-	} {
-		_, err := test.tls.Open(test.tls.use(), zap.NewNop())
-		if test.want == "" && err != nil || test.want != "" && !fault.Is(err, test.want) {
-			t.Errorf("%s: got %v, want kind %q", name, err, test.want)
-		}
-	}
-}
--- a/internal/certificate/certificate_test.go
+++ b/internal/certificate/certificate_test.go
@@ -155,7 +155,7 @@
 	_, err = io.ReadFull(open, answer)
 	is.NoErr(err)
 
-	for _, bad := range []struct {
+	for i, bad := range []struct {
 		pair issued
 		ca   string
 	}{
@@ -164,11 +164,11 @@
 		{first, "no certificate"},
 	} {
 		s.write(bad.pair, bad.ca)
-		for range 2 {
-			_, serial = s.dial(listener)
-			is.Equal(serial, int64(12))
-			s.now = s.now.Add(interval)
-		}
+		is.True(s.NotAfter().After(time.Now())) // as a scrape of the metrics does, it checks the files
+		is.Equal(s.logs.FilterLevelExact(zap.WarnLevel).Len(), i+1)
+		s.now = s.now.Add(interval)
+		_, serial = s.dial(listener)
+		is.Equal(serial, int64(12))
 	}
 	is.Equal(s.logs.FilterLevelExact(zap.WarnLevel).Len(), 3)
 
@@ -177,44 +177,36 @@
 	is.Equal(serial, int64(11))
 }
 
-// Guards against a bad file that is noticed only by the next connection: a scrape of the metrics
-// notices it too.
-func TestScrapeChecksFiles(t *testing.T) {
-	is := is.New(t)
-	ca := newAuthority(t)
-	pair := ca.issue(t, 11, "127.0.0.1")
-	s := newSite(t, pair, ca.pem)
-	leaf, _ := pem.Decode([]byte(pair.certificate))
-	parsed, err := x509.ParseCertificate(leaf.Bytes)
-	is.NoErr(err)
-	s.write(issued{pair.certificate, ca.pem}, ca.pem)
-	is.Equal(s.NotAfter(), parsed.NotAfter)
-	is.Equal(s.logs.FilterLevelExact(zap.WarnLevel).Len(), 1)
-}
-
-// Guards against a start with files that cannot serve, and against verification without a CA file,
-// which would trust the CAs of the operating system.
-func TestConfiguration(t *testing.T) {
+// Guards against a start that leaves a listener plain because a file is not named or not usable, and
+// against peers without a CA file, which would trust the CAs of the operating system.
+func TestOpen(t *testing.T) {
 	is := is.New(t)
 	ca := newAuthority(t)
-	pair := ca.issue(t, 11, "127.0.0.1")
-	s := newSite(t, pair, ca.pem)
+	s := newSite(t, ca.issue(t, 11, "127.0.0.1"), ca.pem)
+	server, peers := certificate.Use{Server: true}, certificate.Use{Peers: true}
+	chain, key, none := s.path("certificate"), s.path("key"), s.path("none")
 	for name, test := range map[string]struct {
-		certificate, key, ca string
-		want                 certificate.Kind
+		files certificate.Files
+		use   certificate.Use
+		want  certificate.Kind
 	}{
-		"no file":     {s.path("none"), s.path("key"), "", certificate.Unreadable},
-		"no key":      {s.path("certificate"), s.path("none"), "", certificate.Unreadable},
-		"mismatch":    {s.path("ca"), s.path("key"), "", certificate.Invalid},
-		"no CA file":  {s.path("certificate"), s.path("key"), s.path("none"), certificate.Unreadable},
-		"key as a CA": {s.path("certificate"), s.path("key"), s.path("key"), certificate.Invalid},
+		"off":            {certificate.Files{}, certificate.Use{}, ""},
+		"server":         {certificate.Files{Certificate: chain, Key: key}, server, ""},
+		"no listener":    {certificate.Files{Certificate: chain, Key: key}, certificate.Use{}, certificate.Missing},
+		"no certificate": {certificate.Files{CA: s.path("ca")}, server, certificate.Missing},
+		"peers, no CA":   {certificate.Files{Certificate: chain, Key: key}, peers, certificate.Missing},
+		"no file":        {certificate.Files{Certificate: none, Key: key}, server, certificate.Unreadable},
+		"no key file":    {certificate.Files{Certificate: chain, Key: none}, server, certificate.Unreadable},
+		"no CA file":     {certificate.Files{Certificate: chain, Key: key, CA: none}, peers, certificate.Unreadable},
+		"mismatch":       {certificate.Files{Certificate: s.path("ca"), Key: key}, server, certificate.Invalid},
+		"key as a CA":    {certificate.Files{Certificate: chain, Key: key, CA: key}, peers, certificate.Invalid},
 	} {
-		_, err := certificate.New(certificate.Config{Certificate: test.certificate, Key: test.key, CA: test.ca, Logger: zap.NewNop()})
-		if !fault.Is(err, test.want) {
-			t.Errorf("%s: got %v, want an error of kind %s", name, err, test.want)
+		_, err := test.files.Open(test.use, zap.NewNop())
+		if test.want == "" && err != nil || test.want != "" && !fault.Is(err, test.want) {
+			t.Errorf("%s: got %v, want an error of kind %q", name, err, test.want)
 		}
 	}
-	store, err := certificate.New(certificate.Config{Certificate: s.path("certificate"), Key: s.path("key"), Logger: zap.NewNop()})
+	store, err := certificate.New(certificate.Config{Certificate: chain, Key: key, Logger: zap.NewNop()})
 	is.NoErr(err)
 	_, err = store.MutualServer()
 	is.True(fault.Is(err, certificate.Missing))
--- a/internal/certificate/peer_test.go
+++ b/internal/certificate/peer_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -79,18 +82,16 @@
 		server, client *tls.Config
 		want           peer.Kind
 	}{
-		"both of the CA":         {good.mutual(), good.client(), ""},
-		"client without one":     {good.mutual(), anonymous, peer.Denied},
-		"client of another CA":   {good.mutual(), foreign.client(), peer.Denied},
-		"server of another CA":   {foreign.mutual(), good.client(), peer.Denied},
-		"server elsewhere":       {elsewhere.mutual(), good.client(), peer.Denied},
-		"server without a name":  {good.mutual(), unnamed, peer.Denied},
-		"client without TLS":     {good.mutual(), nil, peer.Unreachable},
-		"server without TLS":     {nil, good.client(), peer.Unreachable},
-		"neither side with TLS":  {nil, nil, ""},
-		"client with TLS 1.2":    {good.mutual(), oldVersion(good.client()), peer.Denied},
-		"server with TLS 1.2":    {oldVersion(good.Server()), good.client(), peer.Denied},
-		"server without clients": {good.Server(), good.client(), ""},
+		"both of the CA":        {good.mutual(), good.client(), ""},
+		"client without one":    {good.mutual(), anonymous, peer.Denied},
+		"client of another CA":  {good.mutual(), foreign.client(), peer.Denied},
+		"server of another CA":  {foreign.mutual(), good.client(), peer.Denied},
+		"server elsewhere":      {elsewhere.mutual(), good.client(), peer.Denied},
+		"server without a name": {good.mutual(), unnamed, peer.Denied},
+		"client without TLS":    {good.mutual(), nil, peer.Unreachable},
+		"server without TLS":    {nil, good.client(), peer.Unreachable},
+		"client with TLS 1.2":   {good.mutual(), oldVersion(good.client()), peer.Denied},
+		"server with TLS 1.2":   {oldVersion(good.Server()), good.client(), peer.Denied},
 	} {
 		t.Run(name, func(t *testing.T) {
 			err := call(t.Context(), test.client, servePeers(t, test.server))
@@ -159,6 +160,27 @@
 	is.True(fault.Is(err, peer.Unreachable))
 }
 
+// Guards against a call without a deadline that waits for ever for a peer that reads and does not answer
+// the TLS handshake.
+func TestHandshakeTimeout(t *testing.T) {
+	ca := newAuthority(t)
+	s := newSite(t, ca.issue(t, 11, "127.0.0.1"), ca.pem)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		started := time.Now()
+		pool := peer.NewPool(peer.PoolConfig{Key: clusterKey, TLS: s.client(), Dial: func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			return near, nil
+		}})
+		defer pool.Close()
+		var reply string
+		err := pool.Call(t.Context(), "127.0.0.1:1", "Echo.Say", "saw", &reply)
+		is.True(fault.Is(err, peer.Unreachable))
+		is.Equal(time.Since(started), 2*time.Second) // the bubble's clock
+	})
+}
+
 // Guards against a client that sends nothing and holds the end of the server.
 func TestSilentClient(t *testing.T) {
 	is := is.New(t)
