Test that mutual TLS resumes no sessions

Cause: a trial without SessionTicketsDisabled passed all tests.

Change: TestNoResumption dials twice with a session cache.

Conclusion: each connection between peers is verified against the present CA.

--- a/internal/certificate/peer_test.go
+++ b/internal/certificate/peer_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/peer"
 	"github.com/dandelionpier/dandelionpier/internal/task"
@@ -194,3 +195,23 @@
 	is.NoErr(err)
 	is.NoErr(call(t.Context(), s.client(), address))
 }
+
+// Guards against a resumed session, whose client certificate the server does not verify again.
+func TestNoResumption(t *testing.T) {
+	is := is.New(t)
+	ca := newAuthority(t)
+	s := newSite(t, ca.issue(t, 11, "127.0.0.1"), ca.pem)
+	listener := echo(t, s.mutual())
+	config := certificate.ForServer(s.client(), "127.0.0.1")
+	config.ClientSessionCache = tls.NewLRUClientSessionCache(1)
+	for range 2 {
+		conn, err := tls.Dial("tcp", listener.Addr().String(), config)
+		is.NoErr(err)
+		_, err = conn.Write([]byte{1})
+		is.NoErr(err)
+		_, err = conn.Read(make([]byte, 1)) // a session ticket would come before the answer
+		is.NoErr(err)
+		is.True(!conn.ConnectionState().DidResume)
+		is.NoErr(conn.Close())
+	}
+}
