Report the end of the context when the peer closes at the same time

When the context of a call ends during the handshake and the other side closes the connection before AfterFunc's function has started, the call returned the read error in place of the context's.

Change: dial also looks at the context itself.

Conclusion: the fault was in dial, the test was right.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -180,7 +180,8 @@
 	if err == nil {
 		err = authenticate(conn, p.config.Key, clientRole, serverRole)
 	}
-	if !stop() {
+	// When ctx ends, the other side may close the connection before AfterFunc's function has started.
+	if !stop() || ctx.Err() != nil {
 		err = fault.Wrap(ctx.Err(), "dial peer", Unreachable, address)
 	}
 	if err != nil {
