End the test of pending calls when a call does not reach the service

Cause: make test hung in package peer until its time limit, on a machine with a load average of 15. The trace was not kept and 300 repetitions of each test did not repeat it; the test of pending calls waits for ever when a call ends without reaching the service, the only wait without an end that was found. Change: the wait also ends with the call, whose error is then reported. Conclusion: a repetition would now name the error.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -102,6 +102,16 @@
 	is.True(fault.Is(err, peer.Unreachable))
 }
 
+// awaitHeld waits until the service holds a call, or fails when the call ends without reaching it.
+func awaitHeld(t *testing.T, service *echo, end <-chan error) {
+	t.Helper()
+	select {
+	case <-service.held:
+	case err := <-end:
+		t.Fatal(err)
+	}
+}
+
 // Guards against a slow call that holds the others, an unbounded number of pending calls, and a
 // caller that waits past its context.
 func TestPendingCalls(t *testing.T) {
@@ -113,7 +123,7 @@
 	slow := task.Start(ctx, func(ctx context.Context) error {
 		return p.Call(ctx, address, "Echo.Hold", 1, &held)
 	})
-	<-service.held
+	awaitHeld(t, service, slow)
 	var reply string
 	is.NoErr(p.Call(t.Context(), address, "Echo.Say", "past the slow one", &reply))
 
@@ -121,7 +131,7 @@
 		var held int
 		return p.Call(ctx, address, "Echo.Hold", 1, &held)
 	})
-	<-service.held
+	awaitHeld(t, service, second)
 	is.True(fault.Is(p.Call(t.Context(), address, "Echo.Say", "one too many", &reply), peer.Busy))
 	cancel()
 	is.True(fault.Is(<-slow, peer.Lost))
