--- a/internal/dispatch/retired_test.go
+++ b/internal/dispatch/retired_test.go
@@ -29,3 +29,30 @@
 	c.announce(epoch.Add(3*time.Second), third)
 	is.Equal(len(c.grants), 0) // a real restart still ends them
 }
+
+// Guards against an innocent request that is quarantined because the engines that ran it fell silent, as
+// overloaded ones do, although no connection broke. Counting each silence as a crash quarantines it.
+func TestSilenceIsNoCrash(t *testing.T) {
+	for name, lost := range map[string]bool{"silent": false, "connection lost": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := testCellWith(testConfig())
+			now := epoch
+			for i := range 2 {
+				c.announce(now, engine(i, 100_000))
+				r := request(engine(i, 0).Name, 1000, 10)
+				r.Fingerprint = 7
+				is.Equal(c.reserve(now, r).Status, Granted)
+				if lost {
+					c.report(now, Event{Grant: r.AttemptID, Type: Died})
+				}
+				for range 5 {
+					now = now.Add(900 * time.Millisecond)
+					c.tick(now)
+				}
+				is.Equal(len(c.replicas), 0)
+			}
+			is.Equal(c.quarantined(now, 7), lost)
+		})
+	}
+}
