--- a/controld/internal/cli/cli.go
+++ b/controld/internal/cli/cli.go
@@ -4,33 +4,22 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
-)
 
-// version is set by the linker.
-var version = "development"
+	"github.com/dandelionpier/dandelionpier/internal/program"
+)
 
 // Run executes the program and returns its exit code.
 func Run(args []string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := command().Run(ctx, args); err != nil {
-		fmt.Fprintln(os.Stderr, "controld:", err)
-		return 1
-	}
-	return 0
+	return program.Main(command(), args)
 }
 
 func command() *cli.Command {
 	file := &cli.StringFlag{Name: "settings", Usage: "path of the YAML settings", Required: true}
 	return &cli.Command{
-		Name:    "controld",
-		Usage:   "keep the configuration, claims and budgets of a dandelionpier deployment",
-		Version: version,
+		Name:  "controld",
+		Usage: "keep the configuration, claims and budgets of a dandelionpier deployment",
 		Commands: []*cli.Command{
 			{
 				Name:  "run",
@@ -56,14 +45,7 @@
 					return nil
 				},
 			},
-			{
-				Name:  "version",
-				Usage: "print the version",
-				Action: func(_ context.Context, c *cli.Command) error {
-					fmt.Fprintln(c.Root().Writer, "controld", version)
-					return nil
-				},
-			},
+			program.VersionCommand(),
 		},
 	}
 }
--- a/entryd/internal/cli/cli.go
+++ b/entryd/internal/cli/cli.go
@@ -7,12 +7,12 @@
 	"io"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/dandelionpier/dandelionpier/entryd/internal/options"
+	"github.com/dandelionpier/dandelionpier/internal/program"
 )
 
 // Run executes the program and returns its exit code.
@@ -52,7 +52,7 @@
 				return err
 			}},
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
-				_, err := fmt.Fprintln(out, version())
+				_, err := fmt.Fprintln(out, "entryd", program.Version())
 				return err
 			}},
 		},
@@ -63,11 +63,3 @@
 	}
 	return 0
 }
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "entryd (unknown)"
-	}
-	return "entryd " + info.Main.Version
-}
--- a/pierctl/internal/cli/cli.go
+++ b/pierctl/internal/cli/cli.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"strings"
 	"syscall"
 	"time"
@@ -22,6 +21,7 @@
 	"github.com/dandelionpier/dandelionpier/internal/control"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/language"
+	shared "github.com/dandelionpier/dandelionpier/internal/program"
 	"github.com/dandelionpier/dandelionpier/pierctl/internal/client"
 	"github.com/dandelionpier/dandelionpier/pierctl/internal/output"
 )
@@ -146,7 +146,8 @@
 				},
 			},
 			{Name: "interactive", Usage: "read queries and transactions from standard input", OnUsageError: usageError, Action: p.interactive},
-			{Name: "version", Usage: "print the version", Action: p.version},
+			{Name: "check-settings", Usage: "check the settings and flags", Action: p.checkSettings},
+			shared.VersionCommand(),
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Args().Present() {
@@ -333,20 +334,10 @@
 	}
 }
 
-func (p *program) version(context.Context, *cli.Command) error {
-	revision, modified := "unknown", ""
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		info = &debug.BuildInfo{}
-	}
-	for _, setting := range info.Settings {
-		switch {
-		case setting.Key == "vcs.revision":
-			revision = setting.Value
-		case setting.Key == "vcs.modified" && setting.Value == "true":
-			modified = " (modified)"
-		}
+func (p *program) checkSettings(_ context.Context, c *cli.Command) error {
+	if _, err := settingsOf(c); err != nil {
+		return err
 	}
-	_, err := fmt.Fprintf(p.out, "pierctl %s%s, %s\n", revision, modified, info.GoVersion)
-	return fault.Wrap(err, "write version", Failed, "output")
+	_, err := fmt.Fprintln(p.out, "The settings are valid.")
+	return err
 }
--- a/standin/internal/cli/cli.go
+++ b/standin/internal/cli/cli.go
@@ -7,15 +7,13 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/signal"
-	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/internal/logging"
+	"github.com/dandelionpier/dandelionpier/internal/program"
 	"github.com/dandelionpier/dandelionpier/standin/internal/engine"
 	"github.com/dandelionpier/dandelionpier/standin/internal/node"
 	"github.com/dandelionpier/dandelionpier/standin/internal/options"
@@ -23,17 +21,12 @@
 	"github.com/dandelionpier/dandelionpier/standin/internal/weights"
 )
 
-const (
-	exitFailure = 1
-	// exitCrash is the code of a simulated crash, so that tests can tell it from other failures.
-	exitCrash = 3
-)
+// exitCrash is the code of a simulated crash, so that tests can tell it from other failures.
+const exitCrash = 3
 
 // Run executes the program and returns its exit code.
 func Run(args []string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	command := &cli.Command{
+	return program.Main(&cli.Command{
 		Name:  "standin",
 		Usage: "stand-ins for the endpoints of the platform",
 		Commands: []*cli.Command{
@@ -41,14 +34,9 @@
 			mode("service", "run a plain service", runService),
 			mode("weights", "run a weight store", runWeights),
 			checkSettings(),
-			{Name: "version", Usage: "print the version", Action: printVersion},
+			program.VersionCommand(),
 		},
-	}
-	if err := command.Run(ctx, args); err != nil {
-		fmt.Fprintln(os.Stderr, "standin:", err)
-		return exitFailure
-	}
-	return 0
+	}, args)
 }
 
 func settingsFlag() cli.Flag {
@@ -95,15 +83,6 @@
 	}
 }
 
-func printVersion(_ context.Context, c *cli.Command) error {
-	version := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		version = info.Main.Version
-	}
-	_, err := fmt.Fprintln(c.Root().Writer, "standin", version)
-	return err
-}
-
 func runEngine(ctx context.Context, path string) error {
 	o, err := options.LoadEngine(path)
 	if err != nil {
