--- a/entryd/internal/cli/drain_test.go
+++ b/entryd/internal/cli/drain_test.go
@@ -197,4 +197,9 @@
 			t.Errorf("incomplete line %q", line)
 		}
 	}
+	page, err := os.ReadFile(filepath.Join("..", "..", "..", "docs", "settings-entryd.md"))
+	is.New(t).NoErr(err)
+	if !strings.HasSuffix(string(page), options.Reference()) {
+		t.Error("docs/settings-entryd.md differs from the options; write it anew with entryd settings-reference")
+	}
 }
