Lock a cell once for a batch of announcements or events

Cause: at three times the capacity up to nine live engines were taken for dead in the same instant. Each announcement of a batch waited for the cell's lock in turn with hundreds of calls, so a batch took longer than 3 s. Ruled out: crashes, refused or failed announcements, slow engines (announcers that logged each failure and delay were never late). Change: Announce and Report group by cell and lock each once.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 )
 
 const (
@@ -100,34 +102,52 @@
 
 // Report takes the events of grants. Events of cells that this entry does not own are ignored.
 func (d *Dispatcher) Report(_ context.Context, request ReportRequest) error {
+	byCell := make(map[string][]Event)
 	for _, event := range request.Events {
-		c := d.cell(event.Cell)
-		if c == nil {
-			continue
-		}
-		c.mu.Lock()
-		c.report(d.config.Clock(), event)
-		d.finish(c)
+		byCell[event.Cell] = append(byCell[event.Cell], event)
+	}
+	for name, events := range byCell {
+		d.locked(name, func(c *cell) {
+			for _, event := range events {
+				c.report(d.config.Clock(), event)
+			}
+		})
 	}
 	return nil
 }
 
 // Announce takes announcements of endpoints; each one counts in the cells of all its models.
 func (d *Dispatcher) Announce(_ context.Context, request AnnounceRequest) error {
+	byCell := make(map[string][]endpoint.Announcement)
 	for _, announcement := range request.Announcements {
 		for _, model := range announcement.Models {
-			c := d.cell(Cell(model, announcement.Region))
-			if c == nil {
-				continue
-			}
-			c.mu.Lock()
-			c.announce(d.config.Clock(), announcement)
-			d.finish(c)
+			name := Cell(model, announcement.Region)
+			byCell[name] = append(byCell[name], announcement)
 		}
 	}
+	for name, announcements := range byCell {
+		d.locked(name, func(c *cell) {
+			for _, announcement := range announcements {
+				c.announce(d.config.Clock(), announcement)
+			}
+		})
+	}
 	return nil
 }
 
+// locked runs f on a cell that this entry owns. A batch locks the cell once: under overload hundreds of
+// calls wait for the lock in turn, and when each announcement of a batch waited, live endpoints were not
+// heard of for more than DeadAfter.
+func (d *Dispatcher) locked(name string, f func(c *cell)) {
+	c := d.cell(name)
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	f(c)
+	d.finish(c)
+}
+
 // Endpoints returns the endpoints and the queue of a cell.
 func (d *Dispatcher) Endpoints(_ context.Context, request EndpointsRequest) (EndpointsReply, error) {
 	c := d.cell(request.Cell)
