Define length classes and the interruptible pause once

Cause: the bounds of the length classes stood in the dispatcher and in the entry's completions, and three packages had the same pause. Change: completions use dispatch.Length, which has names now; task.Pause takes the place of the three. Conclusion: no change of behaviour.

--- a/entryd/internal/completion/call.go
+++ b/entryd/internal/completion/call.go
@@ -216,7 +216,7 @@
 	hold.Settle(ledger.Spend{
 		Workspace:   c.x.Workspace.Name,
 		Model:       c.model.Name,
-		LengthClass: LengthClass(c.x.PromptTokens),
+		LengthClass: dispatch.Length(c.x.PromptTokens).String(),
 		Amount:      c.cost,
 		Requests:    1,
 		Tokens:      int64(c.x.PromptTokens + c.x.OutputTokens),
--- a/entryd/internal/completion/server.go
+++ b/entryd/internal/completion/server.go
@@ -157,7 +157,7 @@
 			Fingerprint:  fingerprint,
 		},
 	}
-	long := LengthClass(x.PromptTokens) == longClass
+	long := dispatch.Length(x.PromptTokens) == dispatch.Long
 	if long {
 		s.config.Observer.LongStarted()
 	}
@@ -228,26 +228,6 @@
 	}
 }
 
-// Length classes by prompt tokens (design section 8.9).
-const (
-	shortTokens = 4_000
-	longTokens  = 100_000
-	longClass   = "long"
-)
-
-// LengthClass names the class of a prompt by its tokens: short, medium or long.
-func LengthClass(tokens int) string {
-	switch {
-	case tokens < shortTokens:
-		return "short"
-	case tokens > longTokens:
-		return longClass
-	default:
-		return "medium"
-	}
-}
-
-// observe leaves out failures that the caller caused: a rejected request, a closed connection.
 func (s *Server) observe(c *call, err error) {
 	var refused refusal.Error
 	if errors.As(err, &refused) && refused.Status < http.StatusInternalServerError && refused.Status != http.StatusTooManyRequests {
@@ -257,5 +237,5 @@
 	if c.forwarded > 1 {
 		between = c.lastEvent.Sub(c.firstEvent) / time.Duration(c.forwarded-1)
 	}
-	s.config.Observer.Observe(c.x.Workspace.Name, LengthClass(c.x.PromptTokens), c.x.FirstToken, between, err == nil)
+	s.config.Observer.Observe(c.x.Workspace.Name, dispatch.Length(c.x.PromptTokens).String(), c.x.FirstToken, between, err == nil)
 }
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -9,6 +9,7 @@
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/ledger"
 	"github.com/dandelionpier/dandelionpier/internal/session"
+	"github.com/dandelionpier/dandelionpier/internal/task"
 )
 
 // Caller makes net/rpc calls, as peer.Pool does.
@@ -69,7 +70,7 @@
 			last = err
 			c.follow(address, "")
 		}
-		pause(ctx, retryPause)
+		task.Pause(ctx, retryPause)
 	}
 	if last == nil {
 		last = ctx.Err()
@@ -77,15 +78,6 @@
 	return none, fault.Wrap(last, "call control leader", NoLeader, method)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (c *Client) target() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -73,6 +73,18 @@
 	}
 }
 
+// String names the class in settings, reports and the ledger.
+func (c LengthClass) String() string {
+	switch c {
+	case Short:
+		return "short"
+	case Long:
+		return "long"
+	default:
+		return "medium"
+	}
+}
+
 // ClassWeights are weights by length class.
 type ClassWeights struct {
 	Short  float64 `yaml:"short" validate:"gte=0"`
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -11,6 +11,7 @@
 
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/task"
 )
 
 // Leader is the control leader as an entry reaches it.
@@ -306,7 +307,7 @@
 		cancel()
 		switch {
 		case err != nil:
-			pause(ctx, HeartbeatInterval)
+			task.Pause(ctx, HeartbeatInterval)
 		case reply.Changed:
 			k.awaitHeartbeat(ctx)
 		}
@@ -324,21 +325,12 @@
 	case <-done:
 	case <-ctx.Done():
 	}
-	pause(ctx, watchPause)
+	task.Pause(ctx, watchPause)
 }
 
 // watchPause bounds the watches of one entry to 100 a second.
 const watchPause = 10 * time.Millisecond
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (k *Keeper) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -1,7 +1,10 @@
 // Package task starts goroutines that report their end on a channel.
 package task
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Start runs f in a goroutine and returns the channel on which its result arrives. The owner reads
 // the channel.
@@ -33,3 +36,13 @@
 	}
 	return first
 }
+
+// Pause waits for d or the end of ctx.
+func Pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/loadtool/internal/sessions/sessions.go
+++ b/loadtool/internal/sessions/sessions.go
@@ -211,7 +211,7 @@
 		keepers = append(keepers, keeper)
 		ends = append(ends, task.Start(ctx, keeper.Run))
 	}
-	wait(ctx, settleTime)
+	task.Pause(ctx, settleTime)
 	result, err := m.observe(ctx, count, &bytes, keepers)
 	cancel()
 	for _, end := range ends {
@@ -243,7 +243,7 @@
 				result.Expired++
 			}
 		}
-		wait(ctx, time.Until(next))
+		task.Pause(ctx, time.Until(next))
 	}
 	result.Seconds = time.Since(started).Seconds()
 	result.Changes = len(times)
@@ -266,15 +266,6 @@
 	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // usage returns the processor time of all control instances in seconds and the largest memory in bytes.
 func (m *measurement) usage(ctx context.Context) (cpu, memory float64) {
 	for _, address := range m.metrics {
