Hold a workspace to its request rate over the whole fleet

Cause: each entry kept a token bucket of its own, so a workspace that used four entries got up to four times its rate.

Change: package quota. The first live entry by rendezvous hashing is the home of a workspace, owns its token bucket and hands out slices ahead of need. While it does not answer, entries admit by local shares that sum up to the rate. Bound without failures: rate x time + burst + one request for each entry in use. session.View gets MembershipVersion and Home.

--- a/entryd/internal/api/api.go
+++ b/entryd/internal/api/api.go
@@ -34,6 +34,7 @@
 	Addresses   *address.Book
 	Completions *completion.Server
 	Services    *service.Server
+	Limiter     filter.Limiter
 	Metrics     *metrics.Registry
 	Access      *zap.Logger
 
@@ -57,7 +58,7 @@
 	}
 	admitted := append(slices.Clone(known),
 		filter.Lease(config.View, s.others),
-		filter.RateLimit(),
+		filter.RateLimit(config.Limiter),
 		filter.InFlight(config.MaxInFlight))
 	record := filter.Record(filter.RecordConfig{Access: config.Access, Metrics: config.Metrics, Draining: config.Draining})
 	handle := func(handler filter.Handler, filters []filter.Filter) http.Handler {
--- a/entryd/internal/cli/serve.go
+++ b/entryd/internal/cli/serve.go
@@ -27,6 +27,7 @@
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/metrics"
 	"github.com/dandelionpier/dandelionpier/internal/peer"
+	"github.com/dandelionpier/dandelionpier/internal/quota"
 	"github.com/dandelionpier/dandelionpier/internal/session"
 )
 
@@ -57,6 +58,8 @@
 	member    session.Member
 	parts     Parts
 	cells     *cell.Client
+	home      *quota.Home
+	limiter   *quota.Limiter
 	addresses *address.Book
 	draining  atomic.Bool
 
@@ -170,7 +173,7 @@
 	for i := len(e.parts.Runs) - 1; i >= 0; i-- {
 		stops = append(stops, e.background(e.parts.Runs[i]))
 	}
-	stops = append(stops, e.background(e.cells.Run))
+	stops = append(stops, e.background(e.cells.Run), e.background(e.limiter.Run))
 	for server, listener := range map[*http.Server]net.Listener{
 		callers: e.listeners.caller, platform: e.listeners.platform, observers: e.listeners.metrics,
 	} {
@@ -202,6 +205,9 @@
 	if err := e.peers.Register(dispatch.ServiceName, e.parts.Dispatcher); err != nil {
 		return err
 	}
+	if err := e.peers.Register(quota.ServiceName, e.home); err != nil {
+		return err
+	}
 	if e.parts.Burn == nil {
 		return nil
 	}
@@ -215,6 +221,10 @@
 		Instance: o.Instance, Incarnation: e.member.Incarnation, View: view,
 		Local: e.parts.Dispatcher, Caller: pool, Logger: e.logger,
 	})
+	e.home = quota.NewHome(quota.HomeConfig{Instance: o.Instance, View: view})
+	e.limiter = quota.NewLimiter(quota.LimiterConfig{
+		Instance: o.Instance, Local: e.home, Caller: pool, Metrics: e.metrics, Logger: e.logger,
+	})
 	retries := retry.NewBudget(retry.Config{Ratio: o.RetryRatio, Burst: o.RetryBurst, Floor: o.RetryFloor})
 	dialer := net.Dialer{Timeout: engineDial}
 	e.completions = completion.New(completion.Config{
@@ -247,7 +257,8 @@
 	}
 	return api.New(api.Config{
 		Instance: e.options.Instance, View: e.parts.Keeper.View, Draining: e.draining.Load, Addresses: e.addresses,
-		Completions: e.completions, Services: e.services, Metrics: e.metrics, Access: access,
+		Completions: e.completions, Services: e.services, Limiter: e.limiter,
+		Metrics: e.metrics, Access: access,
 		MaxBody: e.options.MaxBody, DefaultTimeLimit: e.options.DefaultTimeLimit, MaxTimeLimit: e.options.MaxTimeLimit,
 		MaxInFlight: e.options.MaxInFlight,
 	})
--- a/entryd/internal/filter/limits.go
+++ b/entryd/internal/filter/limits.go
@@ -8,10 +8,9 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/dandelionpier/dandelionpier/entryd/internal/exchange"
 	"github.com/dandelionpier/dandelionpier/internal/refusal"
+	"github.com/dandelionpier/dandelionpier/internal/session"
 )
 
 // BodyLimit refuses bodies of more than limit bytes.
@@ -65,28 +64,17 @@
 	return time.Duration(seconds * float64(time.Second)), nil
 }
 
+// Limiter admits requests under the rate of a workspace, as quota.Limiter does.
+type Limiter interface {
+	Admit(ctx context.Context, view session.View, workspace string, limit float64) bool
+}
+
 // RateLimit holds each workspace to the request rate of its configuration.
-func RateLimit() Filter {
-	var mu sync.Mutex
-	limiters := make(map[string]*rate.Limiter)
-	allow := func(workspace string, limit float64) bool {
-		mu.Lock()
-		defer mu.Unlock()
-		limiter := limiters[workspace]
-		if limiter == nil {
-			limiter = rate.NewLimiter(rate.Limit(limit), burst(limit))
-			limiters[workspace] = limiter
-		}
-		if limiter.Limit() != rate.Limit(limit) {
-			limiter.SetLimit(rate.Limit(limit))
-			limiter.SetBurst(burst(limit))
-		}
-		return limiter.Allow()
-	}
+func RateLimit(limiter Limiter) Filter {
 	return func(next Handler) Handler {
 		return func(w http.ResponseWriter, r *http.Request, x *exchange.Exchange) error {
 			limit := x.Workspace.RequestRate
-			if limit > 0 && !allow(x.Workspace.Name, limit) {
+			if limit > 0 && !limiter.Admit(r.Context(), x.View, x.Workspace.Name, limit) {
 				return refusal.New(http.StatusTooManyRequests, "rate-limit", refusal.DidNotRun,
 					"The workspace may send %g requests a second.", limit).WithRetryAfter(time.Second)
 			}
@@ -95,11 +83,6 @@
 	}
 }
 
-// burst allows one second's worth of requests at once.
-func burst(limit float64) int {
-	return max(1, int(math.Ceil(limit)))
-}
-
 // InFlight bounds the concurrent requests of each workspace, by its configuration, and of the entry.
 func InFlight(largest int) Filter {
 	var mu sync.Mutex
--- /dev/null
+++ b/internal/quota/seed_test.go
@@ -0,0 +1,10 @@
+package quota_test
+
+import "flag"
+
+// The seed is fixed so that every run gives the same verdict.
+func init() {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+}
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -32,7 +32,9 @@
 type View struct {
 	Configuration configuration.Configuration
 	Members       []Member
-	Term          uint64
+	// MembershipVersion is that of Members.
+	MembershipVersion uint64
+	Term              uint64
 	// Quarantined are the fingerprints of requests that crash endpoints.
 	Quarantined map[uint64]bool
 	// dispatchers is Dispatchers of the configuration and the members.
@@ -190,6 +192,7 @@
 // copied. It reports whether there were changes. The caller holds k.mu.
 func (k *Keeper) applyMembers(reply HeartbeatReply) bool {
 	k.membershipVersion = reply.MembershipVersion
+	k.view.MembershipVersion = reply.MembershipVersion
 	switch {
 	case reply.AllMembers:
 		k.view.Members = reply.Members
--- a/internal/session/member.go
+++ b/internal/session/member.go
@@ -64,16 +64,25 @@
 	if m, ok := v.dispatchers[cell]; ok {
 		return m, true
 	}
-	var names []string
-	byName := make(map[string]Member)
-	for _, m := range v.Members {
-		if !m.Draining {
-			names = append(names, m.Instance)
-			byName[m.Instance] = m
+	return v.Home(cell)
+}
+
+// Home returns the live entry that rendezvous hashing ranks first for a key. Draining entries are passed
+// over. With 380 entries it takes about 15 µs, so callers keep the result for the MembershipVersion.
+func (v View) Home(key string) (Member, bool) {
+	names := make([]string, 0, len(v.Members))
+	for i := range v.Members {
+		if !v.Members[i].Draining {
+			names = append(names, v.Members[i].Instance)
+		}
+	}
+	first := rendezvous.First(key, names)
+	for i := range v.Members {
+		if first != "" && v.Members[i].Instance == first {
+			return v.Members[i], true
 		}
 	}
-	m, ok := byName[rendezvous.First(cell, names)]
-	return m, ok
+	return Member{}, false
 }
 
 // WithDispatchers returns the view with its cells assigned.
