Wait for the home of a workspace as long as its answers take

Ruled out: a longer time for all, which a frozen home would cost each request. Change: a request waits twice the time of the last answer, 50 to 250 ms. Conclusion: local shares are used only while a home does not answer.

--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -25,11 +25,13 @@
 const (
 	healthy       network = "healthy"
 	slow          network = "slow"
+	far           network = "far"
 	requestLost   network = "request lost"
 	answerLost    network = "answer lost"
 	requestLate   network = "request arrives after its time"
 	refused       network = "refused"
 	slowCall              = 20 * time.Millisecond
+	farCall               = 80 * time.Millisecond
 	lateArrival           = 700 * time.Millisecond
 	errConnection         = "connection refused"
 )
@@ -121,6 +123,8 @@
 		return errors.New(errConnection)
 	case slow:
 		time.Sleep(slowCall)
+	case far:
+		time.Sleep(farCall)
 	case answerLost:
 		_ = take(&quota.TakeReply{})
 		<-ctx.Done()
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -54,8 +54,8 @@
 const maxRounds = 3
 
 // Admit reports whether a request of the workspace may run now under the limit in requests a second. It
-// waits for the home only when the entry holds nothing of the workspace's rate, and at most 50 ms for
-// each slice.
+// waits for the home only when the entry holds nothing of the workspace's rate, at most 50 ms for each
+// slice of a near home and 250 ms of a far one.
 func (l *Limiter) Admit(ctx context.Context, view session.View, workspace string, limit float64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -102,14 +102,14 @@
 	return p
 }
 
-// wait leaves the lock until the call under way has ended, at most for answerTimeout. It reports whether
+// wait leaves the lock until the call under way has ended, at most for the pool's patience. It reports whether
 // the request is still wanted.
 func (l *Limiter) wait(ctx context.Context, p *pool) bool {
 	done := p.flight.done
 	p.waiting++
-	l.mu.Unlock()
-	timer := time.NewTimer(answerTimeout)
+	timer := time.NewTimer(p.patience())
 	defer timer.Stop()
+	l.mu.Unlock()
 	late := false
 	select {
 	case <-done:
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -19,6 +19,8 @@
 	held int
 	// answered is when the last request that the home answered was sent.
 	answered time.Time
+	// latency is how long that answer took.
+	latency time.Duration
 	// share is the rate that the home named for the time without it.
 	share float64
 	// demand counts requests, decayed over useTime, as of demanded.
@@ -111,12 +113,18 @@
 	}
 	p.expire(now)
 	p.held += reply.Granted
-	p.answered = sent
+	p.answered, p.latency = sent, now.Sub(sent)
 	p.share = reply.Share
 	p.lost, p.probe = false, time.Time{}
 	p.closed = now.Add(reply.Wait)
 }
 
+// patience is how long a request waits for a slice: twice the time of the last answer where that is more
+// than answerTimeout. A home in another region is not lost because it is far.
+func (p *pool) patience() time.Duration {
+	return min(max(answerTimeout, 2*p.latency), maxPatience)
+}
+
 // fail notes that the home did not answer.
 func (p *pool) fail(now time.Time) {
 	p.lost, p.probe = true, now.Add(probeInterval)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -33,9 +33,10 @@
 	useTime   = 2 * time.Second
 
 	// answerTimeout is how long a request waits for a slice, the time that a dispatcher has for its first
-	// answer. callTimeout bounds the call itself: the answer of a home in another region may take longer
+	// answer, maxPatience how long it waits for a home whose answers are known to take longer. callTimeout bounds the call itself: the answer of a home in another region may take longer
 	// and is used by the following requests.
 	answerTimeout = 50 * time.Millisecond
+	maxPatience   = 250 * time.Millisecond
 	callTimeout   = 500 * time.Millisecond
 	// probeInterval is the time between two calls to a home that does not answer.
 	probeInterval = 250 * time.Millisecond
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -286,6 +286,27 @@
 	}
 }
 
+// Guards against a workspace above its rate that gets local shares on top of it, because the home in
+// another region answers after the time in which a request waits for a near one.
+func TestFarHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(10, 20)
+		f.set(far)
+		home := f.homes()[0]
+		for i := range 2000 {
+			if user := fmt.Sprint("entry-", i%4); user != home {
+				f.admit(user)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		f.settle()
+		t.Logf("%d by slices, %d by local shares", len(f.slices), len(f.local))
+		// The first request of each entry finds no answer yet.
+		is.True(len(f.local) <= 4)
+	})
+}
+
 // BenchmarkAdmit measures an admission by a slice that is there.
 func BenchmarkAdmit(b *testing.B) {
 	f := newFleet(1e9, 380)
