--- a/entryd/internal/cell/client.go
+++ b/entryd/internal/cell/client.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,7 +14,9 @@
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/peer"
+	"github.com/dandelionpier/dandelionpier/internal/refusal"
 	"github.com/dandelionpier/dandelionpier/internal/session"
+	"github.com/dandelionpier/dandelionpier/internal/task"
 )
 
 const (
@@ -58,11 +62,12 @@
 	reporter  *reporter
 	forwarder *forwarder
 	silence   silence
+	crashes   *crashes
 }
 
 // New returns a client; Run must run for reports and announcements to be sent.
 func New(config Config) *Client {
-	c := &Client{config: config, roster: newRoster()}
+	c := &Client{config: config, roster: newRoster(), crashes: newCrashes()}
 	c.reporter = newReporter(c)
 	c.forwarder = newForwarder(c)
 	return c
@@ -85,8 +90,24 @@
 }
 
 // Reserve obtains a grant for the request, waiting in the dispatcher's queue where needed. newAttempt
-// gives the id of each reservation. Errors are of type refusal.Error with outcome did-not-run.
+// gives the id of each reservation. Errors are of type refusal.Error with outcome did-not-run. While no
+// dispatcher answers, a request whose connection to an endpoint broke waits for the next one.
 func (c *Client) Reserve(ctx context.Context, request dispatch.ReserveRequest, newAttempt func() string) (dispatch.Grant, error) {
+	end := time.Now().Add(suspectWait)
+	for {
+		grant, err := c.obtain(ctx, request, newAttempt)
+		switch {
+		case !errors.Is(err, errSuspect):
+			return grant, err
+		case !time.Now().Before(end):
+			return dispatch.Grant{}, noSafeEndpoint()
+		}
+		task.Pause(ctx, suspectPause)
+	}
+}
+
+// obtain asks the dispatchers once; its error is errSuspect or of type refusal.Error.
+func (c *Client) obtain(ctx context.Context, request dispatch.ReserveRequest, newAttempt func() string) (dispatch.Grant, error) {
 	c.roster.use(request.Cell)
 	request.Entry = c.holder()
 	request.AttemptID = newAttempt()
@@ -113,34 +134,42 @@
 				return dispatch.Grant{}, refused(reply)
 			}
 			// A dispatcher that has just taken over knows no endpoint before the next announcements.
-			if grant, ok := c.choose(request, newAttempt); ok {
-				return grant, nil
+			grant, err := c.choose(request, newAttempt, refused(reply))
+			if errors.Is(err, errSuspect) {
+				// This dispatcher queues what it may yet place, so it is not waited for.
+				return grant, refused(reply)
 			}
-			return dispatch.Grant{}, refused(reply)
+			return grant, err
 		}
 	}
 	c.reporter.abandon(request)
-	if grant, ok := c.choose(request, newAttempt); ok {
-		return grant, nil
-	}
-	return dispatch.Grant{}, unreachable(request.Cell)
+	return c.choose(request, newAttempt, unreachable(request.Cell))
 }
 
 func (c *Client) holder() string {
 	return c.config.Instance + "/" + c.config.Incarnation
 }
 
-func (c *Client) choose(request dispatch.ReserveRequest, newAttempt func() string) (dispatch.Grant, bool) {
+// choose selects an endpoint without a dispatcher, or returns the given refusal when none can run the
+// request. It keeps those rules for crashing requests that need no view of the whole cell.
+func (c *Client) choose(request dispatch.ReserveRequest, newAttempt func() string, none refusal.Error) (dispatch.Grant, error) {
 	view, _ := c.config.View()
+	switch {
+	case view.Quarantined[request.Fingerprint]:
+		return dispatch.Grant{}, quarantined()
+	case c.crashes.suspect(request.Fingerprint):
+		return dispatch.Grant{}, errSuspect
+	}
+	request.Exclude = slices.Concat(request.Exclude, c.crashes.lost())
 	member, ok := c.roster.choose(request, view.Configuration.Endpoints)
 	if !ok {
-		return dispatch.Grant{}, false
+		return dispatch.Grant{}, none
 	}
 	return dispatch.Grant{
 		ID:       newAttempt(),
 		Members:  []dispatch.GrantMember{member},
 		Priority: int64(request.Priority),
-	}, true
+	}, nil
 }
 
 // lostQueue marks the loss of a dispatcher at which a reservation was queued.
--- a/entryd/internal/cell/reporter.go
+++ b/entryd/internal/cell/reporter.go
@@ -78,7 +78,9 @@
 		r.event.CachedTokens = usage.CachedTokens
 		r.event.OutputTokens = usage.CompletionTokens
 	}
+	event := r.event
 	r.reporter.mu.Unlock()
+	r.reporter.client.crashes.ended(event, how)
 	r.report(how)
 }
 
