Ask a silent engine whether it has the attempt

Cause: a response without stream was awaited for the estimate of the whole response (4 x max_tokens / 10 tokens/s), and a stream without end while its engine served others.

Ruled out: a shorter estimate (it cuts off engines that work), events of other streams alone (they show that the engine lives, not that it has the request), announcements (a process that announces itself may have lost a request).

Change: after the time for the first event the entry asks the engine for its holdings, which list each attempt. The time for a whole response is now the time for the first event plus 4 x the decoding.

--- a/entryd/internal/completion/attempt.go
+++ b/entryd/internal/completion/attempt.go
@@ -33,18 +33,24 @@
 	// waiting is true until the engine sends its first event.
 	waiting atomic.Bool
 	pulse   *pulse
+	prober  *prober
 	// began says that the engine has sent an event.
 	began bool
 }
 
-var errTimeout = errors.New("the endpoint did not respond in time")
+var (
+	errTimeout = errors.New("the endpoint did not respond in time")
+	errLost    = errors.New("the endpoint does not list the attempt, or does not answer")
+)
 
 func newAttempt(c *call, grant dispatch.Grant, run *cell.Run) *attempt {
 	a := &attempt{call: c, grant: grant, run: run}
 	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
 	a.waiting.Store(true)
 	a.pulse = c.server.pulse(grant.Members[0].Endpoint)
-	a.timer = time.AfterFunc(a.firstByteTimeout(), a.expire)
+	first := a.firstEventTimeout()
+	a.prober = newProber(a, first)
+	a.timer = time.AfterFunc(a.responseTimeout(first), a.expire)
 	return a
 }
 
@@ -69,21 +75,30 @@
 func (a *attempt) close() {
 	a.timer.Stop()
 	a.cancel(nil)
+	a.prober.close()
 }
 
-// firstByteTimeout is the time for the first event, or for the whole response without stream.
-func (a *attempt) firstByteTimeout() time.Duration {
+// firstEventTimeout is the time for the first event of a stream. An engine that has sent nothing by then
+// is asked whether it has the attempt.
+func (a *attempt) firstEventTimeout() time.Duration {
 	limits := a.call.server.config.Limits
 	estimate := a.grant.Estimate
 	if estimate == 0 {
 		estimate = seconds(float64(a.call.reserve.PromptTokens) / limits.PrefillRate)
 	}
-	if !a.call.stream {
-		estimate += seconds(float64(a.call.reserve.MaxTokens) / limits.DecodeRate)
-	}
 	return max(limits.MinFirstByte, time.Duration(limits.FirstByteFactor*float64(estimate)))
 }
 
+// responseTimeout adds the decoding of a response without stream to the time for the first event.
+func (a *attempt) responseTimeout(first time.Duration) time.Duration {
+	if a.call.stream {
+		return first
+	}
+	limits := a.call.server.config.Limits
+	decode := float64(a.call.reserve.MaxTokens) / limits.DecodeRate
+	return first + seconds(limits.FirstByteFactor*decode)
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
--- a/entryd/internal/completion/server.go
+++ b/entryd/internal/completion/server.go
@@ -17,6 +17,7 @@
 	"github.com/dandelionpier/dandelionpier/entryd/internal/retry"
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/ledger"
 	"github.com/dandelionpier/dandelionpier/internal/refusal"
@@ -80,7 +81,8 @@
 type Server struct {
 	config Config
 	// cancels are the cancellations that are still being sent to engines.
-	cancels sync.WaitGroup
+	cancels  sync.WaitGroup
+	platform *endpoint.Client
 	// pulses are by endpoint.
 	pulses sync.Map
 }
@@ -105,7 +107,7 @@
 
 // New returns a server.
 func New(config Config) *Server {
-	return &Server{config: config}
+	return &Server{config: config, platform: endpoint.NewClient(endpoint.ClientConfig{Timeout: probeTimeout, Transport: config.Transport})}
 }
 
 // Wait returns when all cancellations have been sent. No request may be in flight.
--- a/entryd/internal/completion/whole.go
+++ b/entryd/internal/completion/whole.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/dandelionpier/dandelionpier/entryd/internal/field"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/stream"
@@ -19,6 +20,9 @@
 		return stream.Usage{}, err
 	}
 	defer response.Body.Close()
+	// The engine has answered; the rest is judged by the time for the whole response.
+	a.waiting.Store(false)
+	a.pulse.beat(time.Now())
 	limit := c.server.config.Limits.MaxResponse
 	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
 	switch {
