Report the time between tokens in the load tool

Cause: the report lacked it, while design.md section 4 gives a goal of 33 ms.

Ruled out: the mean of each response, which hides pauses within it. The tokens of one event share the time since the event before.

--- a/loadtool/internal/caller/caller.go
+++ b/loadtool/internal/caller/caller.go
@@ -57,6 +57,15 @@
 	Prompt     int
 	Output     int
 	Cached     int
+	// Pauses are the times between the events of the stream.
+	Pauses []Pause
+}
+
+// Pause is the time between an event and the one before it.
+type Pause struct {
+	After time.Duration
+	// Tokens is the number of tokens in the event; the stand-in engines send tokens as words.
+	Tokens int
 }
 
 // maxEventBytes bounds a line of the stream.
@@ -157,6 +166,7 @@
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	digest := fmt.Sprintf("%016x", r.Prompt.digest())
 	id := response.Header.Get(endpoint.HeaderRequestID)
+	var last time.Time
 	for next := 0; scanner.Scan(); {
 		data, found := bytes.CutPrefix(scanner.Bytes(), []byte("data: "))
 		if !found {
@@ -182,6 +192,11 @@
 				return wrong(result, "the response is to another prompt")
 			}
 		}
+		now := time.Now()
+		if tokens := len(strings.Fields(e.Choices[0].Text)); next > 0 && tokens > 0 {
+			result.Pauses = append(result.Pauses, Pause{After: now.Sub(last), Tokens: tokens})
+		}
+		last = now
 		if e.Usage != nil {
 			result.Prompt, result.Output, result.Cached = e.Usage.PromptTokens, e.Usage.CompletionTokens, e.Usage.CachedTokens
 		}
--- a/loadtool/internal/caller/caller_test.go
+++ b/loadtool/internal/caller/caller_test.go
@@ -47,7 +47,7 @@
 		usage := fmt.Sprintf(`,"usage":{"prompt_tokens":%d,"completion_tokens":2}`, endpoint.Tokens(len(fields.Prompt)))
 		lines := []string{
 			event(0, fmt.Sprintf("%016x", xxhash.Sum64(fields.Prompt)), ""),
-			event(1, " 1234", ""),
+			event(1, " 1234 abcd", ""),
 			event(2, "", usage),
 			"data: [DONE]",
 		}
@@ -99,6 +99,7 @@
 				if name == "complete" {
 					is.Equal(result.FirstToken, 2*time.Second) // counts from the scheduled arrival
 					is.Equal(result.Prompt, 3000)
+					is.Equal(result.Pauses, []caller.Pause{{Tokens: 2}}) // the event with the usage has no token
 				}
 			})
 		})
--- a/loadtool/internal/report/report_test.go
+++ b/loadtool/internal/report/report_test.go
@@ -36,22 +36,26 @@
 	run := func(seed uint64, p95 float64) report.Run {
 		return report.Run{Seed: seed, Variant: report.All, Classes: []report.Class{{
 			Name: "short", Requests: 10, Completed: 8, Refused: map[string]int{"overloaded": 2},
-			FirstToken: report.Quantiles{P50: 1, P95: p95, P99: 9},
+			FirstToken:    report.Quantiles{P50: 1, P95: p95, P99: 9},
+			BetweenTokens: report.Quantiles{P50: 0.033, P95: p95 / 100, P99: 0.5},
 		}}}
 	}
 	for _, name := range []string{"round-robin", "entry"} {
 		is.NoErr(report.Save(directory, report.Policy{
 			Experiment: "mixed", Policy: name, Runs: []report.Run{run(1, 2), run(2, 4)},
-			Slowdowns:     []report.Slowdown{{Seed: 1, Class: "short", P95: 1.5}},
-			Distributions: map[string][]report.Point{"short": {{Quantile: 0.5, Seconds: 0}, {Quantile: 0.9, Seconds: 2}}},
+			Slowdowns:          []report.Slowdown{{Seed: 1, Class: "short", P95: 1.5}},
+			Distributions:      map[string][]report.Point{"short": {{Quantile: 0.5, Seconds: 0}, {Quantile: 0.9, Seconds: 2}}},
+			TokenDistributions: map[string][]report.Point{"short": {{Quantile: 0.5, Seconds: 0.033}}},
 		}))
 	}
 	summary, err := os.ReadFile(filepath.Join(directory, "summary.txt"))
 	is.NoErr(err)
-	for _, want := range []string{"round-robin", "entry", "3.000 [2.000, 4.000]", "overloaded 4", "1.50 [1.50, 1.50]"} {
+	for _, want := range []string{"round-robin", "entry", "3.000 [2.000, 4.000]", "overloaded 4", "30.0 [20.0, 40.0]", "1.50 [1.50, 1.50]"} {
 		is.True(strings.Contains(string(summary), want))
 	}
-	image, err := os.ReadFile(filepath.Join(directory, "mixed.short.png"))
-	is.NoErr(err)
-	is.True(strings.HasPrefix(string(image), "\x89PNG"))
+	for _, name := range []string{"mixed.short.png", "mixed.short.between-tokens.png"} {
+		image, err := os.ReadFile(filepath.Join(directory, name))
+		is.NoErr(err)
+		is.True(strings.HasPrefix(string(image), "\x89PNG"))
+	}
 }
--- a/loadtool/internal/report/result.go
+++ b/loadtool/internal/report/result.go
@@ -37,6 +37,8 @@
 	Slowdowns []Slowdown `json:"slowdowns"`
 	// Distributions has the time to first token of each class over all seeds, for plots.
 	Distributions map[string][]Point `json:"distributions"`
+	// TokenDistributions has the time between tokens likewise.
+	TokenDistributions map[string][]Point `json:"token-distributions"`
 }
 
 // Run is one seed in one variant.
@@ -69,6 +71,9 @@
 	// FirstToken is the time to first token. A request without one until its time limit counts with the
 	// time limit, a refused one does not count.
 	FirstToken Quantiles `json:"first-token"`
+	// BetweenTokens is the time from one token to the next. The tokens of one event share the time since
+	// the event before.
+	BetweenTokens Quantiles `json:"between-tokens"`
 	// Idle is the prefill time of the same prompts on an idle engine with an empty cache.
 	Idle Quantiles `json:"idle-prefill"`
 }
@@ -108,7 +113,12 @@
 
 // Record adds a latency; values outside the range are clamped.
 func Record(h *hdrhistogram.Histogram, d time.Duration) {
-	_ = h.RecordValue(min(max(1, d.Microseconds()), maxLatency))
+	RecordEach(h, d, 1)
+}
+
+// RecordEach adds a latency several times.
+func RecordEach(h *hdrhistogram.Histogram, d time.Duration, times int) {
+	_ = h.RecordValues(min(max(1, d.Microseconds()), maxLatency), int64(times))
 }
 
 // Latencies returns the quantiles of a histogram of microseconds.
--- a/loadtool/internal/report/text.go
+++ b/loadtool/internal/report/text.go
@@ -20,6 +20,13 @@
 			writeClasses(t, p, variant)
 		}
 	}
+	fmt.Fprintln(t, "\nTime between tokens, simulated milliseconds")
+	fmt.Fprintln(t, "experiment\tpolicy\tvariant\tclass\tp50\tp95\tp99")
+	for _, p := range policies {
+		for _, variant := range []string{All, WithoutLong} {
+			writeBetweenTokens(t, p, variant)
+		}
+	}
 	fmt.Fprintln(t, "\nSlowdown by long requests: time to first token with them over without them")
 	fmt.Fprintln(t, "experiment\tpolicy\tclass\trequest p50\trequest p95\trequest p99\tratio of p95")
 	for _, p := range policies {
@@ -51,6 +58,17 @@
 	}
 }
 
+func writeBetweenTokens(w io.Writer, p Policy, variant string) {
+	for _, name := range p.classNames(variant) {
+		classes := p.class(variant, name)
+		milliseconds := func(figure func(Quantiles) float64) string {
+			return spread(classes, func(c Class) float64 { return 1000 * figure(c.BetweenTokens) }).text("%.1f")
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", p.Experiment, p.Policy, variant, name,
+			milliseconds(p50), milliseconds(p95), milliseconds(p99))
+	}
+}
+
 // idleRatio is the 95th percentile of the time to first token over that of the idle prefill.
 func idleRatio(c Class) float64 {
 	if c.Idle.P95 == 0 {
--- a/loadtool/internal/runner/collector.go
+++ b/loadtool/internal/runner/collector.go
@@ -19,6 +19,7 @@
 	classes     []report.Class
 	histograms  []*hdrhistogram.Histogram
 	idle        []*hdrhistogram.Histogram
+	between     []*hdrhistogram.Histogram
 	firstTokens map[int]time.Duration
 	tokens      int
 }
@@ -31,6 +32,7 @@
 		})
 		c.histograms = append(c.histograms, report.NewHistogram())
 		c.idle = append(c.idle, report.NewHistogram())
+		c.between = append(c.between, report.NewHistogram())
 	}
 	return c
 }
@@ -54,6 +56,10 @@
 	default:
 		class.Failed[r.Reason]++
 	}
+	for _, p := range r.Pauses {
+		each := time.Duration(float64(p.After) * c.experiment.Speed / float64(p.Tokens))
+		report.RecordEach(c.between[a.Class], each, p.Tokens)
+	}
 	first := time.Duration(float64(r.FirstToken) * c.experiment.Speed)
 	if first == 0 && r.Reason == caller.TimeLimit {
 		first = c.experiment.TimeLimit
@@ -73,6 +79,7 @@
 	completed := 0
 	for i := range c.classes {
 		c.classes[i].FirstToken = report.Latencies(c.histograms[i])
+		c.classes[i].BetweenTokens = report.Latencies(c.between[i])
 		c.classes[i].Idle = report.Latencies(c.idle[i])
 		completed += c.classes[i].Completed
 	}
@@ -83,6 +90,7 @@
 			TokenGoodput: float64(c.tokens) / seconds,
 		},
 		histograms:  c.histograms,
+		between:     c.between,
 		firstTokens: c.firstTokens,
 	}
 }
--- a/loadtool/internal/runner/runner.go
+++ b/loadtool/internal/runner/runner.go
@@ -48,6 +48,8 @@
 	engines engines
 	// merged has the time to first token of each class over the runs with all arrivals.
 	merged []*hdrhistogram.Histogram
+	// between has the time between tokens likewise.
+	between []*hdrhistogram.Histogram
 }
 
 // Run plays all seeds in all variants.
@@ -61,8 +63,12 @@
 	}
 	for range config.Experiment.Classes {
 		r.merged = append(r.merged, report.NewHistogram())
+		r.between = append(r.between, report.NewHistogram())
+	}
+	result := report.Policy{
+		Experiment: config.Experiment.Name, Policy: config.Policy,
+		Distributions: make(map[string][]report.Point), TokenDistributions: make(map[string][]report.Point),
 	}
-	result := report.Policy{Experiment: config.Experiment.Name, Policy: config.Policy, Distributions: make(map[string][]report.Point)}
 	for _, seed := range config.Experiment.Seeds {
 		if err := r.seed(ctx, seed, &result); err != nil {
 			return result, err
@@ -72,6 +78,9 @@
 		if r.merged[i].TotalCount() > 0 {
 			result.Distributions[class.Name] = report.Distribution(r.merged[i])
 		}
+		if r.between[i].TotalCount() > 0 {
+			result.TokenDistributions[class.Name] = report.Distribution(r.between[i])
+		}
 	}
 	return result, nil
 }
@@ -85,6 +94,7 @@
 	result.Runs = append(result.Runs, all.summary)
 	for i, h := range all.histograms {
 		r.merged[i].Merge(h)
+		r.between[i].Merge(all.between[i])
 	}
 	if !r.Experiment.CompareWithoutLong {
 		return nil
@@ -102,6 +112,7 @@
 type outcome struct {
 	summary    report.Run
 	histograms []*hdrhistogram.Histogram
+	between    []*hdrhistogram.Histogram
 	// firstTokens has the time to first token by number of the arrival.
 	firstTokens map[int]time.Duration
 }
--- a/loadtool/internal/runner/runner_test.go
+++ b/loadtool/internal/runner/runner_test.go
@@ -27,7 +27,10 @@
 		return experiment.Arrival{PromptTokens: 500, Number: number, Class: class, At: seconds * time.Second}
 	}
 	c.add(at(0, 0, 10), caller.Result{FirstToken: time.Hour}) // warm-up
-	c.add(at(1, 0, 30), caller.Result{FirstToken: 100 * time.Millisecond, Prompt: 700, Output: 100})
+	c.add(at(1, 0, 30), caller.Result{
+		FirstToken: 100 * time.Millisecond, Prompt: 700, Output: 100,
+		Pauses: []caller.Pause{{After: 16 * time.Millisecond, Tokens: 4}, {After: 30 * time.Millisecond, Tokens: 1}},
+	})
 	c.add(at(2, 0, 40), caller.Result{Reason: caller.TimeLimit})
 	c.add(at(3, 0, 50), caller.Result{Reason: "overloaded", Refused: true})
 	c.add(at(4, 1, 60), caller.Result{Reason: caller.Truncated, FirstToken: time.Second})
@@ -38,6 +41,9 @@
 	is.Equal(short.Refused, map[string]int{"overloaded": 1})
 	is.Equal(short.Failed, map[string]int{caller.TimeLimit: 1})
 	is.True(short.Idle.P50 >= 0.5 && short.Idle.P50 < 0.501) // three significant digits
+	// Four tokens of 40 ms and one of 300 ms.
+	is.True(short.BetweenTokens.P50 >= 0.040 && short.BetweenTokens.P50 < 0.0401)
+	is.True(short.BetweenTokens.P99 >= 0.300 && short.BetweenTokens.P99 < 0.301)
 	is.Equal(o.firstTokens, map[int]time.Duration{1: time.Second, 2: 60 * time.Second, 4: 10 * time.Second})
 	is.Equal(o.summary.Goodput, 1.0/80)
 	is.Equal(o.summary.TokenGoodput, 10.0)
