Take ports of process tests from below the ephemeral range

Cause: freeAddresses took a free port from the kernel, closed it and gave it to a process, which listens there later. A restart has the same gap. Ruled out: a third crash. The log of the engine shows the failed listen. Change: ports between 10000 and 32000, tried one after the other from a start that differs for each process. A failed test shows 80 lines of each process; 15 did not reach back to the failed attempt.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -38,6 +38,8 @@
 	patience = 30 * time.Second
 	// poll is the pause between two looks at something that must happen.
 	poll = 50 * time.Millisecond
+	// maxLogLines of each process are shown when a test fails; the last 15 lacked the failed attempt.
+	maxLogLines = 80
 )
 
 // binaries is the folder of the programs under test.
@@ -123,15 +125,35 @@
 	return d
 }
 
-// freeAddresses returns addresses whose ports were free a moment ago.
+// The ports of the processes lie below the ephemeral range (from 32768 on Linux). A port that was free
+// there a moment ago, or that a restarted process needs again, was sometimes taken by an outgoing
+// connection of another process.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+var nextPort = firstPort + os.Getpid()*101%(lastPort-firstPort)
+
+// freeAddresses returns loopback addresses that nobody listens at.
 func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		is.New(t).NoErr(err)
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+	for tried := 0; len(addresses) < count; tried++ {
+		if tried > lastPort-firstPort {
+			t.Fatalf("no %d free ports between %d and %d", count, firstPort, lastPort)
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		nextPort++
+		if nextPort > lastPort {
+			nextPort = firstPort
+		}
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		addresses = append(addresses, address)
 	}
 	return addresses
 }
@@ -234,7 +256,7 @@
 	for name := range d.processes {
 		data, _ := os.ReadFile(filepath.Join(d.directory, name+".log"))
 		lines := strings.Split(string(data), "\n")
-		d.t.Logf("%s:\n%s", name, strings.Join(lines[max(0, len(lines)-15):], "\n"))
+		d.t.Logf("%s:\n%s", name, strings.Join(lines[max(0, len(lines)-maxLogLines):], "\n"))
 	}
 }
 
