Do not charge retries after a lost connection to the retry budget

Cause: an engine that dies strikes all its requests at once. The budget of an entry that started a moment ago allows three retries in a second and a tenth of its requests; four requests lost with one engine exceeded it, and an innocent one got 502. Change: a retry after a lost connection is not charged. It replaces work that the endpoint no longer does, and stays bounded by the attempts of a request, the breakers and the quarantine. Refused retries are logged with the reason. Test: TestDeathIsNotChargedToRetryBudget, red before (502). Conclusion: the promise that innocent requests finish no longer depends on how many of them share an engine with the crashing one.

--- a/entryd/internal/cli/failure_test.go
+++ b/entryd/internal/cli/failure_test.go
@@ -320,3 +320,16 @@
 	is.True(attempts.Load() <= 40+1+4)
 	is.True(attempts.Load() >= 40+3)
 }
+
+// Guards against innocent requests that fail because an endpoint died under many at once, more than the
+// retry budget allows.
+func TestDeathIsNotChargedToRetryBudget(t *testing.T) {
+	is := is.New(t)
+	good := engine(t, func(_ http.ResponseWriter, _ *http.Request, e events) { e.finish(0, 2) })
+	lost := engine(t, func(http.ResponseWriter, *http.Request, events) { panic(http.ErrAbortHandler) })
+	s := start(t, lost, good)
+	s.stopAndRun(t, func() { s.options.RetryRatio, s.options.RetryFloor = 0, 0 })
+	for range 5 {
+		is.Equal(s.send(t, "POST", "/v1/chat/completions", streamBody).status, http.StatusOK)
+	}
+}
--- a/entryd/internal/completion/call.go
+++ b/entryd/internal/completion/call.go
@@ -128,14 +128,15 @@
 // endpoint by that.
 const flushTimeout = 50 * time.Millisecond
 
+// retry reports whether another attempt may be made, and tells the dispatcher of the last one first.
 func (c *call) retry(err error) bool {
 	var failed *failure
-	if !errors.As(err, &failed) || failed.final || c.ctx.Err() != nil || c.attempts >= c.server.config.Limits.MaxAttempts {
+	if !errors.As(err, &failed) || failed.final || c.ctx.Err() != nil {
 		return false
 	}
-	// A resumption continues work that was admitted and is not multiplied by callers that resend, so
-	// only retries before the first byte are charged to the retry budget.
-	if !c.x.Committed && !c.server.config.Retries.Take() {
+	if reason := c.refuseRetry(failed); reason != "" {
+		c.server.config.Logger.Info("Not retried", zap.String(logging.RequestID, c.x.RequestID),
+			zap.String("reason", reason), zap.Int("attempts", c.attempts))
 		return false
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, flushTimeout)
@@ -144,6 +145,22 @@
 	return true
 }
 
+// refuseRetry returns why no other attempt may be made, or nothing.
+func (c *call) refuseRetry(failed *failure) string {
+	// A resumption continues work that was admitted and is not multiplied by callers that resend. After a
+	// lost connection the endpoint no longer does the work, and a death strikes all requests there at
+	// once: four deaths in one second exceeded the budget of a young entry. Neither is charged.
+	charged := !c.x.Committed && failed.event != dispatch.Died
+	switch {
+	case c.attempts >= c.server.config.Limits.MaxAttempts:
+		return "attempts used up"
+	case charged && !c.server.config.Retries.Take():
+		return "retry budget used up"
+	default:
+		return ""
+	}
+}
+
 // fail turns the last error into what the caller sees, with the outcome of all attempts.
 func (c *call) fail(err error) error {
 	var refused refusal.Error
