Share the book of claims between workspaces and drop released claims

Cause: two faults found while reading. One workspace could fill the book of 200,000 claims, after which no other one could book or charge for up to 24 hours. And a released claim kept its record until its retention ended, outside the bound: a caller that tries again while a service is unreachable opens and releases one claim each time. Ruled out: a fixed share for each workspace (with 6,500 workspaces it would be 30 claims); forgetting old claims (the request could run twice). Change: a workspace is refused once it holds as many claims as are still free. Released records are dropped from the order when they are the larger part. Tests, both red before: TestWorkspacesShareTheBook ("full" for the second workspace), TestReleasedClaimsUseNoMemory (more than 4 MB held for 100,000 released claims).

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -9,7 +9,8 @@
 	// holder, so its outcome is unknown.
 	LongestRequest = 15 * time.Minute
 	// MaxClaims bounds the keys remembered. A full book refuses new claims: forgetting a key early
-	// would let its request run twice.
+	// would let its request run twice. A workspace is refused once it has as many as are still free, so
+	// that one alone gets half of them and the next one half of the rest.
 	MaxClaims = 200_000
 	// MaxBodyBytes bounds the outcome bodies kept. Past it the oldest bodies are dropped; their status
 	// is kept.
@@ -32,8 +33,10 @@
 // concurrent use.
 type Book struct {
 	records map[Key]*Record
-	// order holds the records by time of opening; released ones stay until they are dropped.
+	// order holds the records by time of opening, among them released ones, which compact drops.
 	order []*Record
+	// held counts the records of each workspace.
+	held map[string]int
 	// bodies holds the records with a body, oldest first.
 	bodies    []*Record
 	bodyBytes int
@@ -41,11 +44,10 @@
 
 // NewBook returns a book with the given records, in order of opening.
 func NewBook(records []Record) *Book {
-	b := &Book{records: make(map[Key]*Record, len(records))}
+	b := &Book{records: make(map[Key]*Record, len(records)), held: make(map[string]int)}
 	for i := range records {
 		r := records[i]
-		b.records[r.Key] = &r
-		b.order = append(b.order, &r)
+		b.add(&r)
 		b.keepBody(&r)
 	}
 	return b
@@ -73,10 +75,17 @@
 	b.expire(now)
 	r := b.records[request.Key]
 	switch {
-	case r == nil && len(b.records) >= MaxClaims:
+	case r == nil && b.held[request.Key.Workspace] >= MaxClaims-len(b.records):
 		return OpenReply{Status: Full}
 	case r == nil:
-		b.add(request, now)
+		b.add(&Record{
+			Key:         request.Key,
+			Fingerprint: request.Fingerprint,
+			RequestID:   request.RequestID,
+			Entry:       request.Entry,
+			Opened:      now,
+			Status:      InProgress,
+		})
 		return OpenReply{Status: Granted}
 	case r.Fingerprint != request.Fingerprint:
 		return OpenReply{Status: Mismatch}
@@ -91,17 +100,36 @@
 	}
 }
 
-func (b *Book) add(request OpenRequest, now int64) {
-	r := &Record{
-		Key:         request.Key,
-		Fingerprint: request.Fingerprint,
-		RequestID:   request.RequestID,
-		Entry:       request.Entry,
-		Opened:      now,
-		Status:      InProgress,
-	}
+func (b *Book) add(r *Record) {
 	b.records[r.Key] = r
 	b.order = append(b.order, r)
+	b.held[r.Key.Workspace]++
+}
+
+func (b *Book) remove(r *Record) {
+	delete(b.records, r.Key)
+	b.held[r.Key.Workspace]--
+	if b.held[r.Key.Workspace] == 0 {
+		delete(b.held, r.Key.Workspace)
+	}
+}
+
+// compactSlack is the number of released records from which compact drops them, so that a small book is
+// not copied at each release.
+const compactSlack = 1024
+
+// compact drops released records from the order once they are the larger part of it.
+func (b *Book) compact() {
+	if len(b.order) < 2*len(b.records)+compactSlack {
+		return
+	}
+	order := make([]*Record, 0, len(b.records))
+	for _, r := range b.order {
+		if b.records[r.Key] == r {
+			order = append(order, r)
+		}
+	}
+	b.order = order
 }
 
 // Settle ends the claim of the request that holds it. A repeated settlement is accepted again.
@@ -122,7 +150,8 @@
 		if r.Status != InProgress {
 			return SettleReply{}
 		}
-		delete(b.records, r.Key)
+		b.remove(r)
+		b.compact()
 	case request.Outcome != nil:
 		r.Status = Done
 		r.Outcome = *request.Outcome
@@ -157,10 +186,9 @@
 	for len(b.order) > 0 && b.order[0].Opened < limit {
 		r := b.order[0]
 		b.order = b.order[1:]
-		if b.records[r.Key] != r {
-			continue
+		if b.records[r.Key] == r {
+			b.remove(r)
 		}
-		delete(b.records, r.Key)
 	}
 	for len(b.bodies) > 0 && b.bodies[0].Opened < limit {
 		b.bodyBytes -= len(b.bodies[0].Outcome.Body)
--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/matryer/is"
@@ -82,6 +83,69 @@
 	is.Equal(oldest.Outcome.Status, 200)
 }
 
+// Guards against a workspace that fills the book, so that no other one can book for a day.
+func TestWorkspacesShareTheBook(t *testing.T) {
+	is := is.New(t)
+	book := claim.NewBook(nil)
+	granted := 0
+	for i := range claim.MaxClaims {
+		if book.Open(open(fmt.Sprint(i), "r"), 1).Status != claim.Granted {
+			break
+		}
+		granted++
+	}
+	is.True(granted >= claim.MaxClaims/2)
+	for _, workspace := range []string{"barrena-joinery", "oria-shop"} {
+		for i := range claim.MaxClaims / 8 {
+			r := open(fmt.Sprint(i), "r")
+			r.Key.Workspace = workspace
+			is.Equal(book.Open(r, 2).Status, claim.Granted)
+		}
+	}
+	// The share counts what is remembered, also after a restart from a snapshot.
+	is.Equal(claim.NewBook(book.Records()).Open(open("more", "r"), 2).Status, claim.Full)
+	is.Equal(book.Open(open("more", "r"), claim.Retention.Milliseconds()+3).Status, claim.Granted)
+}
+
+// Guards against released claims that use memory until their retention ends: a caller that tries again
+// every few milliseconds while a service is unreachable opens and releases one each time.
+func TestReleasedClaimsUseNoMemory(t *testing.T) {
+	is := is.New(t)
+	book := claim.NewBook(nil)
+	before := heap()
+	for i := range 100_000 {
+		r := open("job-1", fmt.Sprint(i))
+		is.Equal(book.Open(r, int64(i)).Status, claim.Granted)
+		is.True(book.Settle(claim.SettleRequest{Key: r.Key, RequestID: r.RequestID, Release: true}, int64(i)).Accepted)
+	}
+	is.Equal(book.Len(), 0)
+	is.True(heap() < before+4<<20)
+	runtime.KeepAlive(book)
+}
+
+// heap returns the bytes of reachable objects.
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// Reports the memory of one remembered claim whose outcome has no body.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		before := heap()
+		book := claim.NewBook(nil)
+		for i := range 100_000 {
+			r := open(fmt.Sprintf("3f2504e0-4f89-41d3-9a0c-0305e82c%04d", i), fmt.Sprintf("d3c1e2526f3ad4742b%06d", i))
+			book.Open(r, 1)
+			book.Settle(claim.SettleRequest{Key: r.Key, RequestID: r.RequestID, Outcome: &claim.Outcome{Status: 201}}, 1)
+		}
+		b.ReportMetric(float64(heap()-before)/100_000, "B/claim")
+		runtime.KeepAlive(book)
+	}
+}
+
 // Guards against two requests that both may dispatch one key, in any order of opening, settling,
 // releasing, passing time and restoring from a snapshot. A naive book that gives an old claim to the
 // next request breaks it.
