Wait for replaced and leaving entries before a change is in force

A heartbeat of a new incarnation replaced the session of the old one, whose lease may still hold when it is cut off or frozen beside its successor; and an entry that leaves kept its lease until the leader had answered, while the leader no longer counted it. In both cases a change was reported as in force up to 3 s before an entry stopped to admit under the old revision. Ruled out: refusing the new incarnation until the old lease ends; each restart after a kill would take 3.3 s longer. Change: replaced sessions count for InForce until their lease has run out. A leaving entry ends its lease before it tells the leader. Tests, both red before: case "cut off and started again" of TestInForceHoldsEverywhere (an entry admitted under revision 1 after 2 was in force), TestLeaveEndsTheLeaseFirst. Conclusion: after a kill and a restart at once, a change is in force when the old lease has run out (at most 3.3 s), as for an entry that is cut off.

--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -23,6 +23,7 @@
 	keepers []*session.Keeper
 	ends    []chan error
 	client  *control.Client
+	run     context.Context
 	cancel  context.CancelFunc
 	command int
 }
@@ -36,20 +37,29 @@
 	f.service = control.NewService(control.ServiceConfig{Machine: machine, Log: f.log, Logger: zap.NewNop()})
 	is.NoErr(f.service.Register(f.network))
 	f.start(ctx, f.service.Run)
+	f.run = ctx
 	for i := range entries {
-		name := fmt.Sprintf("entry-%d", i)
-		keeper := session.NewKeeper(session.KeeperConfig{
-			Member: session.Member{Instance: name, Incarnation: "a"},
-			Leader: f.clientOf(name),
-			Logger: zap.NewNop(),
-		})
-		f.keepers = append(f.keepers, keeper)
-		f.start(ctx, keeper.Run)
+		f.add(fmt.Sprintf("entry-%d", i), "a")
 	}
 	f.client = f.clientOf("operator")
 	return f
 }
 
+// add starts an entry. Only the first incarnation of an instance is behind its cuts.
+func (f *fleet) add(instance, incarnation string) {
+	name := instance
+	if incarnation != "a" {
+		name += "/" + incarnation
+	}
+	keeper := session.NewKeeper(session.KeeperConfig{
+		Member: session.Member{Instance: instance, Incarnation: incarnation},
+		Leader: f.clientOf(name),
+		Logger: zap.NewNop(),
+	})
+	f.keepers = append(f.keepers, keeper)
+	f.start(f.run, keeper.Run)
+}
+
 func (f *fleet) clientOf(name string) *control.Client {
 	return control.NewClient(control.ClientConfig{
 		Addresses: []string{"control-1"},
@@ -109,6 +119,11 @@
 		"two entries are cut":   func(f *fleet) { f.network.setCut("entry-0", true); f.network.setCut("entry-2", true) },
 		"leader changed":        func(f *fleet) { f.log.elect(2, true) },
 		"leader changed, a cut": func(f *fleet) { f.network.setCut("entry-1", true); f.log.elect(2, true) },
+		"cut off and started again": func(f *fleet) {
+			f.network.setCut("entry-1", true)
+			f.add("entry-1", "b")
+			time.Sleep(100 * time.Millisecond)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -63,8 +63,8 @@
 	return &Keeper{config: config, member: config.Member, wake: make(chan struct{}, 1), beat: make(chan struct{})}
 }
 
-// View returns what is known and an error of kind Expired when nothing may be admitted: the lease
-// has run out, or a newer revision is accepted than the one applied here. The view is usable for
+// View returns what is known and an error of kind Expired when nothing may be admitted because the
+// lease has run out. A lease is renewed only under the newest accepted revision. The view is usable for
 // address answers in both cases.
 func (k *Keeper) View() (View, error) {
 	k.mu.Lock()
@@ -331,7 +331,11 @@
 // watchPause bounds the watches of one entry to 100 a second.
 const watchPause = 10 * time.Millisecond
 
+// leave ends the lease before it tells the leader, which relies on it from then on.
 func (k *Keeper) leave() {
+	k.mu.Lock()
+	k.leaseEnd = time.Time{}
+	k.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
 	request := k.request()
@@ -339,7 +343,4 @@
 	if _, err := k.config.Leader.Heartbeat(ctx, request); err != nil {
 		k.config.Logger.Warn("Could not end the session; it ends with its lease", zap.Error(err))
 	}
-	k.mu.Lock()
-	k.leaseEnd = time.Time{}
-	k.mu.Unlock()
 }
--- a/internal/session/registry.go
+++ b/internal/session/registry.go
@@ -12,6 +12,9 @@
 type Registry struct {
 	mu       sync.Mutex
 	sessions map[string]*entrySession
+	// replaced are sessions of earlier incarnations whose lease may still hold: a process that was
+	// started again may run beside one that is cut off or frozen.
+	replaced []*entrySession
 	// version changes with the member list. It starts at the time of election, so that versions of
 	// different leaders differ.
 	version uint64
@@ -50,6 +53,7 @@
 	}
 	r.term = term
 	r.sessions = make(map[string]*entrySession)
+	r.replaced = nil
 	r.version = uint64(now.UnixNano())
 	r.changes = nil
 	r.complete = now.Add(LeaseLength + SkewAllowance)
@@ -70,7 +74,11 @@
 		return
 	}
 	if s == nil || s.member != request.Member {
-		if s == nil || s.member.Incarnation != request.Member.Incarnation {
+		if s != nil && s.member.Incarnation != request.Member.Incarnation {
+			r.replaced = append(r.replaced, s)
+			s = nil
+		}
+		if s == nil {
 			s = &entrySession{}
 			r.sessions[name] = s
 		}
@@ -89,6 +97,7 @@
 func (r *Registry) Expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.replaced = slices.DeleteFunc(r.replaced, func(s *entrySession) bool { return now.After(s.leaseEnd) })
 	for name, s := range r.sessions {
 		if now.After(s.leaseEnd) {
 			delete(r.sessions, name)
@@ -175,11 +184,16 @@
 		return false
 	}
 	for _, s := range r.sessions {
-		if s.revision < revision && !now.After(s.leaseEnd) {
+		if s.admitsBefore(revision, now) {
 			return false
 		}
 	}
-	return true
+	return !slices.ContainsFunc(r.replaced, func(s *entrySession) bool { return s.admitsBefore(revision, now) })
+}
+
+// admitsBefore reports whether the entry may admit under an older revision.
+func (s *entrySession) admitsBefore(revision uint64, now time.Time) bool {
+	return s.revision < revision && !now.After(s.leaseEnd)
 }
 
 // Progress returns a channel that is closed when a session next applies a revision.
--- a/internal/session/registry_test.go
+++ b/internal/session/registry_test.go
@@ -1,12 +1,16 @@
 package session
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+	"go.uber.org/zap"
 	"pgregory.net/rapid"
 )
 
@@ -64,3 +68,46 @@
 		})
 	})
 }
+
+// leaveObserver is a leader that looks at the keeper while its last heartbeat is under way.
+type leaveObserver struct {
+	Leader
+	keeper *Keeper
+	leaves int
+	admits bool
+}
+
+func (o *leaveObserver) Heartbeat(_ context.Context, request HeartbeatRequest) (HeartbeatReply, error) {
+	if request.Leave {
+		_, err := o.keeper.View()
+		o.leaves++
+		o.admits = err == nil
+		return HeartbeatReply{}, nil
+	}
+	return HeartbeatReply{Term: 1, Lease: LeaseLength}, nil
+}
+
+func (o *leaveObserver) Watch(ctx context.Context, _ WatchRequest) (WatchReply, error) {
+	<-ctx.Done()
+	return WatchReply{}, ctx.Err()
+}
+
+// Guards against an entry that still admits when the leader has taken it off its list and reports a
+// later change as in force.
+func TestLeaveEndsTheLeaseFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		leader := &leaveObserver{}
+		leader.keeper = NewKeeper(KeeperConfig{Leader: leader, Logger: zap.NewNop()})
+		ctx, cancel := context.WithCancel(t.Context())
+		end := make(chan error, 1)
+		go func() { end <- leader.keeper.Run(ctx) }()
+		synctest.Wait()
+		_, err := leader.keeper.View()
+		is.NoErr(err)
+		cancel()
+		is.NoErr(<-end)
+		is.Equal(leader.leaves, 1)
+		is.True(!leader.admits)
+	})
+}
