Name the line of a wrong duration and of a list element in settings

Cause: `timeout: soon` stopped a program with "f.yaml: time: invalid duration" and no line or column, and errors in a list element pointed at the colon after its first key. goccy/go-yaml returns the error of time.ParseDuration as it is, and the token of a mapping is its first colon. Ruled out: a custom unmarshaller for time.Duration; its error loses the place in the same way. Change: a failed decode looks for the first value of a duration that is none; positions of list elements are those of their first key. settings.Refuse reports a check that validate tags cannot express, with its place. Before: 4 new cases of TestParseErrors fail. After: they pass (go test ./internal/settings).

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
 
 	"github.com/go-playground/validator/v10"
 
@@ -50,7 +51,7 @@
 func Parse(name string, data []byte, target any) error {
 	err := yaml.UnmarshalWithOptions(data, target, yaml.Strict())
 	if err != nil {
-		return syntaxError(name, err, target)
+		return syntaxError(name, data, err, target)
 	}
 	err = newValidator().Struct(target)
 	var failures validator.ValidationErrors
@@ -95,9 +96,14 @@
 	return name
 }
 
-func syntaxError(name string, err error, target any) error {
+func syntaxError(name string, data []byte, err error, target any) error {
 	var y yaml.Error
 	if !errors.As(err, &y) {
+		// The decoder reports a bad duration without its place.
+		if bad := badDuration(data, reflect.TypeOf(target)); bad != nil {
+			return fault.New("parse settings", Syntax, "%s:%d:%d: %q is not a duration such as 1.5s or 10m",
+				name, bad.Position.Line, bad.Position.Column, bad.Value)
+		}
 		return fault.Wrap(err, "parse settings", Syntax, name)
 	}
 	position := y.GetToken().Position
@@ -153,6 +159,8 @@
 		return "it must be at most " + failure.Param()
 	case "gt":
 		return "it must be more than " + failure.Param()
+	case "lt":
+		return "it must be less than " + failure.Param()
 	case "oneof":
 		return "it must be one of " + failure.Param()
 	case "hostname_port", "listen_address":
@@ -164,6 +172,17 @@
 	}
 }
 
+// Refuse returns an error of kind Invalid at the place of an option in the file at path, for checks that
+// validate tags cannot express. Elements of lists are named option[0].
+func Refuse(path, option, format string, args ...any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fault.Wrap(err, "read settings", Missing, path)
+	}
+	line, column := position(data, option)
+	return fault.New("check settings", Invalid, "%s:%d:%d: %s", path, line, column, fmt.Sprintf(format, args...))
+}
+
 // position finds line and column of the option at a dotted path, or of its nearest parent in the file.
 func position(data []byte, path string) (line, column int) {
 	file, err := parser.ParseBytes(data, 0)
@@ -190,12 +209,25 @@
 			return line, column
 		}
 		node = sequence.Values[i]
-		p = node.GetToken().Position
+		p = firstToken(node).Position
 		line, column = p.Line, p.Column
 	}
 	return line, column
 }
 
+// firstToken returns the first key of a mapping, whose own token is the colon after that key.
+func firstToken(node ast.Node) *token.Token {
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		if len(n.Values) > 0 {
+			return n.Values[0].Key.GetToken()
+		}
+	case *ast.MappingValueNode:
+		return n.Key.GetToken()
+	}
+	return node.GetToken()
+}
+
 func child(node ast.Node, key string) *ast.MappingValueNode {
 	switch n := node.(type) {
 	case *ast.MappingNode:
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -25,6 +25,12 @@
 	Timeout time.Duration `yaml:"timeout" validate:"gt=0"`
 	HTTP    inner         `yaml:"http"`
 	Remote  string        `yaml:"remote" validate:"omitempty,https_address"`
+	Items   []item        `yaml:"items" validate:"dive"`
+}
+
+type item struct {
+	Pause *time.Duration `yaml:"pause"`
+	Share float64        `yaml:"share" validate:"gt=0,lt=1"`
 }
 
 func defaults() *sample {
@@ -48,6 +54,10 @@
 		"other scheme":  {"name: a\nremote: http://127.0.0.1:1\n", []string{"f.yaml:2:1", "https://127.0.0.1:8080"}},
 		"no port":       {"name: a\nremote: https://127.0.0.1\n", []string{"f.yaml:2:1", "https://127.0.0.1:8080"}},
 		"not yaml":      {"name: [a\n", []string{"f.yaml:"}},
+		"no duration":   {"name: a\ntimeout: soon\n", []string{"f.yaml:2:10", `"soon" is not a duration`}},
+		"list element":  {"name: a\nitems:\n  - pause: soon\n", []string{"f.yaml:3:12", `"soon" is not a duration`}},
+		"list place":    {"name: a\nitems:\n  - pause: 1s\n    share: 1\n", []string{"f.yaml:4:5: items[0].share is 1", "less than 1"}},
+		"missing field": {"name: a\nitems:\n  - pause: 1s\n", []string{"f.yaml:3:5: items[0].share"}},
 		"zero duration": {"name: a\ntimeout: 0s\n", []string{"f.yaml:2:1", "more than 0"}},
 	} {
 		t.Run(name, func(t *testing.T) {
