Make the service-level objectives settings of entryd

Cause: burn.DefaultObjectives were the only objectives; a deployment could not choose its own, nor promise one workspace more than others. Change: `objectives` in the settings of entryd name what differs from the defaults, by length class and optionally workspace, checked with line and column. Reports have the bound, the target and whose objective applies, and say when entries measure by different ones. A workspace with an objective of its own is counted by name beyond the bound of 1,024 workspaces (at most 1,000 more, the bound of the list). Tests changed: the expected tables of TestFormats (burn) and TestReportBurn (pierctl) have the columns BOUND and OBJECTIVE; they compare whole lines as before.

--- a/entryd/internal/cli/connect.go
+++ b/entryd/internal/cli/connect.go
@@ -76,7 +76,7 @@
 		Logger:      site.Logger,
 	})
 	dispatcher := newDispatcher(site, client, keeper)
-	recorder := burn.NewRecorder(burn.Config{Objectives: burn.DefaultObjectives(), Now: time.Now})
+	recorder := burn.NewRecorder(burn.Config{Objectives: site.Options.BurnObjectives(), Now: time.Now})
 	return Parts{
 		Keeper:     keeper,
 		Claims:     client,
--- /dev/null
+++ b/entryd/internal/options/objective.go
@@ -0,0 +1,79 @@
+package options
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/burn"
+	"github.com/dandelionpier/dandelionpier/internal/settings"
+)
+
+// Objective is a service-level objective in the settings. What it leaves out is taken from the
+// objective of its class or, for a class, from the default.
+type Objective struct {
+	Class     string `yaml:"class" validate:"required,oneof=short medium long" description:"Length class of the requests."`
+	Workspace string `yaml:"workspace" validate:"max=256" description:"Workspace that the objective is for; empty means all that have none of their own."`
+
+	TTFT          *time.Duration `yaml:"ttft" validate:"omitnil,min=0s,max=900s" description:"Bound on the time to first token; 0s means none."`
+	InterToken    *time.Duration `yaml:"inter-token" validate:"omitnil,min=0s,max=900s" description:"Bound on the mean time between tokens; 0s means none."`
+	Slowdown      *float64       `yaml:"slowdown" validate:"omitnil,min=0,max=1000" description:"Bound on the factor by which long requests may delay the first token; 0 means none."`
+	Target        *float64       `yaml:"target" validate:"omitnil,gt=0,lt=1" description:"Share of requests that meet the bounds."`
+	SuccessTarget *float64       `yaml:"success-target" validate:"omitnil,gt=0,lt=1" description:"Share of requests that end without an error of the system."`
+}
+
+// over returns base with the values that the settings name.
+func (o Objective) over(base burn.Objective) burn.Objective {
+	base.Workspace = o.Workspace
+	replace(&base.TTFT, o.TTFT)
+	replace(&base.InterToken, o.InterToken)
+	replace(&base.Slowdown, o.Slowdown)
+	replace(&base.Target, o.Target)
+	replace(&base.SuccessTarget, o.SuccessTarget)
+	return base
+}
+
+func replace[T any](target, named *T) {
+	if named != nil {
+		*target = *named
+	}
+}
+
+// BurnObjectives returns the objectives of the classes, then those of named workspaces.
+func (o *Options) BurnObjectives() []burn.Objective {
+	objectives := burn.DefaultObjectives()
+	classes := make(map[string]*burn.Objective)
+	for i := range objectives {
+		classes[objectives[i].Class] = &objectives[i]
+	}
+	for _, named := range o.Objectives {
+		if named.Workspace == "" {
+			*classes[named.Class] = named.over(*classes[named.Class])
+		}
+	}
+	own := make([]burn.Objective, 0, len(o.Objectives))
+	for _, named := range o.Objectives {
+		if named.Workspace != "" {
+			own = append(own, named.over(*classes[named.Class]))
+		}
+	}
+	return append(objectives, own...)
+}
+
+// checkObjectives refuses objectives that are given twice and a slowdown of the long class, whose
+// requests are those that slow others down.
+func checkObjectives(path string, objectives []Objective) error {
+	type scope struct{ workspace, class string }
+	seen := make(map[scope]bool)
+	for i, objective := range objectives {
+		option := fmt.Sprintf("objectives[%d]", i)
+		key := scope{objective.Workspace, objective.Class}
+		if seen[key] {
+			return settings.Refuse(path, option, "the objective of class %s and workspace %q is given twice", key.class, key.workspace)
+		}
+		seen[key] = true
+		if objective.Class == burn.LongClass && objective.Slowdown != nil && *objective.Slowdown > 0 {
+			return settings.Refuse(path, option+".slowdown", "slowdown does not apply to class %s, whose requests slow the others down", key.class)
+		}
+	}
+	return nil
+}
--- a/entryd/internal/options/options.go
+++ b/entryd/internal/options/options.go
@@ -2,10 +2,7 @@
 package options
 
 import (
-	"fmt"
 	"net"
-	"reflect"
-	"strings"
 	"time"
 
 	"github.com/dandelionpier/dandelionpier/internal/certificate"
@@ -67,6 +64,8 @@
 	DispatchProfile string        `yaml:"dispatch-profile" validate:"oneof=balanced long-prompts short-slowdown" description:"What the dispatcher weighs higher: time to first token of long prompts, or slowdown of short requests."`
 	EngineIdle      int           `yaml:"idle-connections" validate:"min=0,max=10000" description:"Idle connections kept to each engine."`
 
+	Objectives []Objective `yaml:"objectives" validate:"max=1000,dive" description:"Service-level objectives that differ from the defaults, by length class and, where named, workspace."`
+
 	TLS TLS `yaml:"tls"`
 }
 
@@ -123,7 +122,10 @@
 	if err := settings.Load(path, options); err != nil {
 		return nil, err
 	}
-	return options, options.check()
+	if err := options.check(); err != nil {
+		return nil, err
+	}
+	return options, checkObjectives(path, options.Objectives)
 }
 
 func (o *Options) check() error {
@@ -156,51 +158,7 @@
 	}
 }
 
-// Reference returns a Markdown table of all options; nested ones are named parent.child.
+// Reference returns a Markdown table of all options.
 func Reference() string {
-	var b strings.Builder
-	b.WriteString("| option | type | default | bounds | description |\n|---|---|---|---|---|\n")
-	writeRows(&b, "", reflect.ValueOf(Default()).Elem())
-	return b.String()
-}
-
-func writeRows(b *strings.Builder, parent string, value reflect.Value) {
-	for i := range value.NumField() {
-		field := value.Type().Field(i)
-		name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
-		switch {
-		case field.Type.Kind() == reflect.Struct && name == "":
-			writeRows(b, parent, value.Field(i))
-		case field.Type.Kind() == reflect.Struct:
-			writeRows(b, parent+name+".", value.Field(i))
-		default:
-			fmt.Fprintf(b, "| `%s` | %s | %s | %s | %s |\n", parent+name, typeName(field.Type),
-				defaultText(value.Field(i)), bounds(field.Tag.Get("validate")), field.Tag.Get("description"))
-		}
-	}
-}
-
-func typeName(t reflect.Type) string {
-	switch {
-	case t == reflect.TypeFor[time.Duration]():
-		return "duration"
-	case t.Kind() == reflect.Slice:
-		return "list"
-	default:
-		return t.Kind().String()
-	}
-}
-
-func defaultText(v reflect.Value) string {
-	if v.Kind() == reflect.String && v.String() == "" || v.Kind() == reflect.Slice {
-		return ""
-	}
-	return fmt.Sprintf("`%v`", v.Interface())
-}
-
-var boundWords = strings.NewReplacer("min=", "at least ", "max=", "at most ", "oneof=", "one of ",
-	"hostname_port", "host:port", "listen_address", "host:port, port 0 for any", "omitempty,", "", "dive,", "each ")
-
-func bounds(tag string) string {
-	return strings.ReplaceAll(boundWords.Replace(tag), ",", ", ")
+	return settings.Reference(Default())
 }
--- a/internal/burn/burn.go
+++ b/internal/burn/burn.go
@@ -4,6 +4,7 @@
 package burn
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/dandelionpier/dandelionpier/internal/fault"
@@ -45,17 +46,19 @@
 // LongClass is the length class whose requests slow others down.
 const LongClass = "long"
 
-// Objective bounds the requests of one length class.
+// Objective bounds the requests of one length class, of all workspaces or of one.
 type Objective struct {
-	Class string `yaml:"class" json:"class" validate:"required"`
+	// Workspace is empty for the objective of all workspaces without one of their own.
+	Workspace string `json:"workspace,omitempty"`
+	Class     string `json:"class"`
 	// TTFT and InterToken bound the times; 0 means no objective.
-	TTFT       time.Duration `yaml:"ttft" json:"ttft-ns" validate:"gte=0"`
-	InterToken time.Duration `yaml:"inter-token" json:"inter-token-ns" validate:"gte=0"`
+	TTFT       time.Duration `json:"ttft-ns"`
+	InterToken time.Duration `json:"inter-token-ns"`
 	// Slowdown bounds the factor by which long requests may delay the first token; 0 means no objective.
-	Slowdown float64 `yaml:"slowdown" json:"slowdown" validate:"gte=0"`
+	Slowdown float64 `json:"slowdown"`
 	// Target is the share of requests that meet the bounds, SuccessTarget the share that succeed.
-	Target        float64 `yaml:"target" json:"target" validate:"gt=0,lt=1"`
-	SuccessTarget float64 `yaml:"success-target" json:"success-target" validate:"gt=0,lt=1"`
+	Target        float64 `json:"target"`
+	SuccessTarget float64 `json:"success-target"`
 }
 
 // target is the share of good requests that the objective asks for.
@@ -66,8 +69,30 @@
 	return o.Target
 }
 
-// DefaultObjectives follow section 4 of docs/design.md for short requests. The bounds of the other
-// classes are settings that each deployment chooses.
+// bound returns what the objective asks of a metric, as reports print it.
+func (o Objective) bound(m Metric) string {
+	switch m {
+	case TTFT:
+		return o.TTFT.String()
+	case InterToken:
+		return o.InterToken.String()
+	case Slowdown:
+		return fmt.Sprintf("%gx", o.Slowdown)
+	default:
+		return "no error"
+	}
+}
+
+// scope names the requests that the objective is for: those of its class or of its workspace.
+func (o Objective) scope() string {
+	if o.Workspace == "" {
+		return "class"
+	}
+	return "workspace"
+}
+
+// DefaultObjectives follow section 4 of docs/design.md for short requests. They hold for what the
+// settings of the entries leave out.
 func DefaultObjectives() []Objective {
 	return []Objective{
 		{Class: "short", TTFT: 330 * time.Millisecond, InterToken: 33 * time.Millisecond, Slowdown: 1.2, Target: 0.95, SuccessTarget: 0.999},
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -113,6 +113,34 @@
 	is.Equal(report.Worst(1)[0].Metric, "success")
 }
 
+// Guards against a workspace whose own objective is not applied, is applied to others, is lost beyond
+// the bound of workspaces, or is not shown; and against a report that hides that entries differ.
+func TestWorkspaceObjective(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	own := burn.Objective{Workspace: "sawmill", Class: "short", TTFT: 100 * time.Millisecond, Target: 0.9, SuccessTarget: 0.99}
+	recorders := make([]*burn.Recorder, 2)
+	for i, objectives := range [][]burn.Objective{append(burn.DefaultObjectives(), own), burn.DefaultObjectives()} {
+		recorders[i] = burn.NewRecorder(burn.Config{Objectives: objectives, MaxWorkspaces: 1, Now: c.Now})
+	}
+	for _, workspace := range []string{"joiner", "sawmill"} {
+		recorders[0].Observe(workspace, "short", 200*time.Millisecond, 0, true)
+		recorders[0].Observe(workspace, "medium", 200*time.Millisecond, 0, true)
+	}
+	report := recorders[0].Report()
+	is.Equal(fmt.Sprintf("%.2f", report.Rates(find(report, "sawmill", "short", "ttft"))[0]), "10.00")
+	is.Equal(report.Rates(find(report, "joiner", "short", "ttft"))[0], 0.0)
+	is.Equal(find(report, "sawmill", "medium", "ttft").Windows[0], burn.Count{Total: 1})
+	is.Equal(len(report.For("joiner").Objectives), 3)
+	is.True(!burn.Merge(report, report).Mixed)
+	is.True(burn.Merge(burn.Report{}, report, recorders[1].Report()).Total().Mixed)
+	var text, lines bytes.Buffer
+	is.NoErr(report.WriteText(&text))
+	is.Equal(strings.Fields(strings.Split(text.String(), "\n")[1])[:6], []string{"sawmill", "short", "ttft", "100ms", "0.9", "workspace"})
+	is.NoErr(report.WriteJSON(&lines))
+	is.True(strings.Contains(lines.String(), `"bound":"100ms","target":0.9,"objective":"workspace"`))
+}
+
 // Guards against memory that grows with the number of workspaces, and against a full recorder that
 // never takes a new workspace again.
 func TestWorkspacesAreBounded(t *testing.T) {
@@ -175,7 +203,7 @@
 	is.Equal(reply.Report, r.Report())
 	var text, lines, image bytes.Buffer
 	is.NoErr(reply.Report.WriteText(&text))
-	is.Equal(strings.Split(text.String(), "\n")[1], "sawmill    short  ttft     0.95    20.00  20.00  20.00  20.00  1")
+	is.Equal(strings.Split(text.String(), "\n")[1], "sawmill    short  ttft     330ms     0.95    class      20.00  20.00  20.00  20.00  1")
 	is.NoErr(reply.Report.WriteJSON(&lines))
 	var first struct {
 		Metric string             `json:"metric"`
--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -21,10 +21,11 @@
 
 // Config sets up a Recorder.
 type Config struct {
-	// Objectives are by length class, each at most once.
+	// Objectives are by workspace and length class, each pair at most once.
 	Objectives []Objective
 	// MaxWorkspaces bounds the memory; 0 means 1,024. The requests of further workspaces are counted
-	// under OtherWorkspace, until one is idle for longer than the longest window.
+	// under OtherWorkspace, until one is idle for longer than the longest window. A workspace with an
+	// objective of its own is always counted under its name.
 	MaxWorkspaces int
 	// Now is the clock.
 	Now func() time.Time
@@ -43,7 +44,9 @@
 // Recorder counts on one entry how many requests met their objectives. It is safe for concurrent use.
 type Recorder struct {
 	config     Config
-	objectives map[string]Objective
+	objectives map[seriesKey]Objective
+	// named are the workspaces with an objective of their own.
+	named map[string]bool
 
 	mu         sync.Mutex
 	workspaces map[string]time.Time // last observation
@@ -61,17 +64,30 @@
 	}
 	r := &Recorder{
 		config:     config,
-		objectives: make(map[string]Objective),
+		objectives: make(map[seriesKey]Objective),
+		named:      make(map[string]bool),
 		workspaces: make(map[string]time.Time),
 		series:     make(map[seriesKey]*series),
 		baselines:  make(map[string]float64),
 	}
 	for _, objective := range config.Objectives {
-		r.objectives[objective.Class] = objective
+		r.objectives[seriesKey{objective.Workspace, objective.Class}] = objective
+		if objective.Workspace != "" {
+			r.named[objective.Workspace] = true
+		}
 	}
 	return r
 }
 
+// objective returns the workspace's own objective for a class, or else that of the class.
+func (r *Recorder) objective(workspace, class string) (Objective, bool) {
+	if objective, own := r.objectives[seriesKey{workspace, class}]; own {
+		return objective, true
+	}
+	objective, known := r.objectives[seriesKey{"", class}]
+	return objective, known
+}
+
 // LongStarted tells the recorder that a long request runs. LongEnded must follow.
 func (r *Recorder) LongStarted() {
 	r.mu.Lock()
@@ -91,7 +107,7 @@
 // that failed before its first token or has a single token. A class without an objective is ignored.
 // It allocates only for the first request of a workspace and class.
 func (r *Recorder) Observe(workspace, lengthClass string, ttft, interToken time.Duration, ok bool) {
-	objective, known := r.objectives[lengthClass]
+	objective, known := r.objective(workspace, lengthClass)
 	if !known {
 		return
 	}
@@ -137,6 +153,9 @@
 
 // find returns the counts of a workspace and class, or those of OtherWorkspace when the bound is reached.
 func (r *Recorder) find(workspace, class string, now time.Time) *series {
+	if r.named[workspace] {
+		return r.touch(workspace, class, now)
+	}
 	if _, known := r.workspaces[workspace]; !known {
 		if len(r.workspaces) >= r.config.MaxWorkspaces {
 			r.forgetIdle(now)
@@ -173,8 +192,8 @@
 			continue
 		}
 		delete(r.workspaces, workspace)
-		for class := range r.objectives {
-			delete(r.series, seriesKey{workspace, class})
+		for key := range r.objectives {
+			delete(r.series, seriesKey{workspace, key.class})
 		}
 	}
 }
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -24,7 +24,10 @@
 type Report struct {
 	Time       time.Time   `json:"time"`
 	Objectives []Objective `json:"objectives"`
-	Series     []Series    `json:"series"`
+	// Mixed means that the merged reports have different objectives; Objectives are the newest ones,
+	// while the counts of each entry follow its own.
+	Mixed  bool     `json:"mixed,omitempty"`
+	Series []Series `json:"series"`
 }
 
 func (r *Report) sort() {
@@ -38,6 +41,8 @@
 	var merged Report
 	index := make(map[Series]int) // by a series without counts
 	for _, report := range reports {
+		merged.Mixed = merged.Mixed || report.Mixed ||
+			len(merged.Objectives) > 0 && len(report.Objectives) > 0 && !slices.Equal(merged.Objectives, report.Objectives)
 		if report.Time.After(merged.Time) {
 			merged.Time, merged.Objectives = report.Time, report.Objectives
 		}
@@ -59,12 +64,16 @@
 	return merged
 }
 
-// Total returns the report with the workspaces added up.
+// allWorkspaces stands for the sum of all workspaces in a report.
+const allWorkspaces = "(all)"
+
+// Total returns the report with the workspaces added up. Each request was counted by the objective of
+// its workspace; the rates of the sum are over the target of the class.
 func (r Report) Total() Report {
 	parts := make([]Report, 0, len(r.Series))
 	for _, line := range r.Series {
-		line.Workspace = "(all)"
-		parts = append(parts, Report{Time: r.Time, Objectives: r.Objectives, Series: []Series{line}})
+		line.Workspace = allWorkspaces
+		parts = append(parts, Report{Time: r.Time, Objectives: r.Objectives, Mixed: r.Mixed, Series: []Series{line}})
 	}
 	return Merge(parts...)
 }
@@ -78,6 +87,13 @@
 		}
 	}
 	r.Series = kept
+	var objectives []Objective
+	for _, objective := range r.Objectives {
+		if objective.Workspace == "" || objective.Workspace == workspace {
+			objectives = append(objectives, objective)
+		}
+	}
+	r.Objectives = objectives
 	return r
 }
 
@@ -95,27 +111,26 @@
 // without requests has rate 0.
 func (r Report) Rates(line Series) []float64 {
 	rates := make([]float64, len(windows))
-	target := r.target(line)
+	objective, metric := r.applies(line)
+	target := objective.target(metric)
 	for i, count := range line.Windows {
-		if count.Total > 0 && target < 1 {
+		if count.Total > 0 && target > 0 && target < 1 {
 			rates[i] = float64(count.Bad) / float64(count.Total) / (1 - target)
 		}
 	}
 	return rates
 }
 
-func (r Report) target(line Series) float64 {
+// applies returns the objective that a series is measured by, the workspace's own before that of the
+// class, and the metric. It returns the zero objective for a class that has none.
+func (r Report) applies(line Series) (Objective, Metric) {
+	var applies Objective
 	for _, objective := range r.Objectives {
-		if objective.Class != line.Class {
-			continue
-		}
-		for m := range metrics {
-			if m.String() == line.Metric {
-				return objective.target(m)
-			}
+		if objective.Class == line.Class && (objective.Workspace == line.Workspace || objective.Workspace == "" && applies.Class == "") {
+			applies = objective
 		}
 	}
-	return 1
+	return applies, Metric(slices.Index(metricNames[:], line.Metric))
 }
 
 // Worst returns the n series with the highest burn rate in any window, worst first.
@@ -130,13 +145,15 @@
 // WriteText writes a table of burn rates, worst first, with the requests of the longest window.
 func (r Report) WriteText(w io.Writer) error {
 	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprint(out, "WORKSPACE\tCLASS\tMETRIC\tTARGET")
+	fmt.Fprint(out, "WORKSPACE\tCLASS\tMETRIC\tBOUND\tTARGET\tOBJECTIVE")
 	for _, window := range windows {
 		fmt.Fprint(out, "\t"+WindowName(window))
 	}
 	fmt.Fprintln(out, "\tREQUESTS")
 	for _, line := range r.Worst(len(r.Series)) {
-		fmt.Fprintf(out, "%s\t%s\t%s\t%g", line.Workspace, line.Class, line.Metric, r.target(line))
+		objective, metric := r.applies(line)
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%g\t%s", line.Workspace, line.Class, line.Metric,
+			objective.bound(metric), objective.target(metric), objective.scope())
 		for _, rate := range r.Rates(line) {
 			fmt.Fprintf(out, "\t%.2f", rate)
 		}
@@ -158,10 +175,12 @@
 	}
 }
 
-// jsonLine is a series with its burn rates, for programs.
+// jsonLine is a series with its objective and burn rates, for programs.
 type jsonLine struct {
 	Series
+	Bound  string             `json:"bound"`
 	Target float64            `json:"target"`
+	Scope  string             `json:"objective"`
 	Burn   map[string]float64 `json:"burn"`
 }
 
@@ -173,7 +192,10 @@
 		for i, rate := range r.Rates(line) {
 			rates[WindowName(windows[i])] = rate
 		}
-		if err := encoder.Encode(jsonLine{Series: line, Target: r.target(line), Burn: rates}); err != nil {
+		objective, metric := r.applies(line)
+		if err := encoder.Encode(jsonLine{
+			Series: line, Bound: objective.bound(metric), Target: objective.target(metric), Scope: objective.scope(), Burn: rates,
+		}); err != nil {
 			return fault.Wrap(err, "write report", Invalid, "JSON")
 		}
 	}
--- a/pierctl/internal/cli/burn.go
+++ b/pierctl/internal/cli/burn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
 	"github.com/urfave/cli/v3"
@@ -37,6 +38,9 @@
 	}
 	report := reply.Report
 	p.note(reply.Missing)
+	if report.Mixed {
+		fmt.Fprintln(p.errs, "The objectives of the entries differ; the newest are shown.")
+	}
 	if path := c.String("plot"); path != "" {
 		if err := writePlot(path, report); err != nil {
 			return err
--- a/pierctl/internal/cli/cli_test.go
+++ b/pierctl/internal/cli/cli_test.go
@@ -134,17 +134,20 @@
 	}
 }
 
-// Guards against a burn report without its plot, or one that hides that entries are missing.
+// Guards against a burn report without its plot or its objectives, or one that hides that entries are
+// missing or measure by different objectives.
 func TestReportBurn(t *testing.T) {
 	is := is.New(t)
-	c := newInstance(t, answer{200, `{"report":{"time":"2026-12-04T05:00:00Z","objectives":[{"class":"short","target":0.9,"success-target":0.99}],` +
+	c := newInstance(t, answer{200, `{"report":{"time":"2026-12-04T05:00:00Z","mixed":true,"objectives":[{"class":"short","ttft-ns":330000000,"target":0.9,"success-target":0.99}],` +
 		`"series":[{"workspace":"(all)","class":"short","metric":"ttft","windows":[{"total":20,"bad":4},{"total":10,"bad":1},{"total":0,"bad":0},{"total":40,"bad":2}]}]},` +
 		`"missing":[{"part":"instance b","error":"refused"}]}`})
 	plot := filepath.Join(t.TempDir(), "burn.png")
 	got := run(t, []*instance{c}, "", "report", "burn", "--total", "--plot", plot)
 	is.Equal(got.code, 6)
-	is.Equal(got.out, "WORKSPACE  CLASS  METRIC  TARGET  5m    1h    6h    3d    REQUESTS\n(all)      short  ttft    0.9     2.00  1.00  0.00  0.50  40\n")
+	is.Equal(got.out, "WORKSPACE  CLASS  METRIC  BOUND  TARGET  OBJECTIVE  5m    1h    6h    3d    REQUESTS\n"+
+		"(all)      short  ttft    330ms  0.9     class      2.00  1.00  0.00  0.50  40\n")
 	is.True(strings.Contains(got.errs, "missing: instance b: refused"))
+	is.True(strings.Contains(got.errs, "objectives of the entries differ"))
 	data, err := os.ReadFile(plot)
 	is.NoErr(err)
 	is.True(bytes.HasPrefix(data, []byte("\x89PNG")))
