Add manual pages and settings references of all programs

Cause: the programs had no manual pages, and only the settings of entryd had a reference. Ruled out: the documentation generators of the command-line library; they are another module. Writing the pages by hand; nothing would keep them right. Comments of the settings of controld, pierctl and standin became description tags. Flags that had no text have one. Tests changed: TestReference of entryd became TestPages; package pagetest makes its checks (page equal, each option described) for all programs. Conclusion: a page that differs from its program fails TestPages.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: build, test, lint, format, demo, bench, measure, clean.
+# Targets: build, test, lint, format, pages, demo, bench, measure, clean.
 
 MODULES := . controld entryd loadtool pierctl standin
 PROGRAMS := controld entryd loadtool pierctl standin
@@ -11,7 +11,7 @@
 
 export CGO_ENABLED = 1
 
-.PHONY: build test lint format demo bench measure clean
+.PHONY: build test lint format pages demo bench measure clean
 
 build:
 	@mkdir -p bin
@@ -31,6 +31,16 @@
 format:
 	$(TOOL) gofumpt -w ..
 
+# The manual pages and settings references, which tests compare with the programs.
+pages: build
+	@mkdir -p docs/man
+	bin/entryd manual > docs/man/entryd.8
+	bin/controld manual > docs/man/controld.8
+	@for p in pierctl standin loadtool; do bin/$$p manual > docs/man/$$p.1 || exit 1; done
+	@for p in entryd controld pierctl standin; do \
+		{ printf '# Settings of %s\n\nWritten by `%s settings-reference` (make pages); a test compares the two.\n\n' $$p $$p; \
+		bin/$$p settings-reference; } > docs/settings-$$p.md || exit 1; done
+
 demo: build
 	scripts/demo
 
--- a/controld/internal/cli/cli.go
+++ b/controld/internal/cli/cli.go
@@ -20,6 +20,8 @@
 	return &cli.Command{
 		Name:  "controld",
 		Usage: "keep the configuration, claims and budgets of a dandelionpier deployment",
+		Description: "Runs on instances with a disk, five of them in a deployment and three at least. docs/settings-controld.md lists the settings, docs/operators.md describes the operation.\n" +
+			"Exit codes: 0 after a stop by SIGTERM, 1 after an error, which is printed.",
 		Commands: []*cli.Command{
 			{
 				Name:  "run",
@@ -45,6 +47,8 @@
 					return nil
 				},
 			},
+			program.ReferenceCommand(reference),
+			program.ManualCommand(command, 8),
 			program.VersionCommand(),
 		},
 	}
--- a/controld/internal/cli/settings.go
+++ b/controld/internal/cli/settings.go
@@ -11,40 +11,29 @@
 
 // Settings are the options of controld.
 type Settings struct {
-	Instance   string `yaml:"instance" validate:"required"`
-	DataCentre string `yaml:"data-centre" validate:"required"`
-	// DataDirectory holds the log and snapshots; it needs a disk that keeps synced files.
-	DataDirectory string `yaml:"data-directory" validate:"required"`
-	// PeerListen is host:port for other processes of the system.
-	PeerListen    string `yaml:"peer-listen" validate:"required,listen_address"`
-	AdvertisePeer string `yaml:"advertise-peer" validate:"omitempty,hostname_port"`
-	// OperatorListen is host:port for operators.
-	OperatorListen    string `yaml:"operator-listen" validate:"required,listen_address"`
-	AdvertiseOperator string `yaml:"advertise-operator" validate:"omitempty,hostname_port"`
-	MetricsListen     string `yaml:"metrics-listen" validate:"omitempty,listen_address"`
-	// ClusterKey proves to other processes that they belong to the same system.
-	ClusterKey string `yaml:"cluster-key" validate:"required,min=16"`
-	// Bootstrap lists the first voters. It is used only when the data directory is new.
-	Bootstrap []Voter `yaml:"bootstrap" validate:"dive"`
-	// Operators are the people who may issue commands.
-	Operators []operator.Operator `yaml:"operators" validate:"dive"`
-	// SnapshotEvery is in log entries.
-	SnapshotEvery int `yaml:"snapshot-every" validate:"min=16"`
-	// ReplaceAfter is how long a voter may be unreachable before a standby takes its place.
-	ReplaceAfter time.Duration `yaml:"replace-after" validate:"gt=0"`
-	// MaxLoads is the number of engines that the weight store can serve at a time.
-	MaxLoads int    `yaml:"max-loads" validate:"min=1"`
-	LogLevel string `yaml:"log-level" validate:"oneof=debug info warn error"`
-	TLS      TLS    `yaml:"tls"`
+	Instance          string              `yaml:"instance" validate:"required" description:"Name of this instance, unique in the deployment. An instance that lost its disk returns under a new one."`
+	DataCentre        string              `yaml:"data-centre" validate:"required" description:"Data centre of this instance."`
+	DataDirectory     string              `yaml:"data-directory" validate:"required" description:"Directory of the log and snapshots, on a disk that keeps synced files."`
+	PeerListen        string              `yaml:"peer-listen" validate:"required,listen_address" description:"Address for the other processes of the system."`
+	AdvertisePeer     string              `yaml:"advertise-peer" validate:"omitempty,hostname_port" description:"Address that other processes are told; empty means the address listened on."`
+	OperatorListen    string              `yaml:"operator-listen" validate:"required,listen_address" description:"Address of the operators' API."`
+	AdvertiseOperator string              `yaml:"advertise-operator" validate:"omitempty,hostname_port" description:"Address that operators are told; empty means the address listened on."`
+	MetricsListen     string              `yaml:"metrics-listen" validate:"omitempty,listen_address" description:"Address of metrics, health and readiness; empty means none."`
+	ClusterKey        string              `yaml:"cluster-key" validate:"required,min=16" description:"Key that all processes of the deployment share."`
+	Bootstrap         []Voter             `yaml:"bootstrap" validate:"dive" description:"First voters, the same list on each of them; used only while the data directory is new."`
+	Operators         []operator.Operator `yaml:"operators" validate:"dive" description:"People who may issue commands and queries."`
+	SnapshotEvery     int                 `yaml:"snapshot-every" validate:"min=16" description:"Entries of the log between two snapshots."`
+	ReplaceAfter      time.Duration       `yaml:"replace-after" validate:"gt=0" description:"Time for which a voter is unreachable before a standby takes its place."`
+	MaxLoads          int                 `yaml:"max-loads" validate:"min=1" description:"Engines that the weight store can serve at a time."`
+	LogLevel          string              `yaml:"log-level" validate:"oneof=debug info warn error" description:"Least level of log lines."`
+	TLS               TLS                 `yaml:"tls"`
 }
 
 // TLS are the files of the certificate and the listeners that use it. The metrics listener never does.
 type TLS struct {
 	certificate.Files `yaml:",inline"`
-	// Operators serves the operators' API over TLS.
-	Operators bool `yaml:"operators"`
-	// Peers uses mutual TLS with the other processes of the system.
-	Peers bool `yaml:"peers"`
+	Operators         bool `yaml:"operators" description:"Serve the operators' API over TLS."`
+	Peers             bool `yaml:"peers" description:"Use mutual TLS with the other processes of the system."`
 }
 
 func (t TLS) use() certificate.Use {
@@ -53,10 +42,9 @@
 
 // Voter is a control instance of the first quorum.
 type Voter struct {
-	Instance string `yaml:"instance" validate:"required"`
-	Address  string `yaml:"address" validate:"required,hostname_port"`
-	// Operator is the instance's address for operators.
-	Operator string `yaml:"operator" validate:"omitempty,hostname_port"`
+	Instance string `yaml:"instance" validate:"required" description:"Name of the control instance."`
+	Address  string `yaml:"address" validate:"required,hostname_port" description:"Its peer address."`
+	Operator string `yaml:"operator" validate:"omitempty,hostname_port" description:"Its address for operators."`
 }
 
 const (
@@ -65,14 +53,24 @@
 	defaultMaxLoads      = 4
 )
 
-// loadSettings reads the file over the defaults.
-func loadSettings(path string) (Settings, error) {
-	s := Settings{
+func defaultSettings() Settings {
+	return Settings{
 		SnapshotEvery: defaultSnapshotEvery,
 		ReplaceAfter:  defaultReplaceAfter,
 		MaxLoads:      defaultMaxLoads,
 		LogLevel:      "info",
 	}
+}
+
+// reference returns a Markdown table of all options.
+func reference() string {
+	s := defaultSettings()
+	return settings.Reference(&s)
+}
+
+// loadSettings reads the file over the defaults.
+func loadSettings(path string) (Settings, error) {
+	s := defaultSettings()
 	if err := settings.Load(path, &s); err != nil {
 		return Settings{}, err
 	}
--- a/controld/internal/operator/key.go
+++ b/controld/internal/operator/key.go
@@ -14,9 +14,8 @@
 
 // Operator is an operator of the settings.
 type Operator struct {
-	Name string `yaml:"name" validate:"required"`
-	// KeyHash is the hexadecimal SHA-256 sum of the operator's key.
-	KeyHash string `yaml:"key-hash" validate:"required,len=64,hexadecimal,lowercase"`
+	Name    string `yaml:"name" validate:"required" description:"Name of the operator in the history."`
+	KeyHash string `yaml:"key-hash" validate:"required,len=64,hexadecimal,lowercase" description:"Hexadecimal SHA-256 sum of the operator's key."`
 }
 
 type operatorKey struct{}
--- a/entryd/internal/cli/cli.go
+++ b/entryd/internal/cli/cli.go
@@ -23,10 +23,20 @@
 }
 
 func execute(ctx context.Context, args []string, out, errOut io.Writer, connect Connector) int {
+	if err := command(out, errOut, connect).Run(ctx, args); err != nil {
+		fmt.Fprintln(errOut, "entryd:", err)
+		return 1
+	}
+	return 0
+}
+
+func command(out, errOut io.Writer, connect Connector) *cli.Command {
 	file := &cli.StringFlag{Name: "settings", Usage: "settings file (YAML)", Required: true}
-	command := &cli.Command{
-		Name:      "entryd",
-		Usage:     "entry instance of dandelionpier: callers' API, dispatchers of cells, streaming",
+	return &cli.Command{
+		Name:  "entryd",
+		Usage: "entry instance of dandelionpier: callers' API, dispatchers of cells, streaming",
+		Description: "Runs on every entry instance. docs/settings-entryd.md lists the settings, docs/operators.md describes the operation.\n" +
+			"Exit codes: 0 after a graceful shutdown by SIGTERM, 1 after an error, which is printed.",
 		Writer:    out,
 		ErrWriter: errOut,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {
@@ -47,19 +57,9 @@
 				_, err := fmt.Fprintln(out, "The settings are valid.")
 				return err
 			}},
-			{Name: "settings-reference", Usage: "print all options as a Markdown table", Action: func(context.Context, *cli.Command) error {
-				_, err := io.WriteString(out, options.Reference())
-				return err
-			}},
-			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
-				_, err := fmt.Fprintln(out, "entryd", program.Version())
-				return err
-			}},
+			program.ReferenceCommand(options.Reference),
+			program.ManualCommand(func() *cli.Command { return command(out, errOut, connect) }, 8),
+			program.VersionCommand(),
 		},
 	}
-	if err := command.Run(ctx, args); err != nil {
-		fmt.Fprintln(errOut, "entryd:", err)
-		return 1
-	}
-	return 0
 }
--- a/entryd/internal/cli/drain_test.go
+++ b/entryd/internal/cli/drain_test.go
@@ -16,6 +16,8 @@
 	"github.com/dandelionpier/dandelionpier/entryd/internal/api"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/options"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/pagetest"
+	"github.com/dandelionpier/dandelionpier/internal/program"
 	"github.com/dandelionpier/dandelionpier/internal/session"
 )
 
@@ -189,17 +191,8 @@
 	}
 }
 
-// Guards against an option without description or outside its own bounds.
-func TestReference(t *testing.T) {
-	for line := range strings.SplitSeq(strings.TrimSpace(options.Reference()), "\n") {
-		cells := strings.Split(line, "|")
-		if len(cells) != 7 || strings.TrimSpace(cells[5]) == "" {
-			t.Errorf("incomplete line %q", line)
-		}
-	}
-	page, err := os.ReadFile(filepath.Join("..", "..", "..", "docs", "settings-entryd.md"))
-	is.New(t).NoErr(err)
-	if !strings.HasSuffix(string(page), options.Reference()) {
-		t.Error("docs/settings-entryd.md differs from the options; write it anew with entryd settings-reference")
-	}
+// Guards against a manual page or settings reference that is not that of the program.
+func TestPages(t *testing.T) {
+	pagetest.Reference(t, "settings-entryd.md", options.Reference())
+	pagetest.Equal(t, "man/entryd.8", program.Manual(command(io.Discard, io.Discard, nil), 8))
 }
--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -58,8 +58,8 @@
 }
 
 var boundWords = strings.NewReplacer("min=", "at least ", "max=", "at most ", "oneof=", "one of ",
-	"gte=", "at least ", "lte=", "at most ", "gt=", "more than ", "lt=", "less than ",
-	"hostname_port", "host:port", "listen_address", "host:port, port 0 for any", "https_address", "host:port or https://host:port",
+	"len=64", "64 characters", "gte=", "at least ", "lte=", "at most ", "gt=", "more than ", "lt=", "less than ",
+	"hostname_port", "host:port", "listen_address", "host:port (port 0 for any)", "https_address", "host:port or https://host:port",
 	"omitempty,", "", "omitnil,", "", "dive,", "each ")
 
 func bounds(tag string) string {
--- a/loadtool/internal/cli/cli.go
+++ b/loadtool/internal/cli/cli.go
@@ -11,11 +11,17 @@
 
 // Run executes the program and returns its exit code.
 func Run(args []string) int {
-	return program.Main(&cli.Command{
+	return program.Main(command(), args)
+}
+
+func command() *cli.Command {
+	return &cli.Command{
 		Name:  "loadtool",
 		Usage: "measure a dandelionpier deployment",
+		Description: "docs/loadtool.md describes the experiments, policies and results.\n" +
+			"Exit codes: 0 when done, 1 after an error, which is printed.",
 		Commands: []*cli.Command{
-			runCommand(), summariseCommand(), demo.Command(), sessions.Command(), program.VersionCommand(),
+			runCommand(), summariseCommand(), demo.Command(), sessions.Command(), program.ManualCommand(command, 1), program.VersionCommand(),
 		},
-	}, args)
+	}
 }
--- /dev/null
+++ b/loadtool/internal/cli/pages_test.go
@@ -0,0 +1,13 @@
+package cli
+
+import (
+	"testing"
+
+	"github.com/dandelionpier/dandelionpier/internal/pagetest"
+	"github.com/dandelionpier/dandelionpier/internal/program"
+)
+
+// Guards against a manual page that is not that of the program.
+func TestPages(t *testing.T) {
+	pagetest.Equal(t, "man/loadtool.1", program.Manual(command(), 1))
+}
--- a/loadtool/internal/cli/run.go
+++ b/loadtool/internal/cli/run.go
@@ -29,9 +29,9 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "experiment", Usage: "path of the experiment `FILE`", Required: true},
 			&cli.StringFlag{Name: "out", Usage: "`DIRECTORY` of the results", Required: true},
-			&cli.StringFlag{Name: "policy", Usage: "entry, round-robin, least-outstanding or power-of-two", Value: policy.Entry},
-			&cli.StringFlag{Name: "entries", Usage: "caller addresses of the entries, separated by commas"},
-			&cli.StringFlag{Name: "engines", Usage: "addresses of the engines, separated by commas"},
+			&cli.StringFlag{Name: "policy", Usage: "`POLICY`: entry, round-robin, least-outstanding or power-of-two", Value: policy.Entry},
+			&cli.StringFlag{Name: "entries", Usage: "caller `ADDRESSES` of the entries, separated by commas"},
+			&cli.StringFlag{Name: "engines", Usage: "`ADDRESSES` of the engines, separated by commas"},
 			&cli.StringFlag{Name: "listen", Usage: "`ADDRESS` to which the engines announce themselves, for baseline policies"},
 		},
 		Action: runExperiment,
--- a/loadtool/internal/demo/demo.go
+++ b/loadtool/internal/demo/demo.go
@@ -24,10 +24,10 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "entry", Usage: "caller address of any entry", Required: true},
 			&cli.StringFlag{Name: "key", Usage: "bearer key of the workspace", Required: true},
-			&cli.StringFlag{Name: "model", Value: "saw-diagnosis"},
-			&cli.StringFlag{Name: "service", Value: "bookings"},
+			&cli.StringFlag{Name: "model", Value: "saw-diagnosis", Usage: "`MODEL` that completes the prompts"},
+			&cli.StringFlag{Name: "service", Value: "bookings", Usage: "`SERVICE` that takes the booking"},
 			&cli.StringFlag{Name: "service-addresses", Usage: "addresses of the services, separated by commas"},
-			&cli.DurationFlag{Name: "ready-timeout", Value: 20 * time.Second},
+			&cli.DurationFlag{Name: "ready-timeout", Value: 20 * time.Second, Usage: "longest wait until model and service answer"},
 		},
 		Action: run,
 	}
--- a/loadtool/internal/sessions/sessions.go
+++ b/loadtool/internal/sessions/sessions.go
@@ -57,10 +57,10 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "control", Usage: "peer addresses of the control instances, separated by commas", Required: true},
 			&cli.StringFlag{Name: "metrics", Usage: "metrics addresses of the control instances, separated by commas"},
-			&cli.StringFlag{Name: "cluster-key", Required: true},
+			&cli.StringFlag{Name: "cluster-key", Usage: "`KEY` that the processes of the deployment share", Required: true},
 			&cli.StringFlag{Name: "counts", Value: "16,64,256,380", Usage: "numbers of sessions"},
 			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "measured time for each number"},
-			&cli.DurationFlag{Name: "change-every", Value: 500 * time.Millisecond},
+			&cli.DurationFlag{Name: "change-every", Value: 500 * time.Millisecond, Usage: "time between two changes of the configuration"},
 			&cli.IntFlag{Name: "workspaces", Usage: "workspaces to declare before the measurement"},
 		},
 		Action: run,
--- a/pierctl/internal/cli/cli.go
+++ b/pierctl/internal/cli/cli.go
@@ -105,7 +105,7 @@
 	return &cli.Command{
 		Name:        "pierctl",
 		Usage:       "operate a dandelionpier deployment",
-		Description: "The language of commands and queries is described in docs/language.md.\n" + exitCodes,
+		Description: "The language of commands and queries is described in docs/language.md, the settings in docs/settings-pierctl.md.\n" + exitCodes,
 		Reader:      p.in,
 		Writer:      p.out,
 		ErrWriter:   p.errs,
@@ -147,6 +147,8 @@
 			},
 			{Name: "interactive", Usage: "read queries and transactions from standard input", OnUsageError: usageError, Action: p.interactive},
 			{Name: "check-settings", Usage: "check the settings and flags", Action: p.checkSettings},
+			shared.ReferenceCommand(reference),
+			shared.ManualCommand(p.root, 1),
 			shared.VersionCommand(),
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
--- a/pierctl/internal/cli/settings.go
+++ b/pierctl/internal/cli/settings.go
@@ -14,24 +14,28 @@
 
 // Settings are the options of the settings file; flags take precedence.
 type Settings struct {
-	// Addresses are the operator addresses of the control instances: host:port, or https://host:port.
-	Addresses []string `yaml:"addresses" validate:"min=1,dive,https_address"`
-	// CAFile holds the certificates that https addresses are verified against, in PEM; without it,
-	// those of the operating system are used.
-	CAFile string `yaml:"ca-file"`
-	// KeyFile holds the operator key on one line.
-	KeyFile string `yaml:"key-file" validate:"required"`
-	// Output is the output format.
-	Output string `yaml:"output" validate:"oneof=table json csv"`
-	// Timeout bounds all attempts of a command or query.
-	Timeout time.Duration `yaml:"timeout" validate:"gt=0"`
+	Addresses []string      `yaml:"addresses" validate:"min=1,dive,https_address" description:"Operator addresses of the control instances."`
+	CAFile    string        `yaml:"ca-file" description:"PEM file of the certificates that https addresses are verified against; empty means those of the operating system."`
+	KeyFile   string        `yaml:"key-file" validate:"required" description:"File with the operator key on one line."`
+	Output    string        `yaml:"output" validate:"oneof=table json csv" description:"Format of results; json is one object a line."`
+	Timeout   time.Duration `yaml:"timeout" validate:"gt=0" description:"Bound of all attempts of a command or query."`
 }
 
 const defaultTimeout = 30 * time.Second
 
+func defaultSettings() Settings {
+	return Settings{Output: "table", Timeout: defaultTimeout}
+}
+
+// reference returns a Markdown table of all options.
+func reference() string {
+	s := defaultSettings()
+	return settings.Reference(&s)
+}
+
 // settingsOf reads the settings file, if there is one or one is named, and applies the flags.
 func settingsOf(c *cli.Command) (Settings, error) {
-	s := Settings{Output: "table", Timeout: defaultTimeout}
+	s := defaultSettings()
 	path := c.String("settings")
 	if path == "" {
 		path = defaultPath()
--- a/standin/internal/cli/cli.go
+++ b/standin/internal/cli/cli.go
@@ -26,17 +26,25 @@
 
 // Run executes the program and returns its exit code.
 func Run(args []string) int {
-	return program.Main(&cli.Command{
+	return program.Main(command(), args)
+}
+
+func command() *cli.Command {
+	return &cli.Command{
 		Name:  "standin",
 		Usage: "stand-ins for the endpoints of the platform",
+		Description: "Plays engines, plain services and the weight store on the bench and in tests. docs/settings-standin.md lists the settings, docs/standin.md describes the behaviour.\n" +
+			"Exit codes: 0 after a stop by SIGTERM, 1 after an error, which is printed, 3 after a simulated crash.",
 		Commands: []*cli.Command{
 			mode("engine", "run a simulated model engine", runEngine),
 			mode("service", "run a plain service", runService),
 			mode("weights", "run a weight store", runWeights),
 			checkSettings(),
+			program.ReferenceCommand(options.Reference),
+			program.ManualCommand(command, 1),
 			program.VersionCommand(),
 		},
-	}, args)
+	}
 }
 
 func settingsFlag() cli.Flag {
--- a/standin/internal/options/options.go
+++ b/standin/internal/options/options.go
@@ -9,82 +9,66 @@
 
 // Common are the settings of all modes.
 type Common struct {
-	Name     string `yaml:"name" validate:"required"`
-	Listen   string `yaml:"listen" validate:"listen_address"`
-	LogLevel string `yaml:"log-level" validate:"oneof=debug info warn error"`
-	// Advertise is the announced address; empty means the listener's.
-	Advertise  string `yaml:"advertise" validate:"omitempty,hostname_port"`
-	DataCentre string `yaml:"data-centre"`
-	Region     string `yaml:"region"`
-	// AnnounceTo are platform addresses of entries. Without any, nothing is announced.
-	AnnounceTo       []string      `yaml:"announce-to" validate:"dive,hostname_port"`
-	AnnounceInterval time.Duration `yaml:"announce-interval" validate:"gt=0"`
-	// DrainGrace is the time between the announcement of a stop and the refusal of new requests.
-	DrainGrace time.Duration `yaml:"drain-grace" validate:"gte=0"`
-	// StopTimeout bounds the wait for running requests at a stop.
-	StopTimeout time.Duration `yaml:"stop-timeout" validate:"gte=0"`
-	// Admin allows fault injection at /standin/faults; for tests only.
-	Admin bool `yaml:"admin"`
+	Name             string        `yaml:"name" validate:"required" description:"Name of the endpoint, unique in the deployment."`
+	Listen           string        `yaml:"listen" validate:"listen_address" description:"Address of the endpoint."`
+	LogLevel         string        `yaml:"log-level" validate:"oneof=debug info warn error" description:"Least level of log lines."`
+	Advertise        string        `yaml:"advertise" validate:"omitempty,hostname_port" description:"Announced address; empty means the address listened on."`
+	DataCentre       string        `yaml:"data-centre" description:"Announced data centre."`
+	Region           string        `yaml:"region" description:"Announced region."`
+	AnnounceTo       []string      `yaml:"announce-to" validate:"dive,hostname_port" description:"Platform addresses of entries; without any, nothing is announced."`
+	AnnounceInterval time.Duration `yaml:"announce-interval" validate:"gt=0" description:"Time between two announcements."`
+	DrainGrace       time.Duration `yaml:"drain-grace" validate:"gte=0" description:"Time between the announcement of a stop and the refusal of new requests."`
+	StopTimeout      time.Duration `yaml:"stop-timeout" validate:"gte=0" description:"Longest wait for running requests at a stop."`
+	Admin            bool          `yaml:"admin" description:"Allow POST and DELETE /standin/faults; for tests only."`
 }
 
 // Fault is a fault that requests meet.
 type Fault struct {
-	Kind string `yaml:"kind" json:"kind" validate:"oneof=silent drip truncate duplicate reorder cross garbage close-after-read close-before-read"`
-	// Marker restricts the fault to requests whose body contains it.
-	Marker string `yaml:"marker" json:"marker"`
-	// Count is the number of requests that meet the fault; 0 means all.
-	Count int `yaml:"count" json:"count" validate:"gte=0"`
-	// AfterEvents is the number of correct events before the fault.
-	AfterEvents int `yaml:"after-events" json:"after-events" validate:"gte=0"`
-	// Delay is the pause before each event of the kind drip.
-	Delay time.Duration `yaml:"delay" json:"delay" validate:"gte=0"`
+	Kind        string        `yaml:"kind" json:"kind" validate:"oneof=silent drip truncate duplicate reorder cross garbage close-after-read close-before-read" description:"Kind of the fault."`
+	Marker      string        `yaml:"marker" json:"marker" description:"Text in the body of the requests that meet the fault; empty means all."`
+	Count       int           `yaml:"count" json:"count" validate:"gte=0" description:"Requests that meet the fault; 0 means all."`
+	AfterEvents int           `yaml:"after-events" json:"after-events" validate:"gte=0" description:"Correct events before the fault."`
+	Delay       time.Duration `yaml:"delay" json:"delay" validate:"gte=0" description:"Pause before each event of the kind drip."`
 }
 
 // Engine are the settings of a simulated engine. Rates and lags are simulated; Speed divides them.
 type Engine struct {
-	Common        `yaml:",inline"`
-	Models        []string      `yaml:"models" validate:"required,min=1"`
-	Version       string        `yaml:"version"`
-	Adapters      []string      `yaml:"adapters"`
-	Role          string        `yaml:"role"`
-	ChecksFencing bool          `yaml:"checks-fencing"`
-	Memory        int           `yaml:"memory" validate:"gt=0"`
-	PrefillRate   float64       `yaml:"prefill-rate" validate:"gt=0"`
-	DecodeRate    float64       `yaml:"decode-rate" validate:"gt=0"`
-	ChunkTokens   int           `yaml:"chunk-tokens" validate:"gt=0"`
-	MaxRunning    int           `yaml:"max-running" validate:"gt=0"`
-	Speed         float64       `yaml:"speed" validate:"gt=0"`
-	ReportLag     time.Duration `yaml:"report-lag" validate:"gte=0"`
-	EventLag      time.Duration `yaml:"event-lag" validate:"gte=0"`
-	// EventGap drops every n-th cache event; 0 drops none.
-	EventGap int `yaml:"event-gap" validate:"gte=0"`
-	// NotifyInterval is real time: the shortest time between two writes to a stream, apart from its
-	// first and last event.
-	NotifyInterval time.Duration `yaml:"notify-interval" validate:"gte=0"`
-	TokensPerEvent int           `yaml:"tokens-per-event" validate:"gt=0"`
-	// TransferRate is the rate of KV export and import in tokens a second.
-	TransferRate float64 `yaml:"transfer-rate" validate:"gt=0"`
-	// Weights is host:port of the weight store; empty means that loads take no time.
-	Weights string `yaml:"weights" validate:"omitempty,hostname_port"`
-	// CrashMarker in a prompt makes the process exit when the prefill of that prompt ends.
-	CrashMarker string  `yaml:"crash-marker"`
-	Faults      []Fault `yaml:"faults" validate:"dive"`
+	Common         `yaml:",inline"`
+	Models         []string      `yaml:"models" validate:"required,min=1" description:"Models served."`
+	Version        string        `yaml:"version" description:"Version of the model."`
+	Adapters       []string      `yaml:"adapters" description:"Adapters served."`
+	Role           string        `yaml:"role" description:"Announced role, for example prefill, decode or mixed."`
+	ChecksFencing  bool          `yaml:"checks-fencing" description:"Refuse orders with an old fencing token."`
+	Memory         int           `yaml:"memory" validate:"gt=0" description:"Memory for KV cache, in tokens."`
+	PrefillRate    float64       `yaml:"prefill-rate" validate:"gt=0" description:"Prompt tokens a second."`
+	DecodeRate     float64       `yaml:"decode-rate" validate:"gt=0" description:"Output tokens a second of each request."`
+	ChunkTokens    int           `yaml:"chunk-tokens" validate:"gt=0" description:"Prompt tokens of a step."`
+	MaxRunning     int           `yaml:"max-running" validate:"gt=0" description:"Requests in the batch."`
+	Speed          float64       `yaml:"speed" validate:"gt=0" description:"Factor that divides simulated times; not deadlines, TTLs and announcement intervals."`
+	ReportLag      time.Duration `yaml:"report-lag" validate:"gte=0" description:"Age of the announced load."`
+	EventLag       time.Duration `yaml:"event-lag" validate:"gte=0" description:"Age of announced cache events."`
+	EventGap       int           `yaml:"event-gap" validate:"gte=0" description:"Every n-th cache event is lost; 0 means none."`
+	NotifyInterval time.Duration `yaml:"notify-interval" validate:"gte=0" description:"Shortest real time between two writes to a stream, apart from its first and last event."`
+	TokensPerEvent int           `yaml:"tokens-per-event" validate:"gt=0" description:"Output tokens of an event; equal on all engines, since a resume counts events."`
+	TransferRate   float64       `yaml:"transfer-rate" validate:"gt=0" description:"Tokens a second of KV export and import."`
+	Weights        string        `yaml:"weights" validate:"omitempty,hostname_port" description:"Address of the weight store; empty means that loads take no time."`
+	CrashMarker    string        `yaml:"crash-marker" description:"Text in a prompt that ends the process with code 3 when its prefill ends; empty means none."`
+	Faults         []Fault       `yaml:"faults" validate:"dive" description:"Faults that requests meet."`
 }
 
 // Service are the settings of a plain service.
 type Service struct {
 	Common   `yaml:",inline"`
-	Services []string      `yaml:"services" validate:"required,min=1"`
-	Delay    time.Duration `yaml:"delay" validate:"gte=0"`
-	Faults   []Fault       `yaml:"faults" validate:"dive"`
+	Services []string      `yaml:"services" validate:"required,min=1" description:"Services offered."`
+	Delay    time.Duration `yaml:"delay" validate:"gte=0" description:"Time until a call is answered."`
+	Faults   []Fault       `yaml:"faults" validate:"dive" description:"Faults that requests meet."`
 }
 
 // Weights are the settings of a weight store.
 type Weights struct {
 	Common `yaml:",inline"`
-	// Rate is in bytes a second over all downloads, Size the bytes of each version of a model.
-	Rate int64 `yaml:"rate" validate:"gt=0"`
-	Size int64 `yaml:"size" validate:"gt=0"`
+	Rate   int64 `yaml:"rate" validate:"gt=0" description:"Bytes a second over all downloads."`
+	Size   int64 `yaml:"size" validate:"gt=0" description:"Bytes of each version of a model."`
 }
 
 func common() Common {
@@ -116,6 +100,24 @@
 	}
 }
 
+// DefaultService returns the settings that apply where a file says nothing.
+func DefaultService() Service {
+	return Service{Common: common()}
+}
+
+// DefaultWeights returns the settings that apply where a file says nothing.
+func DefaultWeights() Weights {
+	return Weights{Common: common(), Rate: 100_000_000, Size: 100_000_000}
+}
+
+// Reference returns Markdown tables of all options, one for each mode.
+func Reference() string {
+	engine, service, weights := DefaultEngine(), DefaultService(), DefaultWeights()
+	return "## engine\n\n" + settings.Reference(&engine) +
+		"\n## service\n\n" + settings.Reference(&service) +
+		"\n## weights\n\n" + settings.Reference(&weights)
+}
+
 // LoadEngine reads the settings of an engine.
 func LoadEngine(path string) (Engine, error) {
 	o := DefaultEngine()
@@ -125,14 +127,14 @@
 
 // LoadService reads the settings of a plain service.
 func LoadService(path string) (Service, error) {
-	o := Service{Common: common()}
+	o := DefaultService()
 	err := settings.Load(path, &o)
 	return o, err
 }
 
 // LoadWeights reads the settings of a weight store.
 func LoadWeights(path string) (Weights, error) {
-	o := Weights{Common: common(), Rate: 100_000_000, Size: 100_000_000}
+	o := DefaultWeights()
 	err := settings.Load(path, &o)
 	return o, err
 }
