--- a/pierctl/internal/cli/cli_test.go
+++ b/pierctl/internal/cli/cli_test.go
@@ -89,6 +89,7 @@
 	conflict = `{"status":"conflict","revision":8,"since":[{"revision":8,"author":"itziar","time":"2026-12-04T05:00:00Z","changes":["set model oak replicas 3"]}]}`
 	rejected = `{"status":"rejected","revision":7,"message":"workspace \"a\" does not exist"}`
 	rows     = `{"columns":[{"name":"model","type":"text"},{"name":"adapters","type":"list"},{"name":"cost","type":"cents"}],"rows":[["oak",["x","y"],1.5],["a\u001bb",null,12345678901234567]],"total":5,"revision":7}`
+	kept     = `{"columns":[{"name":"period","type":"text"}],"rows":[],"total":0,"revision":7,"kept":"spending by workspace since 2025-11"}`
 	partial  = `{"columns":[{"name":"cell","type":"text"}],"rows":[],"total":0,"revision":7,"missing":[{"part":"cell oak/north","error":"deadline exceeded"}]}`
 )
 
@@ -121,6 +122,7 @@
 		"query as table": {answer{200, rows}, []string{"query", "show models"}, 0, "MODEL     ADAPTERS  COST\noak       x, y      1.5\n\"a\\x1bb\"  -         12345678901234567\n", "2 of 5 rows"},
 		"query as json":  {answer{200, rows}, []string{"--output", "json", "query", "show models"}, 0, `{"model":"oak","adapters":["x","y"],"cost":1.5}` + "\n" + `{"model":"a\u001bb","adapters":null,"cost":12345678901234567}` + "\n", "2 of 5 rows"},
 		"query as csv":   {answer{200, rows}, []string{"--output", "csv", "query", "show models"}, 0, "model,adapters,cost\noak,\"x, y\",1.5\na\x1bb,,12345678901234567\n", "2 of 5 rows"},
+		"kept months":    {answer{200, kept}, []string{"query", "show costing"}, 0, "PERIOD\n", "kept: spending by workspace since 2025-11\n"},
 		"partial answer": {answer{200, partial}, []string{"query", "show running"}, 6, "CELL\n", "missing: cell oak/north: deadline exceeded"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -134,17 +136,20 @@
 	}
 }
 
-// Guards against a burn report without its plot, or one that hides that entries are missing.
+// Guards against a burn report without its plot or its objectives, or one that hides that entries are
+// missing or measure by different objectives.
 func TestReportBurn(t *testing.T) {
 	is := is.New(t)
-	c := newInstance(t, answer{200, `{"report":{"time":"2026-12-04T05:00:00Z","objectives":[{"class":"short","target":0.9,"success-target":0.99}],` +
+	c := newInstance(t, answer{200, `{"report":{"time":"2026-12-04T05:00:00Z","mixed":true,"objectives":[{"class":"short","ttft-ns":330000000,"target":0.9,"success-target":0.99}],` +
 		`"series":[{"workspace":"(all)","class":"short","metric":"ttft","windows":[{"total":20,"bad":4},{"total":10,"bad":1},{"total":0,"bad":0},{"total":40,"bad":2}]}]},` +
 		`"missing":[{"part":"instance b","error":"refused"}]}`})
 	plot := filepath.Join(t.TempDir(), "burn.png")
 	got := run(t, []*instance{c}, "", "report", "burn", "--total", "--plot", plot)
 	is.Equal(got.code, 6)
-	is.Equal(got.out, "WORKSPACE  CLASS  METRIC  TARGET  5m    1h    6h    3d    REQUESTS\n(all)      short  ttft    0.9     2.00  1.00  0.00  0.50  40\n")
+	is.Equal(got.out, "WORKSPACE  CLASS  METRIC  BOUND  TARGET  OBJECTIVE  5m    1h    6h    3d    REQUESTS\n"+
+		"(all)      short  ttft    330ms  0.9     class      2.00  1.00  0.00  0.50  40\n")
 	is.True(strings.Contains(got.errs, "missing: instance b: refused"))
+	is.True(strings.Contains(got.errs, "objectives of the entries differ"))
 	data, err := os.ReadFile(plot)
 	is.NoErr(err)
 	is.True(bytes.HasPrefix(data, []byte("\x89PNG")))
