Let a leader that nobody can reach give up its office

Cause: a leader whose own calls pass keeps the answers of its followers, so check-quorum does not notice that nobody can open a connection or send a request to it. It keeps its office for ever and entries refuse after 3 s. TestUnreachableLeader reproduces it: before the change the old leader still leads after 3 s of simulated time, with 3 and 5 voters.

Ruled out: a call of the leader to its own address does not cross the network; followers that stop answering a leader that they cannot reach would let one follower with a fault of its own be replaced as lost; the absence of requests says nothing while no entry runs; reports of entries cannot tell the leader's fault from the entry's.

Change: followers probe the leader every 300 ms with a pre-vote request that asks for nothing and report in their Append answers when more than three probes in a row failed. The leader steps down when a quorum of voters says so, which can elect another one without it, and then abstains from elections until it hears a request: its own requests pass, so it would win again. Members without the change report nothing and ignore the flag. The log's safety does not depend on it: stepping down and not campaigning are always allowed. TestReachableLeaderStays guards the healthy leader; the simulation of random faults now includes lost requests.

--- a/internal/consensus/benchmark_test.go
+++ b/internal/consensus/benchmark_test.go
@@ -201,6 +201,28 @@
 	}
 }
 
+// BenchmarkUnreachableLeader measures, in simulated time, from the moment at which nobody reaches the
+// leader any more, while its own calls pass, to the first commit of its successor.
+func BenchmarkUnreachableLeader(b *testing.B) {
+	for _, size := range []int{3, 5} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			histogram := hdrhistogram.New(1, 60_000_000, 3)
+			for i := range b.N {
+				s := newSimulation(uint64(i), size, 0)
+				old := s.awaitLeader()
+				s.advance(time.Second + time.Duration(i%100)*5*time.Millisecond)
+				s.deafen(old.id, s.except(old.id)...)
+				start := s.now
+				for l := old; l == nil || l == old || l.core.log.commit < l.core.termStart; l = s.leader() {
+					s.advance(5 * time.Millisecond)
+				}
+				_ = histogram.RecordValue((s.now - start).Microseconds())
+			}
+			report(b, histogram)
+		})
+	}
+}
+
 // BenchmarkRead measures the read barrier under a valid lease.
 func BenchmarkRead(b *testing.B) {
 	n := newBench(b, 3, 0)
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -34,6 +34,11 @@
 	electionDeadline time.Duration
 	votes            map[string]bool
 	incoming         *incomingSnapshot
+	// probes counts the probes of the leader since its last answer.
+	probes   int
+	probeDue time.Duration
+	// abstains keeps this node from asking for votes: it led, and a quorum could not reach it.
+	abstains bool
 
 	// The fields below are the leader's.
 	peers        map[string]*progress
@@ -184,9 +189,14 @@
 		c.tickBootstrap()
 		return
 	}
+	c.probe()
 	if c.now < c.electionDeadline {
 		return
 	}
+	if c.abstains {
+		c.resetElection()
+		return
+	}
 	if c.mayCampaign() {
 		c.campaign(true)
 		return
@@ -224,6 +234,8 @@
 		return c.bootstrap.due
 	case !c.mayCampaign():
 		return c.now + c.timing.ElectionMax
+	case c.probing():
+		return min(c.probeDue, c.electionDeadline)
 	}
 	return c.electionDeadline
 }
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -153,6 +153,72 @@
 	}
 }
 
+// Guards against a leader that still reaches its followers and keeps its office although nobody
+// reaches it, and against one that takes the office back at the next election.
+func TestUnreachableLeader(t *testing.T) {
+	for name, size := range map[string]int{"3 voters": 3, "5 voters": 5} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(11, size, 0)
+			old := s.awaitLeader()
+			s.advance(time.Second)
+			s.deafen(old.id, s.except(old.id)...)
+			s.advance(3 * time.Second)
+			l := s.leader()
+			is.True(old.core.role != Leader)
+			is.True(l != nil && l != old)
+			s.propose(l, "committed without the old leader")
+			s.advance(time.Second)
+			is.Equal(l.core.log.commit, l.core.log.last())
+			term := l.core.state.Term
+			s.advance(10 * time.Second)
+			is.Equal(s.leader(), l)
+			is.Equal(l.core.state.Term, term) // nobody disturbs the new leader
+			if size == 5 {
+				s.crash(l.id)
+				is.True(s.awaitLeader() != old)
+				s.start(l.id)
+			}
+			s.heal()
+			s.advance(3 * time.Second)
+			for _, id := range s.order {
+				is.Equal(s.nodes[id].applied, s.highest)
+				is.True(!s.nodes[id].core.abstains)
+			}
+			is.Equal(s.violation, "")
+		})
+	}
+}
+
+// Guards against a leader that gives up its office although those who do not reach it could not elect
+// another one without it.
+func TestReachableLeaderStays(t *testing.T) {
+	for name, test := range map[string]struct{ voters, unheard, down int }{
+		"all reach it":               {5, 0, 0},
+		"1 of 2 does not":            {3, 1, 0},
+		"2 of 4 do not":              {5, 2, 0},
+		"the only one left does not": {3, 1, 1},
+		"the other of two does not":  {2, 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(12, test.voters, 0)
+			l := s.awaitLeader()
+			s.advance(time.Second)
+			others, term := s.except(l.id), l.core.state.Term
+			s.deafen(l.id, others[:test.unheard]...)
+			for _, id := range others[test.unheard : test.unheard+test.down] {
+				s.crash(id)
+			}
+			for range 10 {
+				s.advance(time.Second)
+				is.Equal(s.leader(), l)
+				is.Equal(l.core.state.Term, term)
+			}
+		})
+	}
+}
+
 // Guards against two changes at once, which can give two disjoint quorums (Ongaro, 2015). The naive
 // version appends a second and third change before the first is committed.
 func TestOverlappingChanges(t *testing.T) {
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -55,6 +55,10 @@
 		c.onBootstrapRequest(token, request)
 		return
 	}
+	if request.Probe {
+		c.onProbe(token, request)
+		return
+	}
 	// Evaluated before the term changes: a vote for a term must not be spent on a wrong candidate.
 	grant := c.grants(request)
 	if grant && !request.Pre {
@@ -82,6 +86,7 @@
 		return false
 	}
 	c.confirmBootstrap()
+	c.abstains = false
 	return c.role != Leader && c.now >= c.leaderContact+c.timing.ElectionMin
 }
 
@@ -112,6 +117,10 @@
 		c.onBootstrapReply(reply)
 		return
 	}
+	if reply.Probe {
+		c.onProbeReply(reply)
+		return
+	}
 	member, ok := c.membership().find(reply.From)
 	if !ok || !member.Voter || member.Incarnation != reply.FromIncarnation {
 		return
--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -21,8 +21,7 @@
 		c.becomeFollower(e.Term)
 	}
 	c.confirmBootstrap()
-	c.leaderID, c.leaderAddress = e.From, e.FromAddress
-	c.leaderContact = c.now
+	c.followLeader(e)
 	c.resetElection()
 	return true
 }
@@ -36,6 +35,7 @@
 	reply := &AppendReply{}
 	if c.accept(&request.Envelope) {
 		reply.Success, reply.Match = c.appendFrom(request)
+		reply.Unreached = c.unreached()
 	}
 	reply.Envelope = c.replyEnvelope(&request.Envelope)
 	c.reply(token, &request.Envelope, reply)
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -187,6 +187,7 @@
 	if p == nil {
 		return
 	}
+	p.unreached = reply.Unreached
 	switch {
 	case reply.Success:
 		p.match = max(p.match, min(reply.Match, c.log.last()))
@@ -199,6 +200,7 @@
 	}
 	c.advanceCommit()
 	c.resolveReads()
+	c.checkReach()
 	if c.role == Leader {
 		c.sendData(p)
 	}
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -28,6 +28,8 @@
 	LastTerm  uint64
 	// MembershipIndex is the index of the sender's membership.
 	MembershipIndex uint64
+	// Probe asks for nothing but an answer: it shows that the leader can be reached.
+	Probe bool
 	// Identities is set during the bootstrap only: the members that the sender has recorded. No vote
 	// is asked for then.
 	Bootstrap  bool
@@ -41,6 +43,8 @@
 	Granted bool
 	// Removed reports that a committed membership newer than the asker's does not hold it.
 	Removed bool
+	// Probe answers a probe.
+	Probe bool
 	// Bootstrap and Identities answer a request of the bootstrap.
 	Bootstrap  bool
 	Identities []Member
@@ -64,6 +68,8 @@
 	Match uint64
 	// Foreign reports that the request was addressed to another incarnation and was not processed.
 	Foreign bool
+	// Unreached reports that the member's probes of the leader get no answers.
+	Unreached bool
 }
 
 // SnapshotRequest carries one chunk of a snapshot.
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -43,6 +43,7 @@
 	leaderAddress string
 	leaseEnd      time.Duration
 	termStart     uint64
+	abstains      bool
 }
 
 type readOutcome struct {
@@ -262,7 +263,7 @@
 	old := n.view.Load()
 	v := view{
 		role: c.role, term: c.state.Term, leaderID: c.leaderID, leaderAddress: c.leaderAddress,
-		leaseEnd: c.lease(), termStart: c.termStart,
+		leaseEnd: c.lease(), termStart: c.termStart, abstains: c.abstains,
 	}
 	if old != nil && *old == v {
 		return
@@ -278,6 +279,9 @@
 			delete(n.reads, token)
 		}
 	}
+	if v.abstains && !old.abstains {
+		n.config.Logger.Warn("Gave up the leadership, because a quorum of voters cannot reach this node", zap.Uint64("term", v.term))
+	}
 	if old.role != v.role && v.role != PreCandidate || old.leaderID != v.leaderID {
 		n.config.Logger.Info("Role changed", zap.String("role", string(v.role)),
 			zap.Uint64("term", v.term), zap.String("leader", v.leaderID))
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -23,6 +23,8 @@
 	incarnation string
 	// contacted reports an answer in this term.
 	contacted bool
+	// unreached reports that the member cannot reach this node.
+	unreached bool
 	// snapshot is the one being sent, or nil.
 	snapshot *journal.Meta
 	offset   uint64
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -15,12 +15,14 @@
 // simulation runs cores against a network, clocks and disks in memory, one input at a time, and
 // checks the safety properties of Raft after each. The first violation is kept.
 type simulation struct {
-	now     time.Duration
-	nodes   map[string]*simulated
-	order   []string
-	random  *rand.Rand
-	queue   []packet
-	cut     map[[2]string]bool
+	now    time.Duration
+	nodes  map[string]*simulated
+	order  []string
+	random *rand.Rand
+	queue  []packet
+	cut    map[[2]string]bool
+	// unheard links lose requests and carry replies.
+	unheard map[[2]string]bool
 	tokens  map[uint64]string
 	token   uint64
 	servers []Server
@@ -68,7 +70,8 @@
 func newSimulation(seed uint64, voters, learners int) *simulation {
 	s := &simulation{
 		nodes: make(map[string]*simulated), random: rand.New(rand.NewPCG(seed, 1)),
-		cut: make(map[[2]string]bool), tokens: make(map[uint64]string), leaders: make(map[uint64]string),
+		cut: make(map[[2]string]bool), unheard: make(map[[2]string]bool),
+		tokens: make(map[uint64]string), leaders: make(map[uint64]string),
 		entries: make(map[[2]uint64][2]uint64), committed: make(map[uint64]journal.Entry), reads: make(map[uint64]uint64),
 	}
 	for i := range voters {
@@ -168,7 +171,8 @@
 	s.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	for _, p := range due {
 		n := s.nodes[p.to]
-		if n == nil || !n.up || s.cut[[2]string{p.from, p.to}] {
+		link := [2]string{p.from, p.to}
+		if n == nil || !n.up || s.cut[link] || s.unheard[link] && p.message.token != 0 {
 			continue
 		}
 		if p.message.token != 0 {
@@ -395,6 +399,14 @@
 
 func (s *simulation) heal() {
 	clear(s.cut)
+	clear(s.unheard)
+}
+
+// deafen loses the requests of the given nodes to id; replies to its own requests still arrive.
+func (s *simulation) deafen(id string, from ...string) {
+	for _, other := range from {
+		s.unheard[[2]string{other, id}] = true
+	}
 }
 
 // disturb does one random thing. choose returns a number below n. Faults are rarer than repairs, so
@@ -402,7 +414,7 @@
 func (s *simulation) disturb(choose func(n int) int) {
 	id := s.order[choose(len(s.order))]
 	n := s.nodes[id]
-	switch choose(16) {
+	switch choose(17) {
 	case 0:
 		s.crash(id)
 	case 1:
@@ -428,6 +440,8 @@
 		if n.up && !n.frozen {
 			s.read(n)
 		}
+	case 11:
+		s.deafen(id, s.except(id)...)
 	default:
 		for i := range 1 + choose(8) {
 			if l := s.leader(); l != nil {
