Hand over the leadership before a planned stop

Cause: a leader stopped with SIGTERM left at once, so each planned stop cost an election timeout without a leader.

Ruled out: handing over when the context of Run ends, since a crash could not be told from a planned stop in tests and in the failover measurement, and the node's peer server would be stopping at the same time although the old leader's vote may be needed. Taking the lease back when the successor does not answer: the message may arrive late, and votes for the successor do not wait for a lease.

Change: Node.HandOver waits until a reachable voter holds the whole, committed log and tells it in an Append message to ask for votes at once. The leader takes no proposals and has no lease from the call on; its office ends after 600 ms at the latest. controld calls it before it stops its parts. A leader that a quorum cannot reach uses it too.

--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -15,6 +15,7 @@
 	"github.com/dandelionpier/dandelionpier/internal/consensus"
 	"github.com/dandelionpier/dandelionpier/internal/control"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/metrics"
 	"github.com/dandelionpier/dandelionpier/internal/peer"
@@ -193,13 +194,36 @@
 // reachedWithin is twenty heartbeats of the leader.
 const reachedWithin = time.Second
 
+// handOverTimeout bounds the wait for the next leader at a planned stop. The hand-over takes a few
+// milliseconds; after the longest election timeout (600 ms) this instance does not lead any more.
+const handOverTimeout = time.Second
+
+// handOver waits for the end of ctx and then passes the leadership on, while all parts still run.
+func (d *daemon) handOver(ctx, running context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-running.Done():
+		return nil
+	}
+	wait, cancel := context.WithTimeout(running, handOverTimeout)
+	defer cancel()
+	switch err := d.node.HandOver(wait); {
+	case err == nil:
+		d.logger.Info("Handed over the leadership")
+	case !fault.Is(err, consensus.NotLeader):
+		d.logger.Warn("Could not hand over the leadership", zap.Error(err))
+	}
+	return nil
+}
+
 // serve runs all parts until ctx ends or one of them fails.
 func (d *daemon) serve(ctx context.Context) error {
 	peers, err := net.Listen("tcp", d.settings.PeerListen)
 	if err != nil {
 		return err
 	}
-	ctx, stop := context.WithCancel(ctx)
+	stopping := ctx
+	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	orders, roles := d.controllers()
 	ends := []<-chan error{
@@ -211,6 +235,7 @@
 		task.Start(ctx, func(ctx context.Context) error { return d.server.Serve(ctx, peers) }),
 		task.Start(ctx, d.node.Run),
 		task.Start(ctx, d.service.Run),
+		task.Start(ctx, func(ctx context.Context) error { return d.handOver(stopping, ctx) }),
 	}
 	if d.settings.MetricsListen != "" {
 		handler := metrics.Handler(metrics.HandlerConfig{Registry: d.registry, Ready: d.ready, Profiles: true})
--- a/internal/consensus/benchmark_test.go
+++ b/internal/consensus/benchmark_test.go
@@ -175,6 +175,20 @@
 // BenchmarkFailover measures the time from the stop of the leader to the first commit of its
 // successor. An operation is one stop; the stopped node restarts afterwards.
 func BenchmarkFailover(b *testing.B) {
+	benchmarkStop(b, func(p *process) { p.cancel() })
+}
+
+// BenchmarkPlannedStop measures the same for a leader that hands over first.
+func BenchmarkPlannedStop(b *testing.B) {
+	benchmarkStop(b, func(p *process) {
+		if err := p.node.HandOver(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+		p.cancel()
+	})
+}
+
+func benchmarkStop(b *testing.B, stop func(*process)) {
 	for _, size := range []int{3, 5} {
 		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
 			n := newBench(b, size, 0)
@@ -182,8 +196,8 @@
 			histogram := hdrhistogram.New(1, 60_000_000, 3)
 			for range b.N {
 				old := n.settled()
-				n.processes[old].cancel()
 				start := time.Now()
+				stop(n.processes[old])
 				next := n.leader(old)
 				if _, err := n.processes[next].node.Propose(context.Background(), []byte("x")); err != nil {
 					b.Fatal(err)
--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -15,7 +15,7 @@
 func (c *core) change(next Membership) (uint64, error) {
 	const op = "change membership"
 	switch {
-	case c.role != Leader:
+	case c.role != Leader || c.handingOver():
 		return 0, &Error{Op: op, Kind: NotLeader, Err: &LeaderHint{ID: c.leaderID, Address: c.leaderAddress}}
 	case c.log.commit < c.termStart:
 		// Ongaro's correction of 2015: without an entry of its own term a leader may not know the
--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -472,6 +472,60 @@
 	})
 }
 
+// Guards against a planned stop that costs an election timeout or the outcome of a command, also when
+// the vote of the old leader is needed, and against a hand-over by a node that cannot.
+func TestHandOver(t *testing.T) {
+	for name, down := range map[string]int{"all voters": 0, "one voter is down": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 3)
+				c.startAll()
+				defer c.stopAll()
+				old := c.leader()
+				others := slices.DeleteFunc(slices.Clone(c.servers), func(s consensus.Server) bool { return s.ID == old })
+				for _, s := range others[:down] {
+					is.NoErr(c.stop(s.ID))
+				}
+				follower := others[down].ID
+				is.True(fault.Is(c.node(follower).HandOver(t.Context()), consensus.NotLeader))
+				time.Sleep(time.Second)
+				const writers = 20
+				outcomes := make(chan error, writers)
+				for range writers {
+					go func() {
+						_, err := c.node(old).Propose(context.Background(), add(1))
+						outcomes <- err
+					}()
+				}
+				started := time.Now()
+				is.NoErr(c.node(old).HandOver(t.Context()))
+				is.True(time.Since(started) < 100*time.Millisecond) // of the bubble's clock
+				committed := uint64(0)
+				for range writers {
+					err := <-outcomes
+					is.True(err == nil || fault.Is(err, consensus.NotLeader)) // none has an unknown outcome
+					if err == nil {
+						committed++
+					}
+				}
+				next, _, _ := c.node(old).Leader()
+				is.True(next != old)
+				c.mustPropose(next, 1)
+				time.Sleep(time.Second)
+				c.wantTotal(committed+1, old, next)
+			})
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		c.startAll()
+		defer c.stopAll()
+		err := c.node(c.leader()).HandOver(t.Context())
+		is.New(t).True(fault.Is(err, consensus.Refused))
+	})
+}
+
 // Guards against a lease that outlives a jump of the leader's clock, as after a freeze: nothing is read
 // or proposed in the time of office that has ended.
 func TestClockJump(t *testing.T) {
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -39,6 +39,8 @@
 	probeDue time.Duration
 	// abstains keeps this node from asking for votes: it led, and a quorum could not reach it.
 	abstains bool
+	// inherited is the term that the leader of the term before has handed over to this node.
+	inherited uint64
 
 	// The fields below are the leader's.
 	peers        map[string]*progress
@@ -47,6 +49,9 @@
 	termStart uint64
 	reads     []pendingRead
 	sequence  uint64
+	// handOverEnd is set while the leader hands over, passed once it has told its successor.
+	handOverEnd time.Duration
+	passed      bool
 
 	out output
 	// stateChanged is set while the hard state differs from the stored one.
@@ -319,6 +324,7 @@
 	c.votes = nil
 	c.peers = nil
 	c.reads = nil
+	c.handOverEnd, c.passed = 0, false
 	c.resetElection()
 }
 
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -219,6 +219,27 @@
 	}
 }
 
+// Guards against a lease that holds while the leader's successor commits already. The naive leader
+// relies on it until another leader's message arrives.
+func TestHandOverEndsLease(t *testing.T) {
+	for name, naive := range map[string]bool{"given up": false, "naive": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(13, 5, 0)
+			s.naiveLease = naive
+			old := s.awaitLeader()
+			s.advance(time.Second)
+			s.handOver(old)
+			s.partition([]string{old.id}, false, true) // nothing tells it of its successor
+			s.advance(200 * time.Millisecond)          // less than an election timeout
+			l := s.leader()
+			is.True(l != old)
+			is.True(l.core.log.commit >= l.core.termStart)
+			is.Equal(strings.Contains(s.violation, "lease"), naive)
+		})
+	}
+}
+
 // Guards against two changes at once, which can give two disjoint quorums (Ongaro, 2015). The naive
 // version appends a second and third change before the first is committed.
 func TestOverlappingChanges(t *testing.T) {
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -24,6 +24,7 @@
 		request := &VoteRequest{
 			Envelope: c.envelope(m), Pre: pre,
 			LastIndex: c.log.last(), LastTerm: c.log.lastTerm(), MembershipIndex: c.membershipIndex(),
+			TakeOver: asked == c.inherited,
 		}
 		request.Term = asked
 		c.send(m, request)
@@ -80,14 +81,18 @@
 // hears reports whether a vote request may influence this node. Only requests that name this
 // incarnation as a voter count: a learner never votes unless the candidate's log promotes it, and a
 // node that lost its files never votes. Within the shortest election timeout after a leader was heard
-// no request counts, which keeps the leader's lease valid.
+// no request counts, which keeps the leader's lease valid, unless the leader has given it up by handing
+// over to the candidate.
 func (c *core) hears(request *VoteRequest) bool {
 	if request.To != c.id || request.ToIncarnation != c.incarnation || c.foreign(&request.Envelope) {
 		return false
 	}
 	c.confirmBootstrap()
 	c.abstains = false
-	return c.role != Leader && c.now >= c.leaderContact+c.timing.ElectionMin
+	if c.role == Leader && !c.handingOver() {
+		return false
+	}
+	return request.TakeOver || c.now >= c.leaderContact+c.timing.ElectionMin
 }
 
 // removedBefore reports whether the sender is missing from a committed membership that it does not
--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -39,6 +39,9 @@
 	}
 	reply.Envelope = c.replyEnvelope(&request.Envelope)
 	c.reply(token, &request.Envelope, reply)
+	if request.TakeOver && reply.Success && reply.Match == c.log.last() {
+		c.takeOver()
+	}
 }
 
 // refuseForeign notices that the members know this id with another incarnation.
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -69,6 +69,10 @@
 		c.becomeFollower(c.state.Term)
 		return
 	}
+	if c.handingOver() && c.now >= c.handOverEnd {
+		c.becomeFollower(c.state.Term)
+		return
+	}
 	if c.now < c.heartbeatDue {
 		return
 	}
@@ -201,6 +205,7 @@
 	c.advanceCommit()
 	c.resolveReads()
 	c.checkReach()
+	c.passOn()
 	if c.role == Leader {
 		c.sendData(p)
 	}
@@ -298,7 +303,7 @@
 // lease returns the end of the leader's lease, or 0. The lease starts when the heartbeats that a
 // quorum answered were sent, and no member of that quorum votes for another node before it ends.
 func (c *core) lease() time.Duration {
-	if c.role != Leader || c.log.commit < c.termStart {
+	if c.role != Leader || c.log.commit < c.termStart || c.handingOver() {
 		return 0
 	}
 	sent := c.quorumTime(c.now, func(p *progress) time.Duration { return p.confirmed })
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -28,6 +28,8 @@
 	LastTerm  uint64
 	// MembershipIndex is the index of the sender's membership.
 	MembershipIndex uint64
+	// TakeOver reports that the leader of the term before handed over to the sender.
+	TakeOver bool
 	// Probe asks for nothing but an answer: it shows that the leader can be reached.
 	Probe bool
 	// Identities is set during the bootstrap only: the members that the sender has recorded. No vote
@@ -57,6 +59,8 @@
 	PreviousTerm  uint64
 	Entries       []journal.Entry
 	Commit        uint64
+	// TakeOver tells the receiver to ask for votes at once: the leader hands over to it.
+	TakeOver bool
 }
 
 // AppendReply answers an AppendRequest.
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -32,7 +32,9 @@
 	replies map[uint64]chan any
 	reads   map[uint64]chan readOutcome
 	batch   []*proposal
-	fatal   error
+	// handOvers holds the callers of HandOver.
+	handOvers []chan error
+	fatal     error
 }
 
 // view is what other goroutines see of the core.
@@ -269,6 +271,7 @@
 		return
 	}
 	n.view.Store(&v)
+	n.endHandOvers(&v)
 	if old == nil {
 		return
 	}
--- a/internal/consensus/proposal.go
+++ b/internal/consensus/proposal.go
@@ -79,7 +79,7 @@
 	}
 	batch := n.batch
 	n.batch = nil
-	if n.core.role != Leader {
+	if n.core.role != Leader || n.core.handingOver() {
 		n.publish()
 		for _, p := range batch {
 			p.done <- outcome{err: n.notLeader("propose")}
--- a/internal/consensus/reach.go
+++ b/internal/consensus/reach.go
@@ -61,12 +61,12 @@
 	return c.probing() && c.probes > maxProbes
 }
 
-// checkReach ends the term of office of a leader that a quorum of voters cannot reach. They can elect
+// checkReach hands over the office of a leader that a quorum of voters cannot reach. They can elect
 // another one without this node's vote; fewer could not, and the group would lose its only leader.
 // This node would win the next election as well, because its requests pass, so it abstains until it
 // hears a request again.
 func (c *core) checkReach() {
-	if c.role != Leader {
+	if c.role != Leader || c.handingOver() {
 		return
 	}
 	failed := 0
@@ -80,5 +80,5 @@
 		return
 	}
 	c.abstains = true
-	c.becomeFollower(c.state.Term)
+	_ = c.handOver() // It leads, and a quorum of others exists.
 }
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -40,6 +40,8 @@
 	// that lost its files.
 	naiveSync     bool
 	naiveIdentity bool
+	// naiveLease lets a leader that hands over rely on its lease.
+	naiveLease bool
 }
 
 // simulated is one node with its disk.
@@ -339,12 +341,20 @@
 	}
 	for _, id := range s.order {
 		o := s.nodes[id]
-		if o != n && o.up && o.core.state.Term < term && o.core.role == Leader && o.core.lease() > s.clock(o) {
+		if o != n && o.up && o.core.state.Term < term && o.core.role == Leader && s.lease(o) > s.clock(o) {
 			s.fail("lease: %s holds one while %s commits in term %d", id, n.id, term)
 		}
 	}
 }
 
+func (s *simulation) lease(n *simulated) time.Duration {
+	c := *n.core
+	if s.naiveLease {
+		c.handOverEnd = 0
+	}
+	return c.lease()
+}
+
 func (s *simulation) leader() *simulated {
 	var found *simulated
 	for _, id := range s.order {
@@ -386,6 +396,12 @@
 	s.settle(n)
 }
 
+func (s *simulation) handOver(n *simulated) {
+	n.core.tick(s.clock(n))
+	_ = n.core.handOver()
+	s.settle(n)
+}
+
 // partition cuts all links between group and the rest, in the given directions.
 func (s *simulation) partition(group []string, out, in bool) {
 	for _, a := range group {
@@ -414,7 +430,7 @@
 func (s *simulation) disturb(choose func(n int) int) {
 	id := s.order[choose(len(s.order))]
 	n := s.nodes[id]
-	switch choose(17) {
+	switch choose(18) {
 	case 0:
 		s.crash(id)
 	case 1:
@@ -442,6 +458,10 @@
 		}
 	case 11:
 		s.deafen(id, s.except(id)...)
+	case 12:
+		if l := s.leader(); l != nil {
+			s.handOver(l)
+		}
 	default:
 		for i := range 1 + choose(8) {
 			if l := s.leader(); l != nil {
