--- a/internal/consensus/benchmark_test.go
+++ b/internal/consensus/benchmark_test.go
@@ -226,6 +226,20 @@
 // BenchmarkFailover measures the time from the stop of the leader to the first commit of its
 // successor. An operation is one stop; the stopped node restarts afterwards.
 func BenchmarkFailover(b *testing.B) {
+	benchmarkStop(b, func(p *process) { p.cancel() })
+}
+
+// BenchmarkPlannedStop measures the same for a leader that hands over first.
+func BenchmarkPlannedStop(b *testing.B) {
+	benchmarkStop(b, func(p *process) {
+		if err := p.node.HandOver(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+		p.cancel()
+	})
+}
+
+func benchmarkStop(b *testing.B, stop func(*process)) {
 	for _, size := range []int{3, 5} {
 		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
 			n := newBench(b, size, 0)
@@ -233,8 +247,8 @@
 			histogram := hdrhistogram.New(1, 60_000_000, 3)
 			for range b.N {
 				old := n.settled()
-				n.processes[old].cancel()
 				start := time.Now()
+				stop(n.processes[old])
 				next := n.leader(old)
 				if _, err := n.processes[next].node.Propose(context.Background(), []byte("x")); err != nil {
 					b.Fatal(err)
@@ -252,6 +266,28 @@
 	}
 }
 
+// BenchmarkUnreachableLeader measures, in simulated time, from the moment at which nobody reaches the
+// leader any more, while its own calls pass, to the first commit of its successor.
+func BenchmarkUnreachableLeader(b *testing.B) {
+	for _, size := range []int{3, 5} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			histogram := hdrhistogram.New(1, 60_000_000, 3)
+			for i := range b.N {
+				s := newSimulation(uint64(i), size, 0)
+				old := s.awaitLeader()
+				s.advance(time.Second + time.Duration(i%100)*5*time.Millisecond)
+				s.deafen(old.id, s.except(old.id)...)
+				start := s.now
+				for l := old; l == nil || l == old || l.core.log.commit < l.core.termStart; l = s.leader() {
+					s.advance(5 * time.Millisecond)
+				}
+				_ = histogram.RecordValue((s.now - start).Microseconds())
+			}
+			report(b, histogram)
+		})
+	}
+}
+
 // BenchmarkRead measures the read barrier under a valid lease.
 func BenchmarkRead(b *testing.B) {
 	n := newBench(b, 3, 0)
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -34,6 +34,13 @@
 	electionDeadline time.Duration
 	votes            map[string]bool
 	incoming         *incomingSnapshot
+	// probes counts the probes of the leader since its last answer.
+	probes   int
+	probeDue time.Duration
+	// abstains keeps this node from asking for votes: it led, and a quorum could not reach it.
+	abstains bool
+	// inherited is the term that the leader of the term before has handed over to this node.
+	inherited uint64
 
 	// The fields below are the leader's.
 	peers        map[string]*progress
@@ -42,6 +49,9 @@
 	termStart uint64
 	reads     []pendingRead
 	sequence  uint64
+	// handOverEnd is set while the leader hands over, passed once it has told its successor.
+	handOverEnd time.Duration
+	passed      bool
 
 	out output
 	// stateChanged is set while the hard state differs from the stored one.
@@ -184,9 +194,14 @@
 		c.tickBootstrap()
 		return
 	}
+	c.probe()
 	if c.now < c.electionDeadline {
 		return
 	}
+	if c.abstains {
+		c.resetElection()
+		return
+	}
 	if c.mayCampaign() {
 		c.campaign(true)
 		return
@@ -224,6 +239,8 @@
 		return c.bootstrap.due
 	case !c.mayCampaign():
 		return c.now + c.timing.ElectionMax
+	case c.probing():
+		return min(c.probeDue, c.electionDeadline)
 	}
 	return c.electionDeadline
 }
@@ -307,6 +324,7 @@
 	c.votes = nil
 	c.peers = nil
 	c.reads = nil
+	c.handOverEnd, c.passed = 0, false
 	c.resetElection()
 }
 
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -15,12 +15,14 @@
 // simulation runs cores against a network, clocks and disks in memory, one input at a time, and
 // checks the safety properties of Raft after each. The first violation is kept.
 type simulation struct {
-	now     time.Duration
-	nodes   map[string]*simulated
-	order   []string
-	random  *rand.Rand
-	queue   []packet
-	cut     map[[2]string]bool
+	now    time.Duration
+	nodes  map[string]*simulated
+	order  []string
+	random *rand.Rand
+	queue  []packet
+	cut    map[[2]string]bool
+	// unheard links lose requests and carry replies.
+	unheard map[[2]string]bool
 	tokens  map[uint64]string
 	token   uint64
 	servers []Server
@@ -38,6 +40,8 @@
 	// that lost its files.
 	naiveSync     bool
 	naiveIdentity bool
+	// naiveLease lets a leader that hands over rely on its lease.
+	naiveLease bool
 }
 
 // simulated is one node with its disk.
@@ -68,7 +72,8 @@
 func newSimulation(seed uint64, voters, learners int) *simulation {
 	s := &simulation{
 		nodes: make(map[string]*simulated), random: rand.New(rand.NewPCG(seed, 1)),
-		cut: make(map[[2]string]bool), tokens: make(map[uint64]string), leaders: make(map[uint64]string),
+		cut: make(map[[2]string]bool), unheard: make(map[[2]string]bool),
+		tokens: make(map[uint64]string), leaders: make(map[uint64]string),
 		entries: make(map[[2]uint64][2]uint64), committed: make(map[uint64]journal.Entry), reads: make(map[uint64]uint64),
 	}
 	for i := range voters {
@@ -168,7 +173,8 @@
 	s.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	for _, p := range due {
 		n := s.nodes[p.to]
-		if n == nil || !n.up || s.cut[[2]string{p.from, p.to}] {
+		link := [2]string{p.from, p.to}
+		if n == nil || !n.up || s.cut[link] || s.unheard[link] && p.message.token != 0 {
 			continue
 		}
 		if p.message.token != 0 {
@@ -335,12 +341,20 @@
 	}
 	for _, id := range s.order {
 		o := s.nodes[id]
-		if o != n && o.up && o.core.state.Term < term && o.core.role == Leader && o.core.lease() > s.clock(o) {
+		if o != n && o.up && o.core.state.Term < term && o.core.role == Leader && s.lease(o) > s.clock(o) {
 			s.fail("lease: %s holds one while %s commits in term %d", id, n.id, term)
 		}
 	}
 }
 
+func (s *simulation) lease(n *simulated) time.Duration {
+	c := *n.core
+	if s.naiveLease {
+		c.handOverEnd = 0
+	}
+	return c.lease()
+}
+
 func (s *simulation) leader() *simulated {
 	var found *simulated
 	for _, id := range s.order {
@@ -382,6 +396,12 @@
 	s.settle(n)
 }
 
+func (s *simulation) handOver(n *simulated) {
+	n.core.tick(s.clock(n))
+	_ = n.core.handOver()
+	s.settle(n)
+}
+
 // partition cuts all links between group and the rest, in the given directions.
 func (s *simulation) partition(group []string, out, in bool) {
 	for _, a := range group {
@@ -395,6 +415,14 @@
 
 func (s *simulation) heal() {
 	clear(s.cut)
+	clear(s.unheard)
+}
+
+// deafen loses the requests of the given nodes to id; replies to its own requests still arrive.
+func (s *simulation) deafen(id string, from ...string) {
+	for _, other := range from {
+		s.unheard[[2]string{other, id}] = true
+	}
 }
 
 // disturb does one random thing. choose returns a number below n. Faults are rarer than repairs, so
@@ -402,7 +430,7 @@
 func (s *simulation) disturb(choose func(n int) int) {
 	id := s.order[choose(len(s.order))]
 	n := s.nodes[id]
-	switch choose(16) {
+	switch choose(18) {
 	case 0:
 		s.crash(id)
 	case 1:
@@ -428,6 +456,12 @@
 		if n.up && !n.frozen {
 			s.read(n)
 		}
+	case 11:
+		s.deafen(id, s.except(id)...)
+	case 12:
+		if l := s.leader(); l != nil {
+			s.handOver(l)
+		}
 	default:
 		for i := range 1 + choose(8) {
 			if l := s.leader(); l != nil {
