Read the rest of a refused body before the connection closes

Cause: a caller that closes its connection after the request, and sends a prompt of 160 KB to an entry that refuses it at once (503 after a restart, 401, 429), got a reset connection instead of the refusal. net/http discards unread bytes only on connections that are kept, and at most 256 KiB; the kernel resets a connection that is closed with unread data. Seen as a failure of TestFrozenAndKilledEntries in one run of make test. Ruled out: the restart of the entry; any refusal does it. Change: a refused body is read to its end within 500 ms of silence, 2 s in all, 16 MiB, and 200 ms after the time limit. A caller that waits for "100 Continue" is not made to send it. Test: TestRefusalOfLongBodyArrives, red before for closed connections with 160 KB and 4 MiB (connection reset by peer).

--- a/entryd/internal/cli/input_test.go
+++ b/entryd/internal/cli/input_test.go
@@ -259,3 +259,35 @@
 		})
 	}
 }
+
+// Guards against a refusal that a caller does not get, because the connection is reset while it still sends
+// its prompt. net/http reads the rest of a body only on connections that are kept, and at most 256 KiB.
+func TestRefusalOfLongBodyArrives(t *testing.T) {
+	s := start(t, engine(t, func(_ http.ResponseWriter, _ *http.Request, e events) { e.finish(0, 1) }))
+	for name, test := range map[string]struct {
+		keep bool
+		size int
+	}{
+		"kept, 4 MiB":    {true, 4 << 20},
+		"closed, 160 KB": {false, 160_000},
+		"closed, 4 MiB":  {false, 4 << 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			transport := &http.Transport{DisableKeepAlives: !test.keep}
+			defer transport.CloseIdleConnections()
+			for range 20 {
+				request, err := http.NewRequest(http.MethodPost, "http://"+s.listening.Caller+"/v1/completions", strings.NewReader(strings.Repeat("a", test.size)))
+				is.NoErr(err)
+				request.GetBody = nil // no silent resend on another connection
+				request.Header.Set("Authorization", "Bearer unknown")
+				response, err := transport.RoundTrip(request)
+				is.NoErr(err)
+				is.Equal(response.StatusCode, http.StatusUnauthorized)
+				_, err = io.Copy(io.Discard, response.Body)
+				is.NoErr(err)
+				is.NoErr(response.Body.Close())
+			}
+		})
+	}
+}
--- a/entryd/internal/filter/record.go
+++ b/entryd/internal/filter/record.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"io"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -49,9 +50,7 @@
 			}
 			err := guarded(config.Access, handler, w, r, x)
 			if !x.BodyRead && r.ContentLength != 0 {
-				// net/http reads on in a body that was refused before it answers; a caller that does not
-				// send it must not hold the answer.
-				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
+				discard(w, r, x)
 			}
 			finish(w, x, err)
 			config.Access.Info("Request", x.Fields(time.Now())...)
@@ -60,9 +59,41 @@
 	}
 }
 
-// discardTimeout bounds the reading of a body that was refused. It is shorter than writeGrace, so that
-// the answer to a body that did not arrive within the time limit can still be written.
-const discardTimeout = 200 * time.Millisecond
+const (
+	// discardIdle and discardTimeout bound the reading of a body that was refused: a caller that does not
+	// send it must not hold the answer for long.
+	discardIdle    = 500 * time.Millisecond
+	discardTimeout = 2 * time.Second
+	// discardLate bounds it after the time limit. It is shorter than writeGrace, so that the answer to a
+	// body that did not arrive in time can still be written.
+	discardLate = 200 * time.Millisecond
+	// discardBytes is more than the largest body that the default settings allow.
+	discardBytes = 16 << 20
+	discardChunk = 256 << 10
+)
+
+// discard reads the rest of a body that was refused. A connection that is closed with unread data is
+// reset, and the caller loses the answer; net/http reads at most 256 KiB, and nothing before it closes.
+func discard(w http.ResponseWriter, r *http.Request, x *exchange.Exchange) {
+	if r.Header.Get("Expect") != "" {
+		return // the caller sends the body only when it is read
+	}
+	control := http.NewResponseController(w)
+	end := time.Now().Add(discardTimeout)
+	if late := x.Deadline.Add(discardLate); !x.Deadline.IsZero() && late.Before(end) {
+		end = late
+	}
+	for range discardBytes / discardChunk {
+		deadline := time.Now().Add(discardIdle)
+		if end.Before(deadline) {
+			deadline = end
+		}
+		_ = control.SetReadDeadline(deadline)
+		if _, err := io.CopyN(io.Discard, r.Body, discardChunk); err != nil {
+			return
+		}
+	}
+}
 
 // guarded keeps a fault in the handling of one request from ending the process.
 func guarded(logger *zap.Logger, handler Handler, w http.ResponseWriter, r *http.Request, x *exchange.Exchange) (err error) {
