--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -33,6 +33,7 @@
 	registry *metrics.Registry
 
 	certificates certificate.Configs
+	endpoints    certificate.Client
 }
 
 func run(ctx context.Context, s Settings) error {
@@ -56,6 +57,9 @@
 	if d.certificates, err = s.TLS.Open(s.TLS.use(), logger); err != nil {
 		return nil, err
 	}
+	if d.endpoints, err = s.TLS.Endpoints.Open(logger); err != nil {
+		return nil, err
+	}
 	d.pool = peer.NewPool(peer.PoolConfig{Key: s.ClusterKey, TLS: d.certificates.PeerClient})
 	d.server = peer.NewServer(peer.ServerConfig{Key: s.ClusterKey, TLS: d.certificates.PeerServer, Logger: logger})
 	d.machine = control.NewMachine()
@@ -117,7 +121,7 @@
 		Lease:         d.node,
 		Configuration: d.machine,
 		Fleet:         fleet,
-		Engines:       endpoint.NewClient(endpoint.ClientConfig{}),
+		Engines:       endpoint.NewClient(endpoint.ClientConfig{TLS: d.endpoints.Config}),
 		Roles:         r,
 		MaxLoads:      d.settings.MaxLoads,
 		Now:           time.Now,
@@ -147,6 +151,7 @@
 
 func (d *daemon) gauges() {
 	d.certificates.Register(d.registry)
+	d.endpoints.Register(d.registry)
 	d.registry.GaugeFunc("control_leader", func() int64 {
 		if remaining, _ := d.node.LeaderLease(); remaining > 0 {
 			return 1
--- a/controld/internal/cli/settings.go
+++ b/controld/internal/cli/settings.go
@@ -29,11 +29,14 @@
 	TLS               TLS                 `yaml:"tls"`
 }
 
-// TLS are the files of the certificate and the listeners that use it. The metrics listener never does.
+// TLS are the files of the certificate and the listeners that use it, and the files for orders to
+// endpoints. The metrics listener never uses TLS.
 type TLS struct {
 	certificate.Files `yaml:",inline"`
 	Operators         bool `yaml:"operators" description:"Serve the operators' API over TLS."`
 	Peers             bool `yaml:"peers" description:"Use mutual TLS with the other processes of the system."`
+
+	Endpoints certificate.ClientFiles `yaml:"endpoints"`
 }
 
 func (t TLS) use() certificate.Use {
@@ -74,6 +77,9 @@
 	if err := settings.Load(path, &s); err != nil {
 		return Settings{}, err
 	}
+	if err := s.TLS.Endpoints.Check(); err != nil {
+		return Settings{}, err
+	}
 	return s, s.TLS.Check(s.TLS.use())
 }
 
--- a/entryd/internal/cli/connect.go
+++ b/entryd/internal/cli/connect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"time"
 
 	"go.uber.org/zap"
@@ -58,8 +59,10 @@
 	Options *options.Options
 	Member  session.Member
 	Pool    *peer.Pool
-	Metrics *metrics.Registry
-	Logger  *zap.Logger
+	// EndpointTLS is the configuration of connections to endpoints; nil means that they are plain.
+	EndpointTLS *tls.Config
+	Metrics     *metrics.Registry
+	Logger      *zap.Logger
 }
 
 // Connector makes the parts.
@@ -99,7 +102,7 @@
 			member, ok := view.Dispatcher(cell)
 			return ok && member.Instance == site.Member.Instance
 		},
-		Holdings: endpoint.NewClient(endpoint.ClientConfig{}),
+		Holdings: endpoint.NewClient(endpoint.ClientConfig{TLS: site.EndpointTLS}),
 		Settings: site.Options.DispatchSettings(),
 		Logger:   site.Logger,
 		Quarantined: func(fingerprint uint64) bool {
--- a/entryd/internal/cli/fakes_test.go
+++ b/entryd/internal/cli/fakes_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/hex"
 	"fmt"
 	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -265,6 +267,13 @@
 // start runs an entry on port 0. The endpoints serve both the model and the service.
 func start(t testing.TB, endpoints ...string) *site {
 	t.Helper()
+	s := newSite(endpoints...)
+	s.run(t)
+	return s
+}
+
+// newSite is start without the start, so that the options can be changed.
+func newSite(endpoints ...string) *site {
 	s := &site{
 		keeper:     &fakeKeeper{},
 		purse:      &fakePurse{limit: 1 << 50},
@@ -275,10 +284,9 @@
 	}
 	for i, address := range endpoints {
 		s.dispatcher.endpoints = append(s.dispatcher.endpoints, dispatch.GrantMember{
-			Endpoint: "e" + strconv.Itoa(i+1), Address: strings.TrimPrefix(address, "http://"),
+			Endpoint: "e" + strconv.Itoa(i+1), Address: strings.TrimPrefix(strings.TrimPrefix(address, "http://"), "https://"),
 		})
 	}
-	s.run(t)
 	return s
 }
 
@@ -369,7 +377,13 @@
 // engine is a fake model engine; respond gets the ids of the attempt.
 func engine(t testing.TB, respond func(w http.ResponseWriter, r *http.Request, e events)) string {
 	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return secureEngine(t, nil, respond)
+}
+
+// secureEngine is engine over TLS, unless the configuration is nil.
+func secureEngine(t testing.TB, config *tls.Config, respond func(w http.ResponseWriter, r *http.Request, e events)) string {
+	t.Helper()
+	return serveTLS(t, config, func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodDelete {
 			return
 		}
@@ -379,7 +393,19 @@
 		w.Header().Set("Content-Type", "text/event-stream")
 		_, _ = io.Copy(io.Discard, r.Body)
 		respond(w, r, e)
-	}))
+	})
+}
+
+func serveTLS(t testing.TB, config *tls.Config, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	if config == nil {
+		server.Start()
+	} else {
+		server.TLS = config
+		server.StartTLS()
+	}
 	t.Cleanup(server.Close)
 	return server.URL
 }
--- a/entryd/internal/cli/hop_test.go
+++ b/entryd/internal/cli/hop_test.go
@@ -3,11 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"runtime"
 	"strconv"
 	"strings"
@@ -17,6 +17,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
+	"github.com/dandelionpier/dandelionpier/internal/certificate/certificatetest"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 )
 
@@ -27,8 +29,8 @@
 )
 
 // pacedEngine sends hopTokens events, each with the time at which it was written.
-func pacedEngine(b *testing.B) string {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+func pacedEngine(b *testing.B, config *tls.Config) string {
+	return serveTLS(b, config, func(w http.ResponseWriter, r *http.Request) {
 		request, attempt := r.Header.Get(endpoint.HeaderRequestID), r.Header.Get(endpoint.HeaderAttemptID)
 		w.Header().Set(endpoint.HeaderRequestID, request)
 		w.Header().Set(endpoint.HeaderAttemptID, attempt)
@@ -52,9 +54,7 @@
 			_ = control.Flush()
 			<-ticker.C
 		}
-	}))
-	b.Cleanup(server.Close)
-	return server.URL
+	})
 }
 
 // hop measures streams against one address.
@@ -127,13 +127,23 @@
 	return nil
 }
 
-// BenchmarkHop compares streams to an engine directly and through an entry. The figures are in
-// microseconds; the difference is what one hop adds.
+// BenchmarkHop compares streams to an engine directly, through an entry, and through an entry that reaches
+// the engine by mutual TLS. The figures are in microseconds; the difference is what one hop adds.
 func BenchmarkHop(b *testing.B) {
+	ca := certificatetest.NewAuthority(b)
+	pair := ca.Issue(b, 2, "127.0.0.1")
+	files := pair.Write(b, ca.PEM)
+	mutual := pair.Server(b)
+	mutual.ClientAuth, mutual.ClientCAs = tls.RequireAndVerifyClientCert, ca.Pool()
 	for _, streams := range []int{1, 100, 1000} {
-		engine := pacedEngine(b)
+		engine := pacedEngine(b, nil)
 		s := start(b, engine)
-		for _, way := range []struct{ name, url string }{{"direct", engine}, {"entry", "http://" + s.listening.Caller}} {
+		secure := newSite(pacedEngine(b, mutual))
+		secure.options.TLS.Endpoints = certificate.ClientFiles{CA: files.CA, Certificate: files.Certificate, Key: files.Key}
+		secure.run(b)
+		for _, way := range []struct{ name, url string }{
+			{"direct", engine}, {"entry", "http://" + s.listening.Caller}, {"entry-tls", "http://" + secure.listening.Caller},
+		} {
 			b.Run(fmt.Sprintf("streams=%d/%s", streams, way.name), func(b *testing.B) {
 				h := &hop{
 					client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams}},
--- a/entryd/internal/cli/serve.go
+++ b/entryd/internal/cli/serve.go
@@ -23,6 +23,7 @@
 	"github.com/dandelionpier/dandelionpier/internal/burn"
 	"github.com/dandelionpier/dandelionpier/internal/certificate"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/metrics"
@@ -65,6 +66,7 @@
 	peers       *peer.Server
 
 	certificates certificate.Configs
+	endpoints    certificate.Client
 	listeners    listeners
 	failures     chan error
 }
@@ -87,13 +89,16 @@
 	if e.certificates, err = o.TLS.Open(o.TLS.Use(), logger); err != nil {
 		return err
 	}
+	if e.endpoints, err = o.TLS.Endpoints.Open(logger); err != nil {
+		return err
+	}
 	if err := e.listen(); err != nil {
 		return err
 	}
 	pool := peer.NewPool(peer.PoolConfig{Key: o.ClusterKey, TLS: e.certificates.PeerClient})
 	defer pool.Close()
 	e.member = e.newMember()
-	e.parts, err = connect(Site{Options: o, Member: e.member, Pool: pool, Metrics: e.metrics, Logger: logger})
+	e.parts, err = connect(Site{Options: o, Member: e.member, Pool: pool, EndpointTLS: e.endpoints.Config, Metrics: e.metrics, Logger: logger})
 	if err != nil {
 		e.listeners.close()
 		return err
@@ -219,10 +224,11 @@
 	dialer := net.Dialer{Timeout: engineDial}
 	e.completions = completion.New(completion.Config{
 		Region: o.Region, Cells: e.cells, Purse: e.parts.Purse, View: view,
-		Transport: &http.Transport{
+		Transport: endpoint.Secure(&http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: o.EngineIdle, IdleConnTimeout: engineIdle, DisableCompression: true,
 			MaxResponseHeaderBytes: maxHeader,
-		},
+		}, e.endpoints.Config),
+		TLS:     e.endpoints.Config,
 		Retries: retries, Observer: e.parts.Observer, Logger: e.logger,
 		Limits: completion.Limits{
 			MaxAttempts: o.MaxAttempts, FirstByteFactor: o.FirstByteFactor, MinFirstByte: o.MinFirstByte,
@@ -232,11 +238,12 @@
 	})
 	e.services = service.New(service.Config{
 		Entry: o.Instance + "/" + e.member.Incarnation, Region: o.Region, Cells: e.cells, Claims: e.parts.Claims,
-		View: view, Retries: retries, MaxAttempts: o.MaxAttempts, MaxResponse: o.MaxResponse, Logger: e.logger,
+		View: view, Retries: retries, MaxAttempts: o.MaxAttempts, MaxResponse: o.MaxResponse, TLS: e.endpoints.Config, Logger: e.logger,
 	})
 	e.peers = peer.NewServer(peer.ServerConfig{Key: o.ClusterKey, TLS: e.certificates.PeerServer, Logger: e.logger})
 	metrics.RegisterProcess(e.metrics)
 	e.certificates.Register(e.metrics)
+	e.endpoints.Register(e.metrics)
 	e.metrics.GaugeFunc("peer_bytes_total", func() int64 { return pool.Traffic() + e.peers.Traffic() })
 }
 
--- a/entryd/internal/cli/tls_test.go
+++ b/entryd/internal/cli/tls_test.go
@@ -1,69 +1,45 @@
 package cli
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"encoding/pem"
+	"errors"
 	"io"
-	"math/big"
-	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/entryd/internal/options"
 	"github.com/dandelionpier/dandelionpier/internal/certificate"
+	"github.com/dandelionpier/dandelionpier/internal/certificate/certificatetest"
+	"github.com/dandelionpier/dandelionpier/internal/claim"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/peer"
+	"github.com/dandelionpier/dandelionpier/internal/refusal"
 )
 
-// selfSigned writes a certificate for 127.0.0.1 that is its own CA, with its key, to one file.
-func selfSigned(t *testing.T) string {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	is.New(t).NoErr(err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	is.New(t).NoErr(err)
-	pkcs8, err := x509.MarshalPKCS8PrivateKey(key)
-	is.New(t).NoErr(err)
-	data := append(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
-		pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: pkcs8})...)
-	path := filepath.Join(t.TempDir(), "instance.pem")
-	is.New(t).NoErr(os.WriteFile(path, data, 0o600))
-	return path
-}
-
 // Guards against a listener that stays plain although the settings ask for TLS, a metrics listener that
 // does not, and address answers in another form than host:port.
 func TestListenersOverTLS(t *testing.T) {
 	is := is.New(t)
-	file := selfSigned(t)
+	authority := certificatetest.NewAuthority(t)
+	files := authority.Issue(t, 2, "127.0.0.1").Write(t, authority.PEM)
 	s := &site{
 		keeper: &fakeKeeper{}, purse: &fakePurse{limit: 1 << 50}, dispatcher: &fakeDispatcher{announced: make(chan struct{}, 1)},
 		seen: &observations{}, options: testOptions(),
 	}
 	s.options.TLS = options.TLS{
-		Files:   certificate.Files{Certificate: file, Key: file, CA: file},
+		Files:   files,
 		Callers: true, Platform: true, Peers: true,
 	}
 	s.run(t)
-	ca, err := certificate.LoadCA(file)
-	is.NoErr(err)
-	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: ca}, DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: authority.Pool()}, DisableKeepAlives: true}}
 	for url, want := range map[string]int{
 		"https://" + s.listening.Caller + "/v1/addresses":        http.StatusOK,
 		"http://" + s.listening.Caller + "/v1/addresses":         http.StatusBadRequest,
@@ -98,3 +74,74 @@
 		is.Equal(err == nil, name == "")
 	}
 }
+
+// Guards against calls of an entry to engines and services that are not who they say, or whose callers
+// are told that they may have run; a claim must be free again.
+func TestEndpointsOverTLS(t *testing.T) {
+	ours, other := certificatetest.NewAuthority(t), certificatetest.NewAuthority(t)
+	own := ours.Issue(t, 2, "127.0.0.1").Write(t, ours.PEM)
+	files := certificate.ClientFiles{CA: own.CA}
+	good := ours.Issue(t, 3, "127.0.0.1").Server(t)
+	mutual := good.Clone()
+	mutual.ClientAuth, mutual.ClientCAs = tls.RequireAndVerifyClientCert, ours.Pool()
+	for name, test := range map[string]struct {
+		endpoint *tls.Config
+		files    certificate.ClientFiles
+		ok       bool
+	}{
+		"verified":             {good, files, true},
+		"both verified":        {mutual, certificate.ClientFiles{CA: own.CA, Certificate: own.Certificate, Key: own.Key}, true},
+		"wrong CA":             {other.Issue(t, 4, "127.0.0.1").Server(t), files, false},
+		"wrong host name":      {ours.Issue(t, 5, "engine-1.example").Server(t), files, false},
+		"expired":              {ours.Expired(t, 6, "127.0.0.1").Server(t), files, false},
+		"endpoint without TLS": {nil, files, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int64
+			s := newSite(secureEngine(t, test.endpoint, func(_ http.ResponseWriter, _ *http.Request, e events) {
+				runs.Add(1)
+				e.finish(0, 3)
+			}))
+			s.options.TLS.Endpoints = test.files
+			s.run(t)
+			completion := s.send(t, http.MethodPost, "/v1/chat/completions", streamBody)
+			call := s.send(t, http.MethodPost, "/v1/services/counter/bookings", "{}", "Idempotency-Key", "k1")
+			is.NoErr(s.stop())
+			if test.ok {
+				is.Equal(completion.status, http.StatusOK)
+				is.Equal(call.status, http.StatusOK)
+				is.Equal(runs.Load(), int64(2))
+				return
+			}
+			is.Equal(runs.Load(), int64(0))
+			for _, a := range []answer{completion, call} {
+				got := decodeError(t, a)
+				is.Equal(a.status, http.StatusBadGateway)
+				is.Equal(got.Error.Code, "endpoint-failed")
+				is.Equal(got.Error.Outcome, refusal.DidNotRun)
+			}
+			is.Equal(s.claims.status("k1"), claim.Status(""))
+			id := completion.header.Get(endpoint.HeaderRequestID)
+			is.Equal(s.dispatcher.types(id+"-1"), []dispatch.EventType{dispatch.Failed}) // not Died, which makes requests suspects
+		})
+	}
+}
+
+// Guards against callers and endpoints that are served with an expired certificate and cannot tell why
+// they are refused.
+func TestExpiredListeners(t *testing.T) {
+	is := is.New(t)
+	authority := certificatetest.NewAuthority(t)
+	s := newSite()
+	s.options.TLS = options.TLS{
+		Files: authority.Expired(t, 2, "127.0.0.1").Write(t, authority.PEM), Callers: true, Platform: true,
+	}
+	s.run(t)
+	for _, address := range []string{s.listening.Caller, s.listening.Platform} {
+		_, err := tls.Dial("tcp", address, &tls.Config{RootCAs: authority.Pool()})
+		var invalid x509.CertificateInvalidError
+		is.True(errors.As(err, &invalid))
+		is.Equal(invalid.Reason, x509.Expired)
+	}
+}
--- a/entryd/internal/completion/attempt.go
+++ b/entryd/internal/completion/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/dandelionpier/dandelionpier/entryd/internal/cell"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/field"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/stream"
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
@@ -94,13 +95,14 @@
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(a.ctx, trace), http.MethodPost,
-		"http://"+a.grant.Members[0].Address+c.path, c.reader())
+		endpoint.URL(c.server.config.TLS, a.grant.Members[0].Address, c.path), c.reader())
 	if err != nil {
 		return nil, &failure{event: dispatch.Failed, err: err}
 	}
 	request.ContentLength = int64(len(c.body) + len(c.bound))
 	a.setHeaders(request.Header)
 	response, err := c.server.config.Transport.RoundTrip(request)
+	connected = connected && !certificate.Rejected(err)
 	c.reached = c.reached || connected
 	if err != nil {
 		return nil, a.failed(err, connected)
@@ -238,7 +240,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 			defer cancel()
 			request, err := http.NewRequestWithContext(ctx, http.MethodDelete,
-				"http://"+member.Address+"/platform/requests/"+url.PathEscape(grant.ID), http.NoBody)
+				endpoint.URL(s.config.TLS, member.Address, "/platform/requests/"+url.PathEscape(grant.ID)), http.NoBody)
 			if err != nil {
 				return
 			}
--- a/entryd/internal/completion/server.go
+++ b/entryd/internal/completion/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net/http"
 	"slices"
@@ -70,10 +71,12 @@
 	Purse     Purse
 	View      func() (session.View, error)
 	Transport http.RoundTripper
-	Retries   *retry.Budget
-	Observer  Observer
-	Limits    Limits
-	Logger    *zap.Logger
+	// TLS says that engines are called by https; the transport connects by it.
+	TLS      *tls.Config
+	Retries  *retry.Budget
+	Observer Observer
+	Limits   Limits
+	Logger   *zap.Logger
 }
 
 // Server serves model requests. It is safe for concurrent use.
--- a/entryd/internal/options/options.go
+++ b/entryd/internal/options/options.go
@@ -69,13 +69,16 @@
 	TLS TLS `yaml:"tls"`
 }
 
-// TLS are the files of the certificate and the listeners that use it. The metrics listener never does.
+// TLS are the files of the certificate and the listeners that use it, and the files for calls to
+// endpoints. The metrics listener never uses TLS.
 type TLS struct {
 	certificate.Files `yaml:",inline"`
 
 	Callers  bool `yaml:"callers" description:"Serve the callers' API over TLS."`
 	Platform bool `yaml:"platform" description:"Receive announcements of endpoints over TLS."`
 	Peers    bool `yaml:"peers" description:"Use mutual TLS with the other processes of the system."`
+
+	Endpoints certificate.ClientFiles `yaml:"endpoints"`
 }
 
 // Use returns what the files are needed for.
@@ -143,6 +146,9 @@
 			return fault.New(op, Conflict, "%s-listen is %s, which others cannot connect to; advertise-%s must be set", name, pair[0], name)
 		}
 	}
+	if err := o.TLS.Endpoints.Check(); err != nil {
+		return err
+	}
 	return o.TLS.Check(o.TLS.Use())
 }
 
--- a/entryd/internal/service/dispatch.go
+++ b/entryd/internal/service/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/dandelionpier/dandelionpier/entryd/internal/exchange"
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
@@ -37,17 +39,19 @@
 
 // onceTransport uses a fresh connection for each request: http.Transport sends a request again on its
 // own when a kept connection breaks.
-func onceTransport() *http.Transport {
+func onceTransport(config *tls.Config) *http.Transport {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeader}
+	return endpoint.Secure(&http.Transport{
+		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
+	}, config)
 }
 
-func repeatableTransport() *http.Transport {
+func repeatableTransport(config *tls.Config) *http.Transport {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return endpoint.Secure(&http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 16,
 		IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeader,
-	}
+	}, config)
 }
 
 // forwarded are the caller's headers that the service gets. The bearer key and the headers that make
@@ -61,7 +65,7 @@
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method,
-		"http://"+grant.Members[0].Address+call.Path, nil)
+		endpoint.URL(s.config.TLS, grant.Members[0].Address, call.Path), nil)
 	if err != nil {
 		return Response{}, false, fault.Wrap(err, op, Unusable, "make the request")
 	}
@@ -73,7 +77,7 @@
 	setHeaders(request.Header, x, call, grant)
 	answer, err := transport.RoundTrip(request)
 	if err != nil {
-		return Response{}, wrote.Load(), fault.Wrap(err, op, NoResponse, grant.Members[0].Endpoint)
+		return Response{}, wrote.Load() && !certificate.Rejected(err), fault.Wrap(err, op, NoResponse, grant.Members[0].Endpoint)
 	}
 	defer answer.Body.Close()
 	response, err = s.read(answer, x.RequestID)
--- a/entryd/internal/service/service.go
+++ b/entryd/internal/service/service.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net/http"
@@ -48,7 +49,9 @@
 	// MaxAttempts bounds the endpoints tried for a repeatable call, MaxResponse the response in bytes.
 	MaxAttempts int
 	MaxResponse int
-	Logger      *zap.Logger
+	// TLS is the configuration of connections to services; nil means that they are plain.
+	TLS    *tls.Config
+	Logger *zap.Logger
 }
 
 // Server serves calls to plain services. It is safe for concurrent use.
@@ -62,7 +65,7 @@
 
 // New returns a server.
 func New(config Config) *Server {
-	return &Server{config: config, once: onceTransport(), repeatable: repeatableTransport()}
+	return &Server{config: config, once: onceTransport(config.TLS), repeatable: repeatableTransport(config.TLS)}
 }
 
 // Wait returns when all claims are settled or given up. No call may be in flight.
--- a/internal/certificate/certificate.go
+++ b/internal/certificate/certificate.go
@@ -36,7 +36,8 @@
 
 // Config sets up a Store.
 type Config struct {
-	// Certificate is the path of the certificate chain, leaf first, in PEM.
+	// Certificate is the path of the certificate chain, leaf first, in PEM. Certificate and Key may be
+	// empty for a client that presents none.
 	Certificate string
 	// Key is the path of the private key, in PEM.
 	Key string
@@ -61,6 +62,7 @@
 
 // content is the state of the files at one time.
 type content struct {
+	// pair is nil without a certificate file.
 	pair *tls.Certificate
 	ca   *x509.CertPool
 }
@@ -89,9 +91,14 @@
 	return s, nil
 }
 
-// NotAfter returns the end of validity of the certificate in force. Like a handshake, it checks the files.
+// NotAfter returns the end of validity of the certificate in force, or zero without one. Like a handshake,
+// it checks the files.
 func (s *Store) NotAfter() time.Time {
-	return s.current().pair.Leaf.NotAfter
+	pair := s.current().pair
+	if pair == nil {
+		return time.Time{}
+	}
+	return pair.Leaf.NotAfter
 }
 
 // LoadCA reads the certificates of a CA file in PEM. Errors are of type *Error.
@@ -109,27 +116,33 @@
 }
 
 func (s *Store) load() (content, error) {
+	var loaded content
+	var err error
+	if s.config.Certificate != "" || s.config.Key != "" {
+		if loaded.pair, err = s.loadPair(); err != nil {
+			return content{}, err
+		}
+	}
+	if s.config.CA != "" {
+		if loaded.ca, err = LoadCA(s.config.CA); err != nil {
+			return content{}, err
+		}
+	}
+	return loaded, nil
+}
+
+func (s *Store) loadPair() (*tls.Certificate, error) {
 	const op = "load certificate"
 	certificate, err := os.ReadFile(s.config.Certificate)
 	if err != nil {
-		return content{}, fault.Wrap(err, op, Unreadable, "certificate file")
+		return nil, fault.Wrap(err, op, Unreadable, "certificate file")
 	}
 	key, err := os.ReadFile(s.config.Key)
 	if err != nil {
-		return content{}, fault.Wrap(err, op, Unreadable, "key file")
+		return nil, fault.Wrap(err, op, Unreadable, "key file")
 	}
 	pair, err := tls.X509KeyPair(certificate, key)
-	if err != nil {
-		return content{}, fault.Wrap(err, op, Invalid, s.config.Certificate+" with "+s.config.Key)
-	}
-	if s.config.CA == "" {
-		return content{pair: &pair}, nil
-	}
-	ca, err := LoadCA(s.config.CA)
-	if err != nil {
-		return content{}, err
-	}
-	return content{pair: &pair, ca: ca}, nil
+	return &pair, fault.Wrap(err, op, Invalid, s.config.Certificate+" with "+s.config.Key)
 }
 
 func (s *Store) inspect() [3]stamp {
@@ -164,6 +177,6 @@
 		return s.content
 	}
 	s.content = loaded
-	s.config.Logger.Info("Loaded a changed certificate", zap.String("certificate", s.config.Certificate))
+	s.config.Logger.Info("Loaded a changed certificate", zap.String("certificate", s.config.Certificate), zap.String("ca", s.config.CA))
 	return s.content
 }
--- a/internal/certificate/certificate_test.go
+++ b/internal/certificate/certificate_test.go
@@ -1,14 +1,8 @@
 package certificate_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
 	"io"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
@@ -20,59 +14,10 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/dandelionpier/dandelionpier/internal/certificate"
+	"github.com/dandelionpier/dandelionpier/internal/certificate/certificatetest"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 )
 
-// authority issues certificates.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	pem         string
-}
-
-// issued is a certificate with its key, in PEM.
-type issued struct{ certificate, key string }
-
-func newAuthority(t *testing.T) authority {
-	t.Helper()
-	template := &x509.Certificate{IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
-	key, der := sign(t, template, 1, nil)
-	parsed, err := x509.ParseCertificate(der)
-	is.New(t).NoErr(err)
-	return authority{parsed, key, encode("CERTIFICATE", der)}
-}
-
-// issue makes a certificate for servers and clients at ip.
-func (a authority) issue(t *testing.T, serial int64, ip string) issued {
-	t.Helper()
-	key, der := sign(t, &x509.Certificate{
-		IPAddresses: []net.IP{net.ParseIP(ip)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}, serial, &a)
-	pkcs8, err := x509.MarshalPKCS8PrivateKey(key)
-	is.New(t).NoErr(err)
-	return issued{encode("CERTIFICATE", der), encode("PRIVATE KEY", pkcs8)}
-}
-
-func sign(t *testing.T, template *x509.Certificate, serial int64, by *authority) (*ecdsa.PrivateKey, []byte) {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	is.New(t).NoErr(err)
-	template.SerialNumber = big.NewInt(serial)
-	template.NotBefore, template.NotAfter = time.Now().Add(-time.Hour), time.Now().Add(time.Hour)
-	parent, parentKey := template, key
-	if by != nil {
-		parent, parentKey = by.certificate, by.key
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, parentKey)
-	is.New(t).NoErr(err)
-	return key, der
-}
-
-func encode(kind string, der []byte) string {
-	return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
-}
-
 // site is a store, its files and its clock.
 type site struct {
 	*certificate.Store
@@ -84,7 +29,7 @@
 
 const interval = 5 * time.Second
 
-func newSite(t *testing.T, pair issued, ca string) *site {
+func newSite(t *testing.T, pair certificatetest.Pair, ca string) *site {
 	t.Helper()
 	core, logs := observer.New(zap.InfoLevel)
 	s := &site{t: t, directory: t.TempDir(), now: time.Now(), logs: logs}
@@ -102,9 +47,9 @@
 
 // write replaces the files and lets the interval between checks pass. It sets the modification times,
 // since two writes may fall into one tick of the file system's clock.
-func (s *site) write(pair issued, ca string) {
+func (s *site) write(pair certificatetest.Pair, ca string) {
 	s.now = s.now.Add(interval)
-	for name, data := range map[string]string{"certificate": pair.certificate, "key": pair.key, "ca": ca} {
+	for name, data := range map[string]string{"certificate": pair.Certificate, "key": pair.Key, "ca": ca} {
 		is.New(s.t).NoErr(os.WriteFile(s.path(name), []byte(data), 0o600))
 		is.New(s.t).NoErr(os.Chtimes(s.path(name), s.now, s.now))
 	}
@@ -139,14 +84,14 @@
 // replace good ones or fill the log.
 func TestReload(t *testing.T) {
 	is := is.New(t)
-	ca := newAuthority(t)
-	first, second := ca.issue(t, 11, "127.0.0.1"), ca.issue(t, 12, "127.0.0.1")
-	s := newSite(t, first, ca.pem)
+	ca := certificatetest.NewAuthority(t)
+	first, second := ca.Issue(t, 11, "127.0.0.1"), ca.Issue(t, 12, "127.0.0.1")
+	s := newSite(t, first, ca.PEM)
 	listener := echo(t, s.Server())
 	open, serial := s.dial(listener)
 	is.Equal(serial, int64(11))
 
-	s.write(second, ca.pem)
+	s.write(second, ca.PEM)
 	_, serial = s.dial(listener)
 	is.Equal(serial, int64(12))
 	_, err := open.Write([]byte("still open"))
@@ -156,11 +101,11 @@
 	is.NoErr(err)
 
 	for i, bad := range []struct {
-		pair issued
+		pair certificatetest.Pair
 		ca   string
 	}{
-		{issued{first.certificate, second.key}, ca.pem},
-		{issued{"no certificate", first.key}, ca.pem},
+		{certificatetest.Pair{Certificate: first.Certificate, Key: second.Key}, ca.PEM},
+		{certificatetest.Pair{Certificate: "no certificate", Key: first.Key}, ca.PEM},
 		{first, "no certificate"},
 	} {
 		s.write(bad.pair, bad.ca)
@@ -172,7 +117,7 @@
 	}
 	is.Equal(s.logs.FilterLevelExact(zap.WarnLevel).Len(), 3)
 
-	s.write(first, ca.pem)
+	s.write(first, ca.PEM)
 	_, serial = s.dial(listener)
 	is.Equal(serial, int64(11))
 }
@@ -181,8 +126,8 @@
 // against peers without a CA file, which would trust the CAs of the operating system.
 func TestOpen(t *testing.T) {
 	is := is.New(t)
-	ca := newAuthority(t)
-	s := newSite(t, ca.issue(t, 11, "127.0.0.1"), ca.pem)
+	ca := certificatetest.NewAuthority(t)
+	s := newSite(t, ca.Issue(t, 11, "127.0.0.1"), ca.PEM)
 	server, peers := certificate.Use{Server: true}, certificate.Use{Peers: true}
 	chain, key, none := s.path("certificate"), s.path("key"), s.path("none")
 	for name, test := range map[string]struct {
--- a/internal/certificate/config.go
+++ b/internal/certificate/config.go
@@ -37,7 +37,7 @@
 	}, nil
 }
 
-// Client returns the configuration of a client that presents its certificate and verifies the server
+// Client returns the configuration of a client that presents its certificate, if it has one, and verifies the server
 // against the CA. ForServer must name the server before use. It returns an *Error of kind Missing
 // without a CA file.
 func (s *Store) Client() (*tls.Config, error) {
@@ -47,7 +47,10 @@
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			return s.current().pair, nil
+			if pair := s.current().pair; pair != nil {
+				return pair, nil
+			}
+			return &tls.Certificate{}, nil // none is presented
 		},
 		// RootCAs cannot change after it is set, so verify does the verification instead.
 		InsecureSkipVerify: true,
--- a/internal/certificate/peer_test.go
+++ b/internal/certificate/peer_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/internal/certificate"
+	"github.com/dandelionpier/dandelionpier/internal/certificate/certificatetest"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/peer"
 	"github.com/dandelionpier/dandelionpier/internal/task"
@@ -67,10 +68,10 @@
 // Guards against peers that are accepted without a certificate of the deployment's CA, or with one for
 // another address.
 func TestPeers(t *testing.T) {
-	ours, other := newAuthority(t), newAuthority(t)
-	pair := ours.issue(t, 11, "127.0.0.1")
-	good := newSite(t, pair, ours.pem)
-	foreign := newSite(t, other.issue(t, 12, "127.0.0.1"), ours.pem)
+	ours, other := certificatetest.NewAuthority(t), certificatetest.NewAuthority(t)
+	pair := ours.Issue(t, 11, "127.0.0.1")
+	good := newSite(t, pair, ours.PEM)
+	foreign := newSite(t, other.Issue(t, 12, "127.0.0.1"), ours.PEM)
 	anonymous := good.client()
 	anonymous.GetClientCertificate = nil
 	unnamed := good.client()
@@ -78,7 +79,7 @@
 		state.ServerName = ""
 		return good.client().VerifyConnection(state)
 	}
-	elsewhere := newSite(t, ours.issue(t, 13, "127.0.0.2"), ours.pem)
+	elsewhere := newSite(t, ours.Issue(t, 13, "127.0.0.2"), ours.PEM)
 	for name, test := range map[string]struct {
 		server, client *tls.Config
 		want           peer.Kind
@@ -114,20 +115,20 @@
 // are accepted, and without the old one its certificates are refused.
 func TestChangeCA(t *testing.T) {
 	is := is.New(t)
-	first, second := newAuthority(t), newAuthority(t)
-	a, b := first.issue(t, 11, "127.0.0.1"), second.issue(t, 12, "127.0.0.1")
-	server, client := newSite(t, a, first.pem), newSite(t, a, first.pem)
+	first, second := certificatetest.NewAuthority(t), certificatetest.NewAuthority(t)
+	a, b := first.Issue(t, 11, "127.0.0.1"), second.Issue(t, 12, "127.0.0.1")
+	server, client := newSite(t, a, first.PEM), newSite(t, a, first.PEM)
 	address := servePeers(t, server.mutual())
 	config := client.client()
 	is.NoErr(call(t.Context(), config, address))
-	both := first.pem + second.pem
+	both := first.PEM + second.PEM
 	server.write(a, both)
 	is.NoErr(call(t.Context(), config, address))
 	client.write(b, both)
 	is.NoErr(call(t.Context(), config, address))
 	server.write(b, both)
 	is.NoErr(call(t.Context(), config, address))
-	server.write(b, second.pem)
+	server.write(b, second.PEM)
 	is.NoErr(call(t.Context(), config, address))
 	client.write(a, both)
 	is.True(fault.Is(call(t.Context(), config, address), peer.Denied))
@@ -137,8 +138,8 @@
 // process does: the end of the call's context ends the handshake.
 func TestStalledHandshake(t *testing.T) {
 	is := is.New(t)
-	ca := newAuthority(t)
-	s := newSite(t, ca.issue(t, 11, "127.0.0.1"), ca.pem)
+	ca := certificatetest.NewAuthority(t)
+	s := newSite(t, ca.Issue(t, 11, "127.0.0.1"), ca.PEM)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer listener.Close()
@@ -164,8 +165,8 @@
 // Guards against a call without a deadline that waits for ever for a peer that reads and does not answer
 // the TLS handshake.
 func TestHandshakeTimeout(t *testing.T) {
-	ca := newAuthority(t)
-	s := newSite(t, ca.issue(t, 11, "127.0.0.1"), ca.pem)
+	ca := certificatetest.NewAuthority(t)
+	s := newSite(t, ca.Issue(t, 11, "127.0.0.1"), ca.PEM)
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		started := time.Now()
@@ -185,8 +186,8 @@
 // Guards against a client that sends nothing and holds the end of the server.
 func TestSilentClient(t *testing.T) {
 	is := is.New(t)
-	ca := newAuthority(t)
-	s := newSite(t, ca.issue(t, 11, "127.0.0.1"), ca.pem)
+	ca := certificatetest.NewAuthority(t)
+	s := newSite(t, ca.Issue(t, 11, "127.0.0.1"), ca.PEM)
 	var silent net.Conn
 	t.Cleanup(func() { _ = silent.Close() }) // after the end of the server, for which the test waits
 	address := servePeers(t, s.mutual())
@@ -199,8 +200,8 @@
 // Guards against a resumed session, whose client certificate the server does not verify again.
 func TestNoResumption(t *testing.T) {
 	is := is.New(t)
-	ca := newAuthority(t)
-	s := newSite(t, ca.issue(t, 11, "127.0.0.1"), ca.pem)
+	ca := certificatetest.NewAuthority(t)
+	s := newSite(t, ca.Issue(t, 11, "127.0.0.1"), ca.PEM)
 	listener := echo(t, s.mutual())
 	config := certificate.ForServer(s.client(), "127.0.0.1")
 	config.ClientSessionCache = tls.NewLRUClientSessionCache(1)
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"io"
@@ -36,6 +37,8 @@
 type ClientConfig struct {
 	// Timeout bounds each call in addition to its context; 0 means 2 s.
 	Timeout time.Duration
+	// TLS is the configuration of connections to endpoints; nil means that they are plain.
+	TLS *tls.Config
 	// Transport is for tests; nil means a transport of its own with keep-alive connections.
 	Transport http.RoundTripper
 }
@@ -45,6 +48,7 @@
 // Client calls the platform paths of endpoints. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	tls  *tls.Config
 }
 
 // NewClient returns a client.
@@ -53,9 +57,9 @@
 		config.Timeout = defaultTimeout
 	}
 	if config.Transport == nil {
-		config.Transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+		config.Transport = Secure(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}, config.TLS)
 	}
-	return &Client{http: &http.Client{Timeout: config.Timeout, Transport: config.Transport}}
+	return &Client{http: &http.Client{Timeout: config.Timeout, Transport: config.Transport}, tls: config.TLS}
 }
 
 // Create reserves memory at an engine. A Refused error means that the engine has not enough free.
@@ -120,7 +124,7 @@
 }
 
 func (c *Client) call(ctx context.Context, op, method, address, path string, body, result any) error {
-	request, err := newRequest(ctx, method, "http://"+address+path, body)
+	request, err := newRequest(ctx, method, URL(c.tls, address, path), body)
 	if err != nil {
 		return fault.Wrap(err, op, Unexpected, address)
 	}
--- /dev/null
+++ b/internal/endpoint/transport.go
@@ -0,0 +1,31 @@
+package endpoint
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
+)
+
+// Secure makes a transport connect to https addresses by the TLS configuration, which certificate.Client
+// has, and returns it. A nil configuration leaves it as it is. HTTP/2 is not offered.
+func Secure(transport *http.Transport, config *tls.Config) *http.Transport {
+	if config == nil {
+		return transport
+	}
+	dial := transport.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	transport.DialTLSContext = certificate.DialTLS(config, dial)
+	return transport
+}
+
+// URL returns the address of a path at an endpoint: https when there is a TLS configuration, else http.
+func URL(config *tls.Config, address, path string) string {
+	if config == nil {
+		return "http://" + address + path
+	}
+	return "https://" + address + path
+}
--- a/pierctl/internal/cli/tls_test.go
+++ b/pierctl/internal/cli/tls_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/dandelionpier/dandelionpier/internal/certificate/certificatetest"
 )
 
 // Guards against https addresses that are not verified against the CA file, and against a CA file with
@@ -30,12 +32,21 @@
 	empty := filepath.Join(directory, "empty.pem")
 	is.New(t).NoErr(os.WriteFile(empty, nil, 0o600))
 
+	authority := certificatetest.NewAuthority(t)
+	pair := authority.Expired(t, 2, "127.0.0.1")
+	expired := httptest.NewUnstartedServer(server.Config.Handler)
+	expired.Config.ErrorLog = server.Config.ErrorLog
+	expired.TLS = pair.Server(t)
+	expired.StartTLS()
+	defer expired.Close()
+
 	for name, test := range map[string]struct {
 		args []string
 		code int
 		errs string
 	}{
 		"verified":      {[]string{"--address", "https://" + address, "--ca-file", ca}, exitDone, ""},
+		"expired":       {[]string{"--address", "https://" + expired.Listener.Addr().String(), "--ca-file", pair.Write(t, authority.PEM).CA}, exitUnavailable, "certificate has expired"},
 		"unknown CA":    {[]string{"--address", "https://" + address}, exitUnavailable, "certificate"},
 		"plain address": {[]string{"--address", address, "--ca-file", ca}, exitUsage, "must start with https://"},
 		"plain request": {[]string{"--address", address}, exitUnavailable, ""},
--- a/standin/internal/announcer/announcer.go
+++ b/standin/internal/announcer/announcer.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"io"
@@ -43,7 +44,9 @@
 	To       []string
 	Interval time.Duration
 	Client   *http.Client
-	Logger   *zap.Logger
+	// TLS says that the client connects to the entries by it.
+	TLS    *tls.Config
+	Logger *zap.Logger
 	// Build returns the current announcement.
 	Build func() endpoint.Announcement
 }
@@ -131,7 +134,7 @@
 	var reply endpoint.AnnounceReply
 	ctx, cancel := context.WithTimeout(ctx, a.config.Interval)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, endpoint.URL(a.config.TLS, address, path), bytes.NewReader(body))
 	if err != nil {
 		return reply, fault.Wrap(err, "announce", Unreachable, address)
 	}
--- a/standin/internal/cli/cli.go
+++ b/standin/internal/cli/cli.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"fmt"
 	"net/http"
 	"os"
@@ -12,6 +13,8 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/program"
 	"github.com/dandelionpier/dandelionpier/standin/internal/engine"
@@ -100,19 +103,28 @@
 	if err != nil {
 		return err
 	}
+	configs, err := o.TLS.Open(logger)
+	if err != nil {
+		return err
+	}
 	incarnation := rand.Text()
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	var memberTLS *tls.Config
+	if o.TLS.Serve {
+		memberTLS = configs.PeerClient
+	}
+	client := &http.Client{Transport: endpoint.Secure(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}, memberTLS)}
 	e := engine.New(engine.Config{
 		Options:     o,
 		Incarnation: incarnation,
 		Logger:      logger,
 		Client:      client,
+		TLS:         memberTLS,
 		Crash: func() {
 			logger.Error("simulated crash")
 			os.Exit(exitCrash)
 		},
 	})
-	return run(ctx, o.Common, e, logger, incarnation)
+	return run(ctx, o.Common, configs, e, logger, incarnation)
 }
 
 func runService(ctx context.Context, path string) error {
@@ -124,7 +136,11 @@
 	if err != nil {
 		return err
 	}
-	return run(ctx, o.Common, service.New(o), logger, rand.Text())
+	configs, err := o.TLS.Open(logger)
+	if err != nil {
+		return err
+	}
+	return run(ctx, o.Common, configs, service.New(o), logger, rand.Text())
 }
 
 func runWeights(ctx context.Context, path string) error {
@@ -138,14 +154,18 @@
 	}
 	// Announcements have no type for a weight store.
 	o.AnnounceTo = nil
-	return run(ctx, o.Common, weights.New(o), logger, rand.Text())
+	configs, err := o.TLS.Open(logger)
+	if err != nil {
+		return err
+	}
+	return run(ctx, o.Common, configs, weights.New(o), logger, rand.Text())
 }
 
 func newLogger(o options.Common) (*zap.Logger, error) {
 	return logging.New(logging.Config{Level: o.LogLevel, Program: "standin", Instance: o.Name})
 }
 
-func run(ctx context.Context, o options.Common, e node.Endpoint, logger *zap.Logger, incarnation string) error {
-	n := node.New(node.Config{Options: o, Endpoint: e, Logger: logger, Incarnation: incarnation})
+func run(ctx context.Context, o options.Common, configs certificate.Configs, e node.Endpoint, logger *zap.Logger, incarnation string) error {
+	n := node.New(node.Config{Options: o, TLS: configs, Endpoint: e, Logger: logger, Incarnation: incarnation})
 	return n.Run(ctx)
 }
--- a/standin/internal/engine/completion.go
+++ b/standin/internal/engine/completion.go
@@ -169,7 +169,7 @@
 	}
 	if len(h.group) > 0 {
 		seconds := float64(p.tokens) / e.config.Options.PrefillRate / float64(1+len(h.group))
-		lead(ctx, e.config.Client, attempt, h.group, time.Duration(seconds*float64(time.Second)))
+		lead(ctx, caller{e.config.Client, e.config.TLS}, attempt, h.group, time.Duration(seconds*float64(time.Second)))
 	}
 	e.config.Logger.Debug("request submitted", zap.String(logging.RequestID, h.requestID),
 		zap.String(logging.AttemptID, h.attemptID), zap.Int("tokens", p.tokens))
--- a/standin/internal/engine/engine.go
+++ b/standin/internal/engine/engine.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -34,6 +35,8 @@
 	Logger      *zap.Logger
 	// Client is used to reach the weight store and the members of groups.
 	Client *http.Client
+	// TLS says that the members of groups are called by https, by which the client connects.
+	TLS *tls.Config
 	// Crash ends the process.
 	Crash func()
 }
--- a/standin/internal/engine/group.go
+++ b/standin/internal/engine/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/standin/internal/model"
 )
 
@@ -20,22 +22,28 @@
 	maxRenewFailures = 3
 )
 
+// caller calls other engines, over TLS if there is a configuration.
+type caller struct {
+	client *http.Client
+	tls    *tls.Config
+}
+
 // lead keeps the members' holdings alive while the attempt runs and releases them at its end. The
 // attempt fails when a member no longer has its holding or cannot be reached. The prefill occupies
 // every member for the given simulated time.
-func lead(ctx context.Context, client *http.Client, attempt *model.Attempt, group []member, prefill time.Duration) {
+func lead(ctx context.Context, via caller, attempt *model.Attempt, group []member, prefill time.Duration) {
 	for _, m := range group {
-		go m.keep(context.WithoutCancel(ctx), client, attempt, prefill)
+		go m.keep(context.WithoutCancel(ctx), via, attempt, prefill)
 	}
 }
 
-func (m member) keep(ctx context.Context, client *http.Client, attempt *model.Attempt, prefill time.Duration) {
+func (m member) keep(ctx context.Context, via caller, attempt *model.Attempt, prefill time.Duration) {
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
 	failures := 0
 	suffix := "/renew?occupy-ms=" + strconv.FormatInt(prefill.Milliseconds(), 10)
 	for {
-		status, err := m.call(ctx, client, http.MethodPost, suffix)
+		status, err := m.call(ctx, via, http.MethodPost, suffix)
 		switch {
 		case err != nil:
 			failures++
@@ -51,22 +59,22 @@
 		}
 		select {
 		case <-attempt.Ended():
-			_, _ = m.call(ctx, client, http.MethodDelete, "")
+			_, _ = m.call(ctx, via, http.MethodDelete, "")
 			return
 		case <-ticker.C:
 		}
 	}
 }
 
-func (m member) call(ctx context.Context, client *http.Client, method, suffix string) (status int, err error) {
+func (m member) call(ctx context.Context, via caller, method, suffix string) (status int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	target := "http://" + m.address + "/platform/holdings/" + url.PathEscape(m.holding) + suffix
+	target := endpoint.URL(via.tls, m.address, "/platform/holdings/"+url.PathEscape(m.holding)+suffix)
 	request, err := http.NewRequestWithContext(ctx, method, target, http.NoBody)
 	if err != nil {
 		return 0, err
 	}
-	response, err := client.Do(request)
+	response, err := via.client.Do(request)
 	if err != nil {
 		return 0, err
 	}
--- a/standin/internal/node/node.go
+++ b/standin/internal/node/node.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/standin/internal/announcer"
@@ -49,6 +51,8 @@
 	Options  options.Common
 	Endpoint Endpoint
 	Logger   *zap.Logger
+	// TLS are the configurations of the options.
+	TLS certificate.Configs
 	// Listener replaces Options.Listen when it is set.
 	Listener net.Listener
 	// Incarnation changes at each start.
@@ -85,7 +89,9 @@
 	if n.config.Options.Advertise != "" {
 		n.address = n.config.Options.Advertise
 	}
-	server := &http.Server{Handler: n.config.Endpoint.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	listener = n.secure(listener)
+	errorLog, _ := zap.NewStdLogAt(n.config.Logger, zap.WarnLevel)
+	server := &http.Server{Handler: n.config.Endpoint.Handler(), ReadHeaderTimeout: 10 * time.Second, ErrorLog: errorLog}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	n.config.Logger.Info("listening", zap.String("address", n.address))
@@ -93,12 +99,17 @@
 
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}
+	var announceTLS *tls.Config
+	if n.config.Options.TLS.Announce {
+		announceTLS = n.config.TLS.PeerClient
+	}
+	client := &http.Client{Transport: endpoint.Secure(&http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}, announceTLS)}
 	defer client.CloseIdleConnections()
 	a := announcer.New(n.config.Options.Name, announcer.Config{
 		To:       n.config.Options.AnnounceTo,
 		Interval: n.config.Options.AnnounceInterval,
 		Client:   client,
+		TLS:      announceTLS,
 		Logger:   n.config.Logger,
 		Build:    n.announcement,
 	})
@@ -122,6 +133,18 @@
 	return fault.Wrap(err, "stop", Listen, n.address)
 }
 
+// secure makes the listener serve TLS if the options say so.
+func (n *Node) secure(listener net.Listener) net.Listener {
+	switch o := n.config.Options.TLS; {
+	case !o.Serve:
+		return listener
+	case o.Clients:
+		return tls.NewListener(listener, n.config.TLS.PeerServer)
+	default:
+		return tls.NewListener(listener, n.config.TLS.Server)
+	}
+}
+
 // Ready is closed when the node listens.
 func (n *Node) Ready() <-chan struct{} {
 	return n.ready
--- a/standin/internal/node/node_test.go
+++ b/standin/internal/node/node_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -13,9 +16,13 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
+	"github.com/dandelionpier/dandelionpier/internal/certificate/certificatetest"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/standin/internal/node"
 	"github.com/dandelionpier/dandelionpier/standin/internal/options"
+	"github.com/dandelionpier/dandelionpier/standin/internal/service"
 )
 
 // Guards against a stop that cuts a request in flight or leaves without saying so.
@@ -95,3 +102,61 @@
 func (s *slowService) Active() int                         { return int(s.active.Load()) }
 func (s *slowService) Drain()                              {}
 func (s *slowService) Run(context.Context)                 {}
+
+// Guards against a stand-in that serves plain although its settings say TLS, that does not ask for client
+// certificates, or that announces itself to an entry it cannot verify.
+func TestTLS(t *testing.T) {
+	ours, other := certificatetest.NewAuthority(t), certificatetest.NewAuthority(t)
+	files := ours.Issue(t, 2, "127.0.0.1").Write(t, ours.PEM)
+	client := certificate.ClientFiles{CA: files.CA, Certificate: files.Certificate, Key: files.Key}
+	for name, test := range map[string]struct {
+		options  options.TLS
+		client   certificate.ClientFiles
+		entry    *tls.Config
+		ok       bool
+		announce bool
+	}{
+		"served":                {options.TLS{Files: files, Serve: true}, certificate.ClientFiles{CA: files.CA}, nil, true, true},
+		"plain request":         {options.TLS{Files: files, Serve: true}, certificate.ClientFiles{}, nil, false, true},
+		"client certificate":    {options.TLS{Files: files, Serve: true, Clients: true}, client, nil, true, true},
+		"no client certificate": {options.TLS{Files: files, Serve: true, Clients: true}, certificate.ClientFiles{CA: files.CA}, nil, false, true},
+		"announced by TLS":      {options.TLS{Files: files, Announce: true}, certificate.ClientFiles{}, ours.Issue(t, 3, "127.0.0.1").Server(t), true, true},
+		"entry of another CA":   {options.TLS{Files: files, Announce: true}, certificate.ClientFiles{}, other.Issue(t, 4, "127.0.0.1").Server(t), true, false},
+		"expired entry":         {options.TLS{Files: files, Announce: true}, certificate.ClientFiles{}, ours.Expired(t, 5, "127.0.0.1").Server(t), true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var announced atomic.Int64
+			entry := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				announced.Add(1)
+				_, _ = w.Write([]byte(`{}`))
+			}))
+			entry.Config.ErrorLog = log.New(io.Discard, "", 0)
+			if entry.TLS = test.entry; test.entry != nil {
+				entry.StartTLS()
+			} else {
+				entry.Start()
+			}
+			defer entry.Close()
+			configs, err := test.options.Open(zap.NewNop())
+			is.NoErr(err)
+			n := node.New(node.Config{
+				Options: options.Common{
+					Name: "s1", Listen: "127.0.0.1:0", AnnounceTo: []string{entry.Listener.Addr().String()}, AnnounceInterval: time.Hour, TLS: test.options,
+				},
+				TLS: configs, Endpoint: service.New(options.Service{Services: []string{"counter"}}), Logger: zap.NewNop(),
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			stopped := make(chan error, 1)
+			go func() { stopped <- n.Run(ctx) }()
+			<-n.Ready()
+			opened, err := test.client.Open(zap.NewNop())
+			is.NoErr(err)
+			_, err = endpoint.NewClient(endpoint.ClientConfig{TLS: opened.Config}).List(t.Context(), n.Address())
+			is.Equal(fault.Is(err, endpoint.Unexpected), test.ok) // the service answers, with no list of holdings
+			cancel()
+			is.NoErr(<-stopped)
+			is.Equal(announced.Load() > 0, test.announce) // it announces at the latest that it leaves
+		})
+	}
+}
--- a/standin/internal/options/options.go
+++ b/standin/internal/options/options.go
@@ -4,6 +4,9 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/certificate"
 	"github.com/dandelionpier/dandelionpier/internal/settings"
 )
 
@@ -20,6 +23,26 @@
 	DrainGrace       time.Duration `yaml:"drain-grace" validate:"gte=0" description:"Time between the announcement of a stop and the refusal of new requests."`
 	StopTimeout      time.Duration `yaml:"stop-timeout" validate:"gte=0" description:"Longest wait for running requests at a stop."`
 	Admin            bool          `yaml:"admin" description:"Allow POST and DELETE /standin/faults; for tests only."`
+	TLS              TLS           `yaml:"tls"`
+}
+
+// TLS are the files of the certificate, and what uses them. The calls between the engines of a group are
+// over TLS when the engines serve it.
+type TLS struct {
+	certificate.Files `yaml:",inline"`
+
+	Serve    bool `yaml:"serve" description:"Serve over TLS; needs the ca too, against which the members of a group are verified."`
+	Clients  bool `yaml:"clients" description:"Refuse clients without a certificate of the ca."`
+	Announce bool `yaml:"announce" description:"Announce over TLS, to entries with a certificate of the ca."`
+}
+
+// Open loads the files.
+func (t TLS) Open(logger *zap.Logger) (certificate.Configs, error) {
+	return t.Files.Open(certificate.Use{Server: t.Serve, Peers: t.Serve || t.Announce}, logger)
+}
+
+func (t TLS) check() error {
+	return t.Files.Check(certificate.Use{Server: t.Serve, Peers: t.Serve || t.Announce})
 }
 
 // Fault is a fault that requests meet.
@@ -121,20 +144,26 @@
 // LoadEngine reads the settings of an engine.
 func LoadEngine(path string) (Engine, error) {
 	o := DefaultEngine()
-	err := settings.Load(path, &o)
-	return o, err
+	if err := settings.Load(path, &o); err != nil {
+		return o, err
+	}
+	return o, o.TLS.check()
 }
 
 // LoadService reads the settings of a plain service.
 func LoadService(path string) (Service, error) {
 	o := DefaultService()
-	err := settings.Load(path, &o)
-	return o, err
+	if err := settings.Load(path, &o); err != nil {
+		return o, err
+	}
+	return o, o.TLS.check()
 }
 
 // LoadWeights reads the settings of a weight store.
 func LoadWeights(path string) (Weights, error) {
 	o := DefaultWeights()
-	err := settings.Load(path, &o)
-	return o, err
+	if err := settings.Load(path, &o); err != nil {
+		return o, err
+	}
+	return o, o.TLS.check()
 }
