--- a/controld/internal/cli/settings.go
+++ b/controld/internal/cli/settings.go
@@ -17,7 +17,7 @@
 	PeerListen        string              `yaml:"peer-listen" validate:"required,listen_address" description:"Address for the other processes of the system."`
 	AdvertisePeer     string              `yaml:"advertise-peer" validate:"omitempty,hostname_port" description:"Address that other processes are told; empty means the address listened on."`
 	OperatorListen    string              `yaml:"operator-listen" validate:"required,listen_address" description:"Address of the operators' API."`
-	AdvertiseOperator string              `yaml:"advertise-operator" validate:"omitempty,hostname_port" description:"Address that operators are told; empty means the address listened on."`
+	AdvertiseOperator string              `yaml:"advertise-operator" validate:"omitempty,hostname_port" description:"Has no effect at present: each control instance answers operators itself."`
 	MetricsListen     string              `yaml:"metrics-listen" validate:"omitempty,listen_address" description:"Address of metrics, health and readiness; empty means none."`
 	ClusterKey        string              `yaml:"cluster-key" validate:"required,min=16" description:"Key that all processes of the deployment share."`
 	Bootstrap         []Voter             `yaml:"bootstrap" validate:"dive" description:"First voters, the same list on each of them; used only while the data directory is new."`
@@ -47,7 +47,7 @@
 type Voter struct {
 	Instance string `yaml:"instance" validate:"required" description:"Name of the control instance."`
 	Address  string `yaml:"address" validate:"required,hostname_port" description:"Its peer address."`
-	Operator string `yaml:"operator" validate:"omitempty,hostname_port" description:"Its address for operators."`
+	Operator string `yaml:"operator" validate:"omitempty,hostname_port" description:"Has no effect at present, as advertise-operator."`
 }
 
 const (
--- a/internal/language/language_test.go
+++ b/internal/language/language_test.go
@@ -342,6 +342,21 @@
 	}
 }
 
+// Guards against durations with the digits of a binary fraction, such as 3.5789999999999997.
+func TestSeconds(t *testing.T) {
+	is := is.New(t)
+	for ms := range 10_000 {
+		text := language.Seconds(time.Duration(ms) * time.Millisecond).String()
+		_, fraction, _ := strings.Cut(text, ".")
+		if len(fraction) > 3 {
+			t.Fatalf("%d ms is written %s", ms, text)
+		}
+	}
+	is.Equal(language.Seconds(3579*time.Millisecond+400*time.Microsecond).String(), "3.579")
+	is.Equal(language.Seconds(-1500*time.Millisecond).String(), "-1.5")
+	is.Equal(language.Seconds(0).String(), "0")
+}
+
 // Guards against amounts that are rounded.
 func TestCents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/language/table.go
+++ b/internal/language/table.go
@@ -14,7 +14,9 @@
 
 // String returns the seconds with up to three decimals.
 func (s Seconds) String() string {
-	return strconv.FormatFloat(time.Duration(s).Round(time.Millisecond).Seconds(), 'f', -1, 64)
+	// Duration.Seconds adds whole and fraction, which is not the float nearest to the decimal.
+	ms := time.Duration(s).Round(time.Millisecond).Milliseconds()
+	return strconv.FormatFloat(float64(ms)/1000, 'f', -1, 64)
 }
 
 // MarshalJSON writes the seconds as a number.
