Give a model several cells by its declared replicas

Cause: a model or service of a region had one cell whatever its number of replicas.

Ruled out: a number of cells from the membership or from the announced endpoints, on which entries do not agree at one revision; two reservations of which one is cancelled, which takes memory twice and can leak; a modulo of the endpoint's name, which moves nearly all endpoints.

Change: a model has one cell for each 32 declared replicas, rounded up, at most 256. An endpoint belongs to one of them by rendezvous hashing of its name. When the number changes, an endpoint's grants go to its new cell by the Alive events of their entries; nothing is cancelled. A group whose members are split stays known in both cells. Dispatch.Estimate says what Reserve would do and reserves nothing. Cells of a model tell each other of lost connections, refutations and deaths (Dispatch.Share), so that two deaths anywhere quarantine a request.

Tests: TestCrashingRequestAcrossCells has 4 deaths without the marking of bound requests and without what cells tell each other, 2 with both. TestGrantsFollowTheirEndpoints found group holdings that were deleted when the number of cells fell to one. TestCellUnderAnyEvents now compares each estimate with the reservation that follows. TestDispatchers draws replicas as well; the region of a cell is read from the name of its model's first cell, since further cells have a number behind it.

--- a/controld/internal/operator/fleet.go
+++ b/controld/internal/operator/fleet.go
@@ -105,8 +105,8 @@
 	}
 	var cells []string
 	for region := range regions {
-		for name := range c.Models {
-			cells = append(cells, dispatch.Cell(name, region))
+		for name, model := range c.Models {
+			cells = append(cells, dispatch.Cells(dispatch.Cell(name, region), model.Cells())...)
 		}
 		for name := range c.Services {
 			cells = append(cells, dispatch.Cell(name, region))
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -1,7 +1,12 @@
 package dispatch
 
 import (
+	"encoding/gob"
 	"fmt"
+	"maps"
+	"net/rpc"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -71,3 +76,90 @@
 		c.dropItem(epoch, c.items["joins"])
 	}
 }
+
+// BenchmarkCells measures what one request costs the dispatchers of a model: the reservation in one cell
+// of 128 replicas, and two estimates and the reservation in cells of 32. Bytes are of net/rpc with gob,
+// both ways.
+func BenchmarkCells(b *testing.B) {
+	b.Run("cells=1", func(b *testing.B) {
+		c, r := loadedCell(128)
+		benchmarkRequest(b, []*cell{c}, r)
+	})
+	b.Run("cells=4", func(b *testing.B) {
+		c, r := loadedCell(32)
+		other, _ := loadedCell(32)
+		benchmarkRequest(b, []*cell{c, other}, r)
+	})
+}
+
+func benchmarkRequest(b *testing.B, cells []*cell, r ReserveRequest) {
+	b.ReportAllocs()
+	now := epoch
+	requests, replies := &counter{}, &counter{}
+	encodeRequest, encodeReply := gob.NewEncoder(requests), gob.NewEncoder(replies)
+	encode := func(method string, request, reply any) {
+		_ = encodeRequest.Encode(rpc.Request{ServiceMethod: method, Seq: 1000})
+		_ = encodeRequest.Encode(request)
+		_ = encodeReply.Encode(rpc.Response{ServiceMethod: method, Seq: 1000})
+		_ = encodeReply.Encode(reply)
+	}
+	id := strings.Repeat("a", 32)
+	r.RequestID, r.AttemptID, r.Entry, r.Fingerprint = id, id, "entry-1/0123456789abcdef", 1<<60
+	for range 2 { // the first pass also has the descriptions of the types
+		requests.bytes, replies.bytes = 0, 0
+		if len(cells) > 1 {
+			for _, c := range cells {
+				encode("Dispatch.Estimate", r, c.estimate(now, r))
+			}
+		}
+		encode("Dispatch.Reserve", r, cells[0].reserve(now, r))
+		cells[0].report(now, Event{Cell: testCell, Grant: id, Type: Cancelled})
+		delete(cells[0].ended, id)
+	}
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		if len(cells) > 1 {
+			for _, c := range cells {
+				c.estimate(now, r)
+			}
+		}
+		if reply := cells[0].reserve(now, r); reply.Status != Granted {
+			b.Fatalf("not granted: %+v", reply)
+		}
+		cells[0].report(now, Event{Cell: testCell, Grant: id, Type: Cancelled})
+		delete(cells[0].ended, id)
+	}
+	b.ReportMetric(float64(requests.bytes+replies.bytes), "bytes/request")
+}
+
+// counter counts what is written to it.
+type counter struct {
+	bytes int
+}
+
+func (c *counter) Write(p []byte) (int, error) {
+	c.bytes += len(p)
+	return len(p), nil
+}
+
+// BenchmarkCellOf measures the share of endpoints that move when a model gets one more cell, and the
+// fullest cell over the mean of 32.
+func BenchmarkCellOf(b *testing.B) {
+	for _, count := range []int{1, 2, 4, 10} {
+		b.Run(fmt.Sprintf("cells=%d", count), func(b *testing.B) {
+			moved, sizes := 0, map[string]int{}
+			for i := range 32 * count {
+				name := engine(i, 0).Name
+				sizes[CellOf(testCell, name, count)]++
+				if CellOf(testCell, name, count) != CellOf(testCell, name, count+1) {
+					moved++
+				}
+			}
+			for b.Loop() {
+				CellOf(testCell, "engine-007", count)
+			}
+			b.ReportMetric(100*float64(moved)/float64(32*count), "%moved")
+			b.ReportMetric(float64(slices.Max(slices.Collect(maps.Values(sizes))))/32, "max/mean")
+		})
+	}
+}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -130,7 +130,7 @@
 }
 
 func (c listCall) make(ctx context.Context, d *Dispatcher) {
-	cells := d.ownedCells(c.models, c.region)
+	cells := d.ownedCells(c.models, c.region, c.endpoint)
 	if cells == nil {
 		return
 	}
@@ -156,12 +156,12 @@
 	d.finish(c.cell)
 }
 
-// ownedCells returns the cells of an engine's models, or nil when another entry dispatches for one of
+// ownedCells returns the cells of an engine, or nil when another entry dispatches for one of
 // them: only all of them together know which holdings are orphans.
-func (d *Dispatcher) ownedCells(models []string, region string) []*cell {
+func (d *Dispatcher) ownedCells(models []string, region, endpoint string) []*cell {
 	var cells []*cell
 	for _, model := range models {
-		c := d.cell(Cell(model, region))
+		c := d.cell(d.cellOf(model, region, endpoint))
 		if c == nil {
 			return nil
 		}
--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -33,7 +33,10 @@
 // cell is the view of one cell and all decisions on it. Its methods do no I/O and take the time as an
 // argument; calls to endpoints are collected in calls.
 type cell struct {
-	name     string
+	name string
+	// first is the first cell of the model, count the number of its cells at the last tick.
+	first    string
+	count    int
 	config   *Config
 	settings *Settings
 	mu       sync.Mutex
@@ -123,8 +126,11 @@
 }
 
 func newCell(name string, config *Config, now time.Time) *cell {
+	first, _ := SplitCell(name)
 	return &cell{
 		name:     name,
+		first:    first,
+		count:    cellCount(config, first),
 		config:   config,
 		settings: &config.Settings,
 		replicas: make(map[string]*replica),
@@ -299,7 +305,11 @@
 		c.resume(gap)
 	}
 	c.ticked = now
+	c.resize()
 	for _, r := range slices.Clone(c.order) {
+		if r.moved {
+			continue
+		}
 		r.drained = c.config.EndpointDrained(r.name)
 		if now.Sub(r.seen) > endpoint.DeadAfter {
 			c.died(now, r, nil)
@@ -315,6 +325,7 @@
 		}
 	}
 	c.suspects.expire(now)
+	c.expireLosses(now)
 	for _, id := range sortedKeys(c.items, func(it *item) bool { return it.expired(now) }) {
 		c.expireItem(now, c.items[id])
 	}
--- /dev/null
+++ b/internal/dispatch/cells_test.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/matryer/is"
+)
+
+// cellGroup is all cells of a model, used as entries use them. What cells tell each other arrives with
+// the next call at a later time.
+type cellGroup struct {
+	config Config
+	cells  map[string]*cell
+	// count is the number of cells, candidates how many of them a request asks.
+	count, candidates int
+	order             func(request ReserveRequest, count int) []string
+	at                map[string]string
+	messages          []ShareRequest
+	sent              time.Time
+}
+
+func newCellGroup(count int) *cellGroup {
+	g := &cellGroup{config: testConfig(), count: count, candidates: 2, order: Candidates, cells: map[string]*cell{}, at: map[string]string{}}
+	g.config.Cells = func(string) int { return g.count }
+	return g
+}
+
+func (g *cellGroup) cell(now time.Time, name string) *cell {
+	if g.cells[name] == nil {
+		g.cells[name] = newCell(name, &g.config, now)
+	}
+	return g.cells[name]
+}
+
+// settle delivers what was sent before and collects what the cells send now.
+func (g *cellGroup) settle(now time.Time) {
+	if now.After(g.sent) {
+		messages := g.messages
+		g.messages = nil
+		for _, message := range messages {
+			g.cell(now, message.Cell).shared(now, message)
+		}
+	}
+	for _, c := range g.cells {
+		for _, next := range c.calls {
+			if share, ok := next.(shareCall); ok {
+				g.messages, g.sent = append(g.messages, share.request), now
+			}
+		}
+		c.calls = nil
+	}
+}
+
+func (g *cellGroup) choose(now time.Time, request ReserveRequest) string {
+	if g.count == 1 {
+		return testCell
+	}
+	if tried := len(request.Exclude); tried > 0 {
+		return CellOf(testCell, request.Exclude[tried-1], g.count)
+	}
+	names := g.order(request, g.count)
+	best, offer := "", Estimate{}
+	for _, name := range names[:min(g.candidates, len(names))] {
+		if estimate := g.cell(now, name).estimate(now, request); best == "" || estimate.Better(offer) {
+			best, offer = name, estimate
+		}
+	}
+	return best
+}
+
+func (g *cellGroup) reserve(now time.Time, request ReserveRequest) ReserveReply {
+	defer g.settle(now)
+	request.Cell = g.choose(now, request)
+	g.at[request.AttemptID] = request.Cell
+	return g.cell(now, request.Cell).reserve(now, request)
+}
+
+func (g *cellGroup) endAwait(now time.Time, attempt string, began bool) ReserveReply {
+	defer g.settle(now)
+	return g.cell(now, g.at[attempt]).endAwait(now, attempt, began)
+}
+
+func (g *cellGroup) report(now time.Time, event Event) {
+	defer g.settle(now)
+	g.cell(now, g.at[event.Grant]).report(now, event)
+}
+
+func (g *cellGroup) announce(now time.Time, a endpoint.Announcement) {
+	defer g.settle(now)
+	g.cell(now, CellOf(testCell, a.Name, g.count)).announce(now, a)
+}
+
+func (g *cellGroup) tick(now time.Time) {
+	for _, c := range g.cells {
+		c.tick(now)
+	}
+	g.settle(now)
+}
+
+// Guards against endpoints that move between cells that stay, and against cell names that do not name
+// their model's first cell.
+func TestCellOfMovesFewEndpoints(t *testing.T) {
+	is := is.New(t)
+	for count := 1; count < 12; count++ {
+		names := Cells(testCell, count+1)
+		for i := range 400 {
+			name := engine(i, 0).Name
+			before, after := CellOf(testCell, name, count), CellOf(testCell, name, count+1)
+			is.True(after == before || after == names[count])
+		}
+	}
+	for i, name := range Cells("org/oak/north", 3) {
+		first, number := SplitCell(name)
+		is.Equal(first, "org/oak/north")
+		is.Equal(number, i)
+	}
+}
+
+// Guards against copies of a request that are spread over all cells, and against prompts with a common
+// prefix that have no common cell.
+func TestCandidates(t *testing.T) {
+	is := is.New(t)
+	homes := map[string]bool{}
+	for i := range 50 {
+		r := request(fmt.Sprint("r", i), 5000, 10)
+		r.Fingerprint, r.Blocks = uint64(1+i), []uint64{7, uint64(i)}
+		ranked := Candidates(r, 4)
+		is.Equal(len(slices.Compact(slices.Sorted(slices.Values(ranked)))), 4)
+		homes[ranked[0]] = true
+		r.RequestID = "copy"
+		is.Equal(Candidates(r, 4), ranked)
+	}
+	is.Equal(len(homes), 1)
+	is.Equal(Candidates(request("r", 1, 1), 1), []string{testCell})
+}
+
+// Guards against a request that kills more endpoints when its copies meet several cells than in one, or
+// innocent requests that are lost with it. Without what the cells tell each other there are 4 deaths.
+func TestCrashingRequestAcrossCells(t *testing.T) {
+	for name, restart := range map[string]time.Duration{
+		"engines stay dead":                     0,
+		"engines restart within a second":       500 * time.Millisecond,
+		"engines restart after they count dead": 4 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newCellGroup(2)
+			calls := 0
+			g.order = func(request ReserveRequest, count int) []string {
+				names := Cells(testCell, count)
+				if calls++; calls%2 == 0 {
+					slices.Reverse(names) // as the loads of the cells would have it
+				}
+				return names
+			}
+			s := &crashScenario{policy: g, restart: restart}
+			for i := range 8 {
+				s.engines = append(s.engines, engine(i, 100_000))
+			}
+			s.run()
+			t.Logf("deaths %d, fewest alive %d, attempts %d", s.deaths, s.fewest, s.attempts)
+			is.Equal(len(g.cells), 2)
+			is.True(s.deaths <= 2)
+			is.Equal(s.unfinished(), 0)
+			for _, c := range g.cells {
+				is.True(c.quarantined(s.now, crashing))
+				is.Equal(len(c.suspects.byFingerprint), 0)
+			}
+		})
+	}
+}
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -26,7 +26,12 @@
 	// Instance is the name of the entry; it is the holder of holdings.
 	Instance string
 	// Owns says whether this entry dispatches for the cell now; nil means always.
-	Owns     func(cell string) bool
+	Owns func(cell string) bool
+	// Cells returns the number of cells of a model by the name of its first one; nil means one.
+	Cells func(first string) int
+	// Share is called in a goroutine of Run to tell another cell of the same model of a crash; nil means
+	// that each cell knows only its own.
+	Share    func(request ShareRequest)
 	Holdings Holdings
 	Settings Settings
 	// Clock returns the time; nil means time.Now.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -42,6 +42,12 @@
 	if config.Owns == nil {
 		config.Owns = func(string) bool { return true }
 	}
+	if config.Cells == nil {
+		config.Cells = func(string) int { return 1 }
+	}
+	if config.Share == nil {
+		config.Share = func(ShareRequest) {}
+	}
 	if config.Clock == nil {
 		config.Clock = time.Now
 	}
@@ -75,6 +81,23 @@
 	return c.reserve(d.config.Clock(), request), nil
 }
 
+// Estimate returns the offer of a cell. It reserves nothing.
+func (d *Dispatcher) Estimate(_ context.Context, request ReserveRequest) (Estimate, error) {
+	c := d.cell(request.Cell)
+	if c == nil {
+		return Estimate{Status: Elsewhere}, nil
+	}
+	c.mu.Lock()
+	defer d.finish(c)
+	return c.estimate(d.config.Clock(), request), nil
+}
+
+// Share takes what another cell of the same model knows of crashes.
+func (d *Dispatcher) Share(_ context.Context, request ShareRequest) error {
+	d.locked(request.Cell, func(c *cell) { c.shared(d.config.Clock(), request) })
+	return nil
+}
+
 // Await waits until a queued reservation is granted or refused, at most request.Wait or 10 s, and
 // returns Queued when it still waits. An unknown ticket gives Elsewhere: reserve again.
 func (d *Dispatcher) Await(ctx context.Context, request AwaitRequest) (ReserveReply, error) {
@@ -116,12 +139,12 @@
 	return nil
 }
 
-// Announce takes announcements of endpoints; each one counts in the cells of all its models.
+// Announce takes announcements of endpoints; each one counts in one cell of each of its models.
 func (d *Dispatcher) Announce(_ context.Context, request AnnounceRequest) error {
 	byCell := make(map[string][]endpoint.Announcement)
 	for _, announcement := range request.Announcements {
 		for _, model := range announcement.Models {
-			name := Cell(model, announcement.Region)
+			name := d.cellOf(model, announcement.Region, announcement.Name)
 			byCell[name] = append(byCell[name], announcement)
 		}
 	}
@@ -159,9 +182,21 @@
 	return c.view(d.config.Clock()), nil
 }
 
+// cellOf returns the cell of an endpoint among those of a model.
+func (d *Dispatcher) cellOf(model, region, endpoint string) string {
+	first := Cell(model, region)
+	return CellOf(first, endpoint, d.config.Cells(first))
+}
+
+// owns says whether this entry dispatches for the cell and the model still has so many cells.
+func (d *Dispatcher) owns(name string) bool {
+	first, number := SplitCell(name)
+	return (number == 0 || number < d.config.Cells(first)) && d.config.Owns(name)
+}
+
 // cell returns the cell of that name, or nil when this entry does not own it.
 func (d *Dispatcher) cell(name string) *cell {
-	if !d.config.Owns(name) {
+	if !d.owns(name) {
 		return nil
 	}
 	d.mu.Lock()
@@ -250,7 +285,7 @@
 // grants, so nothing is cancelled.
 func (d *Dispatcher) tick() {
 	for _, c := range d.owned() {
-		if d.config.Owns(c.name) {
+		if d.owns(c.name) {
 			c.mu.Lock()
 			c.tick(d.config.Clock())
 			idle := c.idle(d.config.Clock())
--- /dev/null
+++ b/internal/dispatch/estimate.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Estimate is what a cell would do with a request that it has reserved nothing for.
+type Estimate struct {
+	Status Status
+	Reason Reason
+	// Cost is in weighted seconds. It compares offers with the same status.
+	Cost float64
+	// Bound says that another cell must not run the request: a copy of it runs here and none has finished
+	// before, or it may have crashed endpoints.
+	Bound bool
+}
+
+// Better reports whether an offer is better than another one: a cell where a copy runs comes first, a
+// grant at once before a place in the queue, and that before a refusal.
+func (e Estimate) Better(other Estimate) bool {
+	if e.rank() != other.rank() {
+		return e.rank() < other.rank()
+	}
+	return e.Cost < other.Cost
+}
+
+func (e Estimate) rank() int {
+	if e.Bound {
+		return -1
+	}
+	order := []Status{Granted, Queued, Refused}
+	if at := slices.Index(order, e.Status); at >= 0 {
+		return at
+	}
+	return len(order)
+}
+
+// Usable reports whether the cell would run the request.
+func (e Estimate) Usable() bool {
+	return e.Status == Granted || e.Status == Queued
+}
+
+// estimate says what reserve would do, without doing it.
+func (c *cell) estimate(now time.Time, request ReserveRequest) Estimate {
+	if c.closed {
+		return Estimate{Status: Elsewhere}
+	}
+	fingerprint := request.Fingerprint
+	if c.quarantined(now, fingerprint) {
+		return Estimate{Status: Refused, Reason: Quarantine, Bound: true}
+	}
+	it := c.newItem(now, request)
+	estimate := c.offer(now, it)
+	estimate.Bound = c.suspects.mustWait(fingerprint) ||
+		len(c.suspects.running[fingerprint]) > 0 && !c.suspects.isProven(fingerprint)
+	return estimate
+}
+
+func (c *cell) offer(now time.Time, it *item) Estimate {
+	result := outcome{}
+	if !c.suspects.mustWait(it.request.Fingerprint) {
+		usable, largest := c.capacity()
+		where := c.suspects.placement(it.request.Fingerprint, usable)
+		cost := 0.0
+		if largest > 0 && it.tokens > largest {
+			var members []*replica
+			members, cost, result = c.findGroup(now, it, &where)
+			cost *= c.settings.OwnWeight.of(it.class)
+			if members != nil {
+				return Estimate{Status: Granted, Cost: cost}
+			}
+		} else {
+			best := c.choose(now, it, &where)
+			if best.replica != nil {
+				return Estimate{Status: Granted, Cost: best.cost}
+			}
+			result = c.notPlaced(now, it, &best)
+		}
+	}
+	if result.refusal == nil {
+		result.refusal = c.admit(now, it)
+	}
+	if result.refusal != nil {
+		return Estimate{Status: Refused, Reason: result.refusal.Reason, Cost: it.estimate.Seconds()}
+	}
+	return Estimate{Status: Queued, Cost: it.estimate.Seconds()}
+}
--- a/internal/dispatch/grants.go
+++ b/internal/dispatch/grants.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dandelionpier/dandelionpier/internal/prefix"
@@ -108,7 +109,7 @@
 		c.meanOutput += rateSmoothing * (float64(event.OutputTokens) - c.meanOutput)
 	}
 	c.learnCache(now, g, event.CachedTokens, event.OutputTokens)
-	c.suspects.proved(now, g.fingerprint)
+	c.proved(now, g.fingerprint)
 	c.endGrant(now, g, nil)
 	c.eject(now)
 }
@@ -152,7 +153,7 @@
 		c.ended[event.Grant] = now
 		return
 	}
-	if len(event.Members) == 0 {
+	if len(event.Members) == 0 || !slices.ContainsFunc(event.Members, func(m GrantMember) bool { return c.belongs(m.Endpoint) }) {
 		return
 	}
 	g := &grant{
@@ -175,6 +176,7 @@
 		if r.announcement.Address == "" {
 			r.announcement.Address = m.Address
 		}
+		r.moved = !c.belongs(m.Endpoint)
 		g.parts = append(g.parts, &part{
 			grant: g, replica: r, tokens: m.Tokens, prefill: prefill, remaining: prefill, holding: m.Holding,
 		})
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -25,26 +25,36 @@
 
 // placeGroup reserves the smallest group that can hold the prompt, if its memory is free now.
 func (c *cell) placeGroup(now time.Time, it *item, where *placement) outcome {
+	members, first, result := c.findGroup(now, it, where)
+	if members == nil {
+		return result
+	}
+	return outcome{granted: c.grantGroup(now, it, members, first)}
+}
+
+// findGroup returns the members of the group and the expected time to first token in seconds, or why
+// there is none now.
+func (c *cell) findGroup(now time.Time, it *item, where *placement) (members []*replica, first float64, result outcome) {
 	all, candidates := c.groupCandidates(it)
 	if size, total := smallestGroup(all, it.tokens); size == 0 {
 		if now.Sub(c.created) < patience {
-			return outcome{}
+			return nil, 0, outcome{}
 		}
 		reply := refuse(TooLarge, 0, "prompt and completion need %d tokens of memory; the %d ready engines of cell %s have %d",
 			it.tokens, len(all), c.name, total)
-		return outcome{refusal: &reply}
+		return nil, 0, outcome{refusal: &reply}
 	}
 	size, total := smallestGroup(candidates, it.tokens)
 	if size == 0 {
 		reply := refuse(NoEndpoint, minRetryAfter, "the %d engines of cell %s that were not tried have %d tokens of memory; %d are needed",
 			len(candidates), c.name, total, it.tokens)
-		return outcome{refusal: &reply}
+		return nil, 0, outcome{refusal: &reply}
 	}
-	first := c.groupFirstToken(now, it, candidates[:size])
+	first = c.groupFirstToken(now, it, candidates[:size])
 	it.service = seconds(first)
 	if now.Add(it.service).After(it.deadline) {
 		reply := c.tooLate(it, 0, it.service)
-		return outcome{refusal: &reply}
+		return nil, 0, outcome{refusal: &reply}
 	}
 	var safe []*replica
 	for _, r := range candidates {
@@ -52,11 +62,11 @@
 			safe = append(safe, r)
 		}
 	}
-	members := freeGroup(safe, size, it.tokens, (*replica).free)
+	members = freeGroup(safe, size, it.tokens, (*replica).free)
 	if members == nil || c.groupHeldBack(now, it, members, first) {
-		return outcome{memory: len(safe) >= size, safety: len(safe) < size}
+		return nil, 0, outcome{memory: len(safe) >= size, safety: len(safe) < size}
 	}
-	return outcome{granted: c.grantGroup(now, it, members, first)}
+	return members, first, outcome{}
 }
 
 // groupCandidates returns the engines that may take work by falling memory, and those of them that the
--- a/internal/dispatch/lifecycle.go
+++ b/internal/dispatch/lifecycle.go
@@ -50,8 +50,8 @@
 		c.index.Remove(r.slot)
 		r.slot = c.index.Add(max(1, a.Memory/prefix.BlockTokens))
 	}
-	c.suspects.announced(now, r.name)
-	r.announcement, r.announced, r.seen = a, true, now
+	c.refute(now, r.name)
+	r.announcement, r.announced, r.moved, r.seen = a, true, false, now
 	r.announcement.CacheEvents = nil
 	r.drained = c.config.EndpointDrained(a.Name)
 	r.unsure = time.Time{}
@@ -103,6 +103,10 @@
 		// whose announcements came late made innocent requests suspects, and one was quarantined.
 		return
 	}
+	if l := c.suspects.losses[r.name]; l != nil {
+		running = append(running, l.fingerprints...)
+	}
+	c.share(ShareRequest{Type: ShareDeath, Endpoint: r.name, Fingerprints: running})
 	for _, culprit := range c.suspects.death(now, r.name, running) {
 		c.quarantine(now, culprit)
 	}
--- a/internal/dispatch/machine_test.go
+++ b/internal/dispatch/machine_test.go
@@ -68,6 +68,29 @@
 	m.given[attempt] = reply.Grant
 }
 
+// estimate returns the estimated status, or nothing when the reservation is not the next that the cell
+// decides on: an attempt that it knows, or one before which waiting ones are tried. An estimate must not
+// change anything.
+func (m *machine) estimate(t *rapid.T, r ReserveRequest) Status {
+	_, known := m.cell.known(r.AttemptID)
+	state := func() string {
+		s := fmt.Sprint(allKeys(m.cell.grants), allKeys(m.cell.items), allKeys(m.cell.ended), m.cell.queue.size, len(m.cell.calls), m.cell.hold)
+		for _, r := range m.cell.order {
+			s += fmt.Sprint(r.name, r.reserved, r.lastGrant, r.ejected, len(r.parts))
+		}
+		return s
+	}
+	before := state()
+	estimate := m.cell.estimate(m.now, r)
+	if after := state(); after != before {
+		t.Fatalf("an estimate changed the cell from %s to %s", before, after)
+	}
+	if known || m.cell.queue.size > 0 {
+		return ""
+	}
+	return estimate.Status
+}
+
 func (m *machine) advance(d time.Duration) {
 	for ; d > 0; d -= stall {
 		m.now = m.now.Add(min(d, stall))
@@ -211,7 +234,11 @@
 				if rapid.Bool().Draw(t, "retry") {
 					r.Exclude = []string{m.engines[pick.Draw(t, "exclude")].Name}
 				}
+				want := m.estimate(t, r)
 				reply := m.cell.reserve(m.now, r)
+				if want != "" && want != reply.Status && (want != Granted || len(m.cell.calls) == 0) {
+					t.Fatalf("the estimate of %s was %s, the reservation is %s", id, want, reply.Status)
+				}
 				m.settle()
 				m.record(t, id, reply)
 			},
--- a/internal/dispatch/replica.go
+++ b/internal/dispatch/replica.go
@@ -30,9 +30,12 @@
 	announcement endpoint.Announcement
 	// announced is false for an endpoint that is known only from adopted grants.
 	announced bool
-	drained   bool
-	seen      time.Time
-	slot      int
+	// moved says that the endpoint belongs to another cell of the model; it is known here only for the
+	// members of groups that were reserved before.
+	moved   bool
+	drained bool
+	seen    time.Time
+	slot    int
 	// parts are all grants here, queued those without their first token, by rising key.
 	parts  []*part
 	queued []*part
--- /dev/null
+++ b/internal/dispatch/resize.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import "slices"
+
+func cellCount(config *Config, first string) int {
+	if config.Cells == nil {
+		return 1
+	}
+	return config.Cells(first)
+}
+
+// belongs says whether the endpoint is one of this cell.
+func (c *cell) belongs(endpoint string) bool {
+	return CellOf(c.first, endpoint, c.count) == c.name
+}
+
+// resize gives endpoints away when the number of the model's cells has changed. Their grants go with
+// them: entries report them to the new cell from then on, which adopts them within a second. A group
+// that keeps a member here stays known in both cells, and both renew its holdings. Nothing is cancelled,
+// and a grant that is given away is not remembered as ended, so that it can come back.
+func (c *cell) resize() {
+	if count := cellCount(c.config, c.first); count != c.count {
+		c.count = count
+		for _, r := range c.order {
+			if !r.moved && !c.belongs(r.name) {
+				r.moved, r.announced, r.ejected = true, false, false
+			}
+		}
+	}
+	if !slices.ContainsFunc(c.order, func(r *replica) bool { return r.moved }) {
+		return
+	}
+	for _, id := range sortedKeys(c.grants, func(g *grant) bool { return !g.creating && c.gone(g) }) {
+		c.release(c.grants[id])
+	}
+	for _, r := range slices.Clone(c.order) {
+		if r.moved && len(r.parts) == 0 {
+			c.removeReplica(r)
+		}
+	}
+	if c.hold != nil && slices.ContainsFunc(c.hold.members, func(r *replica) bool { return r.moved }) {
+		c.hold = nil
+	}
+}
+
+// gone says that no member of the grant belongs to this cell any more.
+func (c *cell) gone(g *grant) bool {
+	return !slices.ContainsFunc(g.parts, func(p *part) bool { return !p.replica.moved })
+}
+
+// release forgets a grant that another cell takes over.
+func (c *cell) release(g *grant) {
+	delete(c.grants, g.ID)
+	c.suspects.stopped(g)
+	for _, p := range g.parts {
+		p.replica.remove(p)
+		p.replica.breaker.released(g.ID)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/resize_test.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/matryer/is"
+)
+
+// Guards against requests that are cut, granted memory that is lost and endpoints that count as dead when
+// the number of cells changes while single requests and groups run.
+func TestGrantsFollowTheirEndpoints(t *testing.T) {
+	is := is.New(t)
+	g := newCellGroup(1)
+	now := epoch
+	announce := func() {
+		for i := range 8 {
+			a := engine(i, 1000)
+			if i == 0 {
+				a.Load = endpoint.Load{PrefillRate: 10_000, QueuedPrefill: 10} // known in its cell by its load
+			}
+			g.announce(now, a)
+		}
+	}
+	announce()
+	// One group of all engines, then one request on each.
+	first := g.cell(now, testCell)
+	grants := map[string]Grant{}
+	is.Equal(first.reserve(now, request("group", 3700, 300)).Status, Queued)
+	create := first.calls[0].(createCall)
+	first.calls = nil
+	is.True(first.holdingsCreated(now, create.grant, true))
+	grants["group"] = first.endAwait(now, "group", false).Grant
+	for i := range 4 {
+		id := fmt.Sprint("single-", i)
+		reply := first.reserve(now, request(id, 300, 100))
+		is.Equal(reply.Status, Granted)
+		grants[id] = reply.Grant
+	}
+	holdings := func(name string) (count int) {
+		for _, c := range g.cells {
+			if r := c.replicas[name]; r != nil && !r.moved {
+				count += r.reserved
+			}
+		}
+		return count
+	}
+	before := map[string]int{}
+	for i := range 8 {
+		before[engine(i, 0).Name] = holdings(engine(i, 0).Name)
+	}
+	// wait lets time pass with announcements and events, and returns the calls of the cells to engines.
+	wait := func() (harmful int) {
+		for step := range 100 {
+			now = now.Add(100 * time.Millisecond)
+			if step%10 == 0 {
+				announce()
+				for id, grant := range grants {
+					cells := map[string]bool{}
+					for _, m := range grant.Members {
+						cells[CellOf(testCell, m.Endpoint, g.count)] = true
+					}
+					for name := range cells {
+						g.cell(now, name).report(now, Event{Cell: name, Grant: id, Type: Alive, Members: grant.Members, PromptTokens: 10})
+					}
+				}
+			}
+			for _, c := range g.cells {
+				c.tick(now)
+				for _, next := range c.calls {
+					switch next.(type) {
+					case cancelCall, deleteCall, quarantineCall:
+						harmful++
+					}
+				}
+				c.calls = nil
+			}
+		}
+		return harmful
+	}
+	for _, count := range []int{2, 3, 1, 2} {
+		g.count = count
+		is.Equal(wait(), 0)
+		for i := range 8 {
+			name := engine(i, 0).Name
+			is.Equal(holdings(name), before[name])
+			is.True(g.cell(now, CellOf(testCell, name, count)).replicas[name].announced)
+		}
+		for _, c := range g.cells {
+			is.Equal(len(c.suspects.byFingerprint), 0)
+			for _, r := range c.order {
+				is.True(!r.moved || len(r.parts) > 0)
+			}
+		}
+	}
+	// When their entry is gone, the grants end in all cells.
+	clear(grants)
+	is.True(wait() > 0)
+	for _, c := range g.cells {
+		is.Equal(len(c.grants), 0)
+	}
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -22,6 +22,18 @@
 	return err
 }
 
+// Estimate is Dispatcher.Estimate.
+func (s *Service) Estimate(request ReserveRequest, reply *Estimate) error {
+	var err error
+	*reply, err = s.dispatcher.Estimate(context.Background(), request)
+	return err
+}
+
+// Share is Dispatcher.Share.
+func (s *Service) Share(request ShareRequest, _ *ShareReply) error {
+	return s.dispatcher.Share(context.Background(), request)
+}
+
 // Await is Dispatcher.Await.
 func (s *Service) Await(request AwaitRequest, reply *ReserveReply) error {
 	var err error
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -133,13 +133,14 @@
 }
 
 // announced refutes the losses of an endpoint once it has announced the same life long enough after
-// the last of them.
-func (s *suspects) announced(now time.Time, name string) {
+// the last of them, and reports whether it did.
+func (s *suspects) announced(now time.Time, name string) (refuted bool) {
 	l := s.losses[name]
 	if l == nil || now.Sub(l.last) < refuteAfter {
-		return
+		return false
 	}
 	s.settle(name)
+	return true
 }
 
 // settle removes the losses of an endpoint and returns their fingerprints.
@@ -290,9 +291,12 @@
 		c.suspects.lost(now, head.name, g.fingerprint)
 		// What else runs there is under suspicion at once: its entries may report the loss later than
 		// they ask for another endpoint.
+		lost := []uint64{g.fingerprint}
 		for _, p := range head.parts {
 			c.suspects.lost(now, head.name, p.grant.fingerprint)
+			lost = append(lost, p.grant.fingerprint)
 		}
+		c.share(ShareRequest{Type: ShareLoss, Endpoint: head.name, Fingerprints: lost})
 	}
 	c.eject(now)
 }
--- a/internal/dispatch/wire.go
+++ b/internal/dispatch/wire.go
@@ -1,5 +1,5 @@
 // Package dispatch is the dispatcher of a cell: up to about 32 replicas of one model or service in
-// one region. It alone grants work to the replicas of its cell.
+// one region. It alone grants work to the replicas of its cell. A model with more has several cells.
 package dispatch
 
 import (
@@ -204,8 +204,3 @@
 	Endpoints []EndpointView
 	Waiting   []WaitingView
 }
-
-// Cell returns the name of the cell of a model or service in a region.
-func Cell(model, region string) string {
-	return model + "/" + region
-}
--- a/internal/session/member.go
+++ b/internal/session/member.go
@@ -3,8 +3,10 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/rendezvous"
 )
 
@@ -32,11 +34,11 @@
 // cells names the cells of all declared models and services in a region, sorted.
 func cells(c configuration.Configuration, region string) []string {
 	names := make([]string, 0, len(c.Models)+len(c.Services))
-	for name := range c.Models {
-		names = append(names, name+"/"+region)
+	for name, model := range c.Models {
+		names = append(names, dispatch.Cells(dispatch.Cell(name, region), model.Cells())...)
 	}
 	for name := range c.Services {
-		names = append(names, name+"/"+region)
+		names = append(names, dispatch.Cell(name, region))
 	}
 	slices.Sort(names)
 	return slices.Compact(names)
@@ -76,14 +78,29 @@
 	return m, ok
 }
 
+// Cells returns the number of cells of a model or service by the name of its first one. It is 1 for
+// services and for what is not declared.
+func (v View) Cells(first string) int {
+	model := v.Configuration.Models[first[:max(0, strings.LastIndexByte(first, '/'))]]
+	return model.Cells()
+}
+
+// CellOf returns the cell of an endpoint among those of a model or service.
+func (v View) CellOf(model, region, endpoint string) string {
+	first := dispatch.Cell(model, region)
+	return dispatch.CellOf(first, endpoint, v.Cells(first))
+}
+
 // WithDispatchers returns the view with its cells assigned.
 func (v View) WithDispatchers() View {
 	v.dispatchers = Dispatchers(v.Configuration, v.Members)
 	return v
 }
 
-// sameCells reports whether two configurations declare the same models and services.
+// sameCells reports whether two configurations declare the same models, with as many cells each, and the
+// same services.
 func sameCells(a, b configuration.Configuration) bool {
-	return slices.Equal(slices.Sorted(maps.Keys(a.Models)), slices.Sorted(maps.Keys(b.Models))) &&
+	sameCount := func(x, y configuration.Model) bool { return x.Cells() == y.Cells() }
+	return maps.EqualFunc(a.Models, b.Models, sameCount) &&
 		slices.Equal(slices.Sorted(maps.Keys(a.Services)), slices.Sorted(maps.Keys(b.Services)))
 }
--- a/internal/session/member_test.go
+++ b/internal/session/member_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 )
 
 func manyMembers(count, regions int) []Member {
@@ -35,9 +36,15 @@
 			members[i].Draining = rapid.Bool().Draw(t, "draining")
 		}
 		models := rapid.IntRange(0, 40).Draw(t, "models")
-		assigned := Dispatchers(manyModels(models), members)
-		if len(assigned) != models*regions {
-			t.Fatalf("%d of %d cells are assigned", len(assigned), models*regions)
+		c, cells := manyModels(models), 0
+		for name, model := range c.Models {
+			model.Replicas = rapid.IntRange(0, 200).Draw(t, "replicas")
+			c.Models[name] = model
+			cells += max(1, (model.Replicas+31)/32)
+		}
+		assigned := Dispatchers(c, members)
+		if len(assigned) != cells*regions {
+			t.Fatalf("%d of %d cells are assigned", len(assigned), cells*regions)
 		}
 		live := make(map[string]int)
 		for _, m := range members {
@@ -48,10 +55,11 @@
 		count := make(map[string]int)
 		for cell, m := range assigned {
 			count[m.Instance]++
-			if m.Draining || cell[len(cell)-len(m.Region):] != m.Region {
+			first, _ := dispatch.SplitCell(cell)
+			if m.Draining || first[len(first)-len(m.Region):] != m.Region {
 				t.Fatalf("cell %s is assigned to %v", cell, m)
 			}
-			if share := (models + live[m.Region] - 1) / live[m.Region]; count[m.Instance] > share {
+			if share := (cells + live[m.Region] - 1) / live[m.Region]; count[m.Instance] > share {
 				t.Fatalf("%s has %d cells, its share is %d", m.Instance, count[m.Instance], share)
 			}
 		}
@@ -84,3 +92,24 @@
 		})
 	}
 }
+
+// Guards against entries that keep the old cells of a model when its replicas are declared anew.
+func TestSameCells(t *testing.T) {
+	declared := func(name string, replicas int) configuration.Configuration {
+		return configuration.Configuration{Models: map[string]configuration.Model{name: {Replicas: replicas}}}
+	}
+	before := declared("oak", 32)
+	for name, test := range map[string]struct {
+		after configuration.Configuration
+		same  bool
+	}{
+		"fewer replicas": {declared("oak", 1), true},
+		"one more cell":  {declared("oak", 33), false},
+		"other model":    {declared("pine", 32), false},
+		"new service":    {configuration.Configuration{Models: before.Models, Services: map[string]configuration.Service{"saw": {}}}, false},
+	} {
+		if sameCells(before, test.after) != test.same {
+			t.Errorf("%s: the cells are the same: %v", name, !test.same)
+		}
+	}
+}
