Ask two cells of a model and reserve in the better one

Cause: entries know one dispatcher for each model; a model can have several cells now.

Ruled out: a summary of all cells in each entry, which is a second old and knows nothing of prefixes; a reservation in two cells.

Change: for a model with several cells the entry asks two of them for an estimate, the one that the first block of the prompt hashes to and one by the hash of the fingerprint, and reserves in the better one. Events of a grant go to the cells to which its endpoints belong when they are sent. Announcements go to the endpoint's cell. Selection without a dispatcher has the endpoints of all cells, as before.

Conclusion: a request of a model with several cells costs three calls instead of one, in two round trips.

--- a/entryd/internal/api/platform.go
+++ b/entryd/internal/api/platform.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/entryd/internal/address"
-	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/refusal"
@@ -79,7 +78,7 @@
 	}
 	addresses := []string{}
 	if len(a.Models) > 0 {
-		dispatcher, ok := view.Dispatcher(dispatch.Cell(a.Models[0], a.Region))
+		dispatcher, ok := view.Dispatcher(view.CellOf(a.Models[0], a.Region, a.Name))
 		if ok && dispatcher.Instance != exclude {
 			addresses = append(addresses, dispatcher.Platform)
 		}
--- a/entryd/internal/cell/client.go
+++ b/entryd/internal/cell/client.go
@@ -28,6 +28,7 @@
 // Dispatcher is the dispatcher in this process; the methods have the form of net/rpc.
 type Dispatcher interface {
 	Reserve(request dispatch.ReserveRequest, reply *dispatch.ReserveReply) error
+	Estimate(request dispatch.ReserveRequest, reply *dispatch.Estimate) error
 	Await(request dispatch.AwaitRequest, reply *dispatch.ReserveReply) error
 	Report(request dispatch.ReportRequest, reply *dispatch.ReportReply) error
 	Announce(request dispatch.AnnounceRequest, reply *dispatch.AnnounceReply) error
@@ -90,19 +91,28 @@
 	c.roster.use(request.Cell)
 	request.Entry = c.holder()
 	request.AttemptID = newAttempt()
-	for range maxRounds {
-		reply, err := c.reserve(ctx, request)
+	var avoid []string
+	at, answered := c.aim(ctx, request, avoid)
+	for round := 0; answered && round < maxRounds; round++ {
+		reply, err := c.reserve(ctx, at)
 		if ctx.Err() != nil {
-			c.reporter.abandon(request)
+			c.reporter.abandon(at)
 			return dispatch.Grant{}, timeLimit(ctx)
 		}
 		if err != nil {
-			c.config.Logger.Debug("The dispatcher did not answer", zap.String("cell", request.Cell),
-				zap.String(logging.RequestID, request.RequestID), zap.Error(err))
-			if !queueLost(err) {
+			c.config.Logger.Debug("The dispatcher did not answer", zap.String("cell", at.Cell),
+				zap.String(logging.RequestID, at.RequestID), zap.Error(err))
+			if queueLost(err) {
+				// The same attempt id keeps the place in the queue where the dispatcher still has it.
+				continue
+			}
+			avoid = append(avoid, at.Cell)
+			next, ok := c.another(ctx, request, avoid, newAttempt)
+			if !ok {
 				break
 			}
-			// The same attempt id keeps the place in the queue where the dispatcher still has it.
+			c.reporter.abandon(at)
+			at = next
 			continue
 		}
 		switch reply.Status {
@@ -112,14 +122,24 @@
 			if reply.Reason != dispatch.NoEndpoint {
 				return dispatch.Grant{}, refused(reply)
 			}
+			avoid = append(avoid, at.Cell)
+			if next, ok := c.another(ctx, request, avoid, newAttempt); ok {
+				at = next
+				continue
+			}
 			// A dispatcher that has just taken over knows no endpoint before the next announcements.
 			if grant, ok := c.choose(request, newAttempt); ok {
 				return grant, nil
 			}
 			return dispatch.Grant{}, refused(reply)
+		case dispatch.Elsewhere:
+			// The number of cells may have changed.
+			attempt := at.AttemptID
+			at, answered = c.aim(ctx, request, avoid)
+			at.AttemptID = attempt
 		}
 	}
-	c.reporter.abandon(request)
+	c.reporter.abandon(at)
 	if grant, ok := c.choose(request, newAttempt); ok {
 		return grant, nil
 	}
@@ -156,9 +176,7 @@
 	if !ok {
 		return reply, fault.New("reserve", peer.Unreachable, "no live entry dispatches for cell %q", request.Cell)
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		request.TimeLeft = time.Until(deadline)
-	}
+	request.TimeLeft = timeLeft(ctx, request)
 	if c.silence.skip(target.Instance) {
 		return reply, fault.New("reserve", peer.Lost, "dispatcher %q has not answered the last reservations", target.Instance)
 	}
@@ -177,6 +195,13 @@
 	return reply, err
 }
 
+func timeLeft(ctx context.Context, request dispatch.ReserveRequest) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return time.Until(deadline)
+	}
+	return request.TimeLeft
+}
+
 func (c *Client) dispatcher(cell string) (session.Member, bool) {
 	view, _ := c.config.View()
 	return view.Dispatcher(cell)
@@ -195,6 +220,9 @@
 func (c *Client) callLocal(args, reply any) error {
 	switch request := args.(type) {
 	case dispatch.ReserveRequest:
+		if estimate, ok := reply.(*dispatch.Estimate); ok {
+			return c.config.Local.Estimate(request, estimate)
+		}
 		return c.config.Local.Reserve(request, reply.(*dispatch.ReserveReply))
 	case dispatch.AwaitRequest:
 		return c.config.Local.Await(request, reply.(*dispatch.ReserveReply))
--- a/entryd/internal/cell/forwarder.go
+++ b/entryd/internal/cell/forwarder.go
@@ -89,8 +89,9 @@
 
 func (f *forwarder) targets(a endpoint.Announcement) map[session.Member]struct{} {
 	targets := make(map[session.Member]struct{}, 1)
+	view, _ := f.client.config.View()
 	for _, model := range a.Models {
-		if target, ok := f.client.dispatcher(dispatch.Cell(model, a.Region)); ok {
+		if target, ok := view.Dispatcher(view.CellOf(model, a.Region, a.Name)); ok {
 			targets[target] = struct{}{}
 		}
 	}
--- a/entryd/internal/cell/reporter.go
+++ b/entryd/internal/cell/reporter.go
@@ -157,8 +157,11 @@
 	r.mu.Unlock()
 	batches := make(map[session.Member][]dispatch.Event)
 	for _, event := range events {
-		if target, ok := r.client.dispatcher(event.Cell); ok {
-			batches[target] = append(batches[target], event)
+		for _, name := range r.client.cellsOfEvent(event) {
+			if target, ok := r.client.dispatcher(name); ok {
+				event.Cell = name
+				batches[target] = append(batches[target], event)
+			}
 		}
 	}
 	var sends sync.WaitGroup
--- a/entryd/internal/cell/roster.go
+++ b/entryd/internal/cell/roster.go
@@ -157,14 +157,18 @@
 		case <-ticker.C:
 		}
 		var calls sync.WaitGroup
-		for _, name := range c.roster.used() {
-			calls.Go(func() { c.pollCell(ctx, name) })
+		view, _ := c.config.View()
+		for _, first := range c.roster.used() {
+			for _, name := range dispatch.Cells(first, view.Cells(first)) {
+				calls.Go(func() { c.pollCell(ctx, first, name) })
+			}
 		}
 		calls.Wait()
 	}
 }
 
-func (c *Client) pollCell(ctx context.Context, name string) {
+// pollCell adds the endpoints of a cell to those of its model, which are kept under the first cell.
+func (c *Client) pollCell(ctx context.Context, first, name string) {
 	target, ok := c.dispatcher(name)
 	if !ok {
 		return
@@ -176,6 +180,6 @@
 		return
 	}
 	if reply.Status != dispatch.Elsewhere {
-		c.roster.polled(name, reply.Endpoints)
+		c.roster.polled(first, reply.Endpoints)
 	}
 }
--- a/entryd/internal/cli/connect.go
+++ b/entryd/internal/cli/connect.go
@@ -91,14 +91,39 @@
 // quarantineTimeout bounds the report of a request that crashes endpoints.
 const quarantineTimeout = 10 * time.Second
 
+// shareTimeout bounds one message on a crash to another cell.
+const shareTimeout = time.Second
+
 func newDispatcher(site Site, client *control.Client, keeper *session.Keeper) *dispatch.Dispatcher {
-	return dispatch.New(dispatch.Config{
+	var dispatcher *dispatch.Dispatcher
+	dispatcher = dispatch.New(dispatch.Config{
 		Instance: site.Member.Instance,
 		Owns: func(cell string) bool {
 			view, _ := keeper.View()
 			member, ok := view.Dispatcher(cell)
 			return ok && member.Instance == site.Member.Instance
 		},
+		Cells: func(first string) int {
+			view, _ := keeper.View()
+			return view.Cells(first)
+		},
+		Share: func(request dispatch.ShareRequest) {
+			view, _ := keeper.View()
+			target, ok := view.Dispatcher(request.Cell)
+			if !ok {
+				return
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
+			defer cancel()
+			if target.Instance == site.Member.Instance {
+				_ = dispatcher.Share(ctx, request)
+				return
+			}
+			err := site.Pool.Call(ctx, target.Peer, dispatch.ServiceName+".Share", request, &dispatch.ShareReply{})
+			if err != nil {
+				site.Logger.Warn("Could not tell another cell of a crash", zap.String("cell", request.Cell), zap.Error(err))
+			}
+		},
 		Holdings: endpoint.NewClient(endpoint.ClientConfig{}),
 		Settings: site.Options.DispatchSettings(),
 		Logger:   site.Logger,
@@ -119,6 +144,7 @@
 			return view.Configuration.Endpoints[endpoint].Drain
 		},
 	})
+	return dispatcher
 }
 
 // purseAdapter returns holds as the interface that package completion declares.
--- a/entryd/internal/cli/fakes_test.go
+++ b/entryd/internal/cli/fakes_test.go
@@ -202,6 +202,10 @@
 
 func (d *fakeDispatcher) Await(dispatch.AwaitRequest, *dispatch.ReserveReply) error { return nil }
 
+func (d *fakeDispatcher) Estimate(dispatch.ReserveRequest, *dispatch.Estimate) error {
+	return nil
+}
+
 func (d *fakeDispatcher) Report(request dispatch.ReportRequest, _ *dispatch.ReportReply) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
