Answer polls of a cell with what has changed

Ruled out: reports that dispatchers send on their own, which need the leader's address and a resend after an election; a hash of the whole view, which changes with every load report.

Change: EndpointsRequest names a life and a version; the reply has what has changed since, the endpoints that are gone, or everything when the life is another one or the version too old. Counts, ages, the queue and the load of engines without a role are left out: the controllers do not use them. The cell compares its endpoints with those of the last poll only when it is asked. Operators' queries and entries ask for the whole view as before. An endpoint that moves to another cell stays listed in the old one for 3 s, so that controllers do not take it for lost.

--- a/controld/internal/operator/fleet.go
+++ b/controld/internal/operator/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 
@@ -28,9 +29,9 @@
 	missing []language.Missing
 }
 
-// askFleet asks the dispatcher of each cell for its view. A cell whose dispatcher does not answer
+// askFleet asks the dispatcher of each cell for its view, with the request that it is given for the cell. A cell whose dispatcher does not answer
 // within fleetTimeout is named in missing.
-func askFleet(ctx context.Context, peers Caller, c configuration.Configuration, members []session.Member) fleet {
+func askFleet(ctx context.Context, peers Caller, c configuration.Configuration, members []session.Member, request func(cell string) dispatch.EndpointsRequest) fleet {
 	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
 	defer cancel()
 	var (
@@ -44,7 +45,7 @@
 		calls.Go(func() {
 			permits <- struct{}{}
 			defer func() { <-permits }()
-			reply, err := askCell(ctx, peers, cell, dispatcherOrder(cell, dispatchers[cell], members))
+			reply, err := askCell(ctx, peers, request(cell), dispatcherOrder(cell, dispatchers[cell], members))
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -62,10 +63,10 @@
 
 // askCell asks the entries in order until one dispatches for the cell. The first that does not answer
 // ends the search with an error: it may be the dispatcher.
-func askCell(ctx context.Context, peers Caller, cell string, members []session.Member) (dispatch.EndpointsReply, error) {
+func askCell(ctx context.Context, peers Caller, request dispatch.EndpointsRequest, members []session.Member) (dispatch.EndpointsReply, error) {
 	for _, member := range members {
 		var reply dispatch.EndpointsReply
-		err := peers.Call(ctx, member.Peer, "Dispatch.Endpoints", dispatch.EndpointsRequest{Cell: cell}, &reply)
+		err := peers.Call(ctx, member.Peer, "Dispatch.Endpoints", request, &reply)
 		if err != nil {
 			return dispatch.EndpointsReply{}, fmt.Errorf("instance %s at %s: %w", member.Instance, member.Peer, err)
 		}
@@ -124,20 +125,75 @@
 	Members       func() []session.Member
 }
 
-// Fleet is the control leader's view of the endpoints.
+// Fleet is the control leader's view of the endpoints. It keeps what the dispatchers have told it and asks
+// them for changes only.
 type Fleet struct {
 	config FleetConfig
+	mu     sync.Mutex
+	cells  map[string]*cellCache
+}
+
+// cellCache is what is known of a cell at one version of a dispatcher's life.
+type cellCache struct {
+	life, version uint64
+	views         map[string]dispatch.EndpointView
 }
 
 // NewFleet returns the view.
 func NewFleet(config FleetConfig) *Fleet {
-	return &Fleet{config: config}
+	return &Fleet{config: config, cells: make(map[string]*cellCache)}
 }
 
-// Endpoints returns the endpoints of all cells, each once. When a dispatcher does not answer, or no
-// entry has a session, complete is false.
+// Endpoints returns the endpoints of all cells, each once, without counts and ages, and with the load of
+// those that have a role. When a dispatcher does not answer, or no entry has a session, complete is false.
 func (f *Fleet) Endpoints(ctx context.Context) (views []dispatch.EndpointView, complete bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	members := f.config.Members()
-	seen := askFleet(ctx, f.config.Peers, f.config.Configuration(), members)
+	seen := askFleet(ctx, f.config.Peers, f.config.Configuration(), members, f.request)
+	known := make(map[string]*cellCache, len(seen.cells))
+	for i, cell := range seen.cells {
+		cache := f.cells[cell.cell].with(cell.reply)
+		known[cell.cell] = cache
+		seen.cells[i].reply.Endpoints = cache.sorted()
+	}
+	// A cell that did not answer is asked for everything next time.
+	f.cells = known
 	return endpointsOf(seen), len(members) > 0 && len(seen.missing) == 0
 }
+
+// request asks for what has changed since the last answer. It is called while f.mu is held.
+func (f *Fleet) request(cell string) dispatch.EndpointsRequest {
+	request := dispatch.EndpointsRequest{Cell: cell, Changes: true}
+	if cache := f.cells[cell]; cache != nil {
+		request.Life, request.Version = cache.life, cache.version
+	}
+	return request
+}
+
+func (c *cellCache) with(reply dispatch.EndpointsReply) *cellCache {
+	if c == nil || reply.Whole || reply.Life == 0 {
+		c = &cellCache{views: make(map[string]dispatch.EndpointView, len(reply.Endpoints))}
+	}
+	c.life, c.version = reply.Life, reply.Version
+	for _, name := range reply.Gone {
+		delete(c.views, name)
+	}
+	for _, view := range reply.Endpoints {
+		c.views[view.Announcement.Name] = view
+	}
+	return c
+}
+
+func (c *cellCache) sorted() []dispatch.EndpointView {
+	views := make([]dispatch.EndpointView, 0, len(c.views))
+	for _, name := range slices.Sorted(maps.Keys(c.views)) {
+		views = append(views, c.views[name])
+	}
+	return views
+}
+
+// everything asks for the whole view of a cell.
+func everything(cell string) dispatch.EndpointsRequest {
+	return dispatch.EndpointsRequest{Cell: cell}
+}
--- a/controld/internal/operator/operator_test.go
+++ b/controld/internal/operator/operator_test.go
@@ -369,6 +369,60 @@
 	is.True(!complete)
 }
 
+// Guards against controllers that keep endpoints which are gone, miss changes, or mix what two lives of a
+// dispatcher have said.
+func TestFleetFollowsChanges(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	newDispatcher := func() *dispatch.Dispatcher {
+		return dispatch.New(dispatch.Config{Settings: dispatch.DefaultSettings(), Clock: func() time.Time { return now }})
+	}
+	d := newDispatcher()
+	announce := func(name string, state endpoint.State, running int) {
+		_ = d.Announce(t.Context(), dispatch.AnnounceRequest{Announcements: []endpoint.Announcement{{
+			Name: name, Incarnation: "1", Region: "north", Type: endpoint.Engine, Models: []string{"oak"}, State: state,
+			Load: endpoint.Load{Running: running},
+		}}})
+	}
+	sent := 0
+	fleet := operator.NewFleet(operator.FleetConfig{
+		Configuration: newQuorum().machine.Configuration,
+		Members:       func() []session.Member { return members("a") },
+		Peers: whole(func(request dispatch.EndpointsRequest, reply *dispatch.EndpointsReply) {
+			*reply, _ = d.Endpoints(t.Context(), request)
+			sent = len(reply.Endpoints)
+		}),
+	})
+	look := func() (states string) {
+		views, complete := fleet.Endpoints(t.Context())
+		is.True(complete)
+		for _, v := range views {
+			states += v.Announcement.Name + " " + string(v.Announcement.State) + ";"
+		}
+		return states
+	}
+	announce("e1", endpoint.Ready, 0)
+	announce("e2", endpoint.Ready, 0)
+	is.Equal(look(), "e1 ready;e2 ready;")
+	announce("e1", endpoint.Ready, 7)
+	is.Equal(look(), "e1 ready;e2 ready;")
+	is.Equal(sent, 0) // the load of an engine without a role is no change
+	announce("e1", endpoint.Draining, 7)
+	is.Equal(look(), "e1 draining;e2 ready;")
+	is.Equal(sent, 1)
+	d = newDispatcher()
+	announce("e3", endpoint.Ready, 0)
+	is.Equal(look(), "e3 ready;")
+}
+
+// whole answers Dispatch.Endpoints with the whole request at hand.
+type whole func(request dispatch.EndpointsRequest, reply *dispatch.EndpointsReply)
+
+func (w whole) Call(_ context.Context, _, _ string, args, reply any) error {
+	w(args.(dispatch.EndpointsRequest), reply.(*dispatch.EndpointsReply))
+	return nil
+}
+
 // voters refuses changes with a fixed error.
 type voters struct {
 	err   error
--- a/controld/internal/operator/query.go
+++ b/controld/internal/operator/query.go
@@ -69,7 +69,7 @@
 	}
 	var seen fleet
 	if subject.Fleet {
-		seen = askFleet(ctx, a.config.Peers, *state.Configuration, state.Members)
+		seen = askFleet(ctx, a.config.Peers, *state.Configuration, state.Members, everything)
 	}
 	rows, err := rowsOf(name, state, seen, a.config.Now())
 	if err != nil {
--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -67,8 +67,10 @@
 	drain      drainRate
 	// scan numbers the runs of pump, groups the reserved groups.
 	scan, groups uint64
-	closed       bool
-	calls        []call
+	// changes is nil until somebody asks for changes.
+	changes *changeLog
+	closed  bool
+	calls   []call
 }
 
 // item is a reservation on its way to a grant.
@@ -305,7 +307,7 @@
 		c.resume(gap)
 	}
 	c.ticked = now
-	c.resize()
+	c.resize(now)
 	for _, r := range slices.Clone(c.order) {
 		if r.moved {
 			continue
@@ -426,7 +428,7 @@
 func (c *cell) view(now time.Time) EndpointsReply {
 	reply := EndpointsReply{Status: Granted}
 	for _, r := range c.order {
-		if !r.announced {
+		if !r.listed(now) {
 			continue
 		}
 		reply.Endpoints = append(reply.Endpoints, EndpointView{
--- /dev/null
+++ b/internal/dispatch/changes_test.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"encoding/gob"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"pgregory.net/rapid"
+)
+
+// Guards against a caller that keeps an endpoint which is gone, or misses one that has changed, however
+// old its version is and whatever came and went between.
+func TestChangesAddUpToTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, now := testCellWith(testConfig()), epoch
+		type caller struct {
+			request EndpointsRequest
+			views   map[string]EndpointView
+		}
+		callers := []*caller{{}, {}, {}}
+		t.Repeat(map[string]func(*rapid.T){
+			"announce": func(t *rapid.T) {
+				a := engine(rapid.IntRange(0, 4).Draw(t, "engine"), 1000)
+				a.State = rapid.SampledFrom([]endpoint.State{endpoint.Ready, endpoint.Draining}).Draw(t, "state")
+				a.Role = rapid.SampledFrom([]string{"", "prefill"}).Draw(t, "role")
+				a.Load.QueuedPrefill = rapid.IntRange(0, 2).Draw(t, "queued")
+				c.announce(now, a)
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(900 * time.Millisecond)
+				c.tick(now)
+			},
+			"forget": func(*rapid.T) {
+				if c.changes != nil {
+					clear(c.changes.gone)
+					c.changes.forgotten = c.changes.version
+				}
+			},
+			"new dispatcher": func(*rapid.T) { c.changes = nil },
+			"ask": func(t *rapid.T) {
+				who := callers[rapid.IntRange(0, len(callers)-1).Draw(t, "caller")]
+				reply := c.changed(now, who.request)
+				if reply.Whole || who.views == nil {
+					who.views = map[string]EndpointView{}
+				}
+				for _, name := range reply.Gone {
+					delete(who.views, name)
+				}
+				for _, view := range reply.Endpoints {
+					who.views[view.Announcement.Name] = view
+				}
+				who.request.Life, who.request.Version = reply.Life, reply.Version
+				if len(who.views) != len(c.order) {
+					t.Fatalf("the caller knows %d endpoints, the cell has %d", len(who.views), len(c.order))
+				}
+				for _, r := range c.order {
+					if got, want := fmt.Sprint(who.views[r.name]), fmt.Sprint(essential(r)); got != want {
+						t.Fatalf("the caller knows %s, the cell has %s", got, want)
+					}
+				}
+			},
+		})
+	})
+}
+
+// BenchmarkPoll measures one poll of a cell of 32 engines under load: the whole, the changes when only
+// loads have changed, and when one engine has changed its state.
+func BenchmarkPoll(b *testing.B) {
+	for name, change := range map[string]int{"whole": -1, "loads": 0, "one": 1} {
+		b.Run(name, func(b *testing.B) {
+			c, _ := loadedCell(32)
+			bytes := &counter{}
+			encoder := gob.NewEncoder(bytes)
+			request := EndpointsRequest{Cell: testCell, Changes: true}
+			var reply EndpointsReply
+			round := 0
+			for b.Loop() {
+				round++
+				for i, r := range c.order {
+					r.announcement.Load.Used = 100_000 + round
+					if i < change {
+						r.announcement.State = []endpoint.State{endpoint.Ready, endpoint.Draining}[round%2]
+					}
+				}
+				if change < 0 {
+					reply = c.view(epoch.Add(time.Duration(round)))
+				} else {
+					reply = c.changed(epoch, request)
+					request.Life, request.Version = reply.Life, reply.Version
+				}
+				if round <= 2 {
+					bytes.bytes = 0 // the first replies also have the descriptions of the types
+					_ = encoder.Encode(request)
+					_ = encoder.Encode(reply)
+				}
+			}
+			b.ReportMetric(float64(bytes.bytes), "bytes/poll")
+		})
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -171,7 +171,7 @@
 	d.finish(c)
 }
 
-// Endpoints returns the endpoints and the queue of a cell.
+// Endpoints returns the endpoints and the queue of a cell, or what has changed of its endpoints.
 func (d *Dispatcher) Endpoints(_ context.Context, request EndpointsRequest) (EndpointsReply, error) {
 	c := d.cell(request.Cell)
 	if c == nil {
@@ -179,6 +179,9 @@
 	}
 	c.mu.Lock()
 	defer d.finish(c)
+	if request.Changes {
+		return c.changed(d.config.Clock(), request), nil
+	}
 	return c.view(d.config.Clock()), nil
 }
 
--- a/internal/dispatch/resize.go
+++ b/internal/dispatch/resize.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "slices"
+import (
+	"slices"
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+)
 
 func cellCount(config *Config, first string) int {
 	if config.Cells == nil {
@@ -18,7 +23,7 @@
 // them: entries report them to the new cell from then on, which adopts them within a second. A group
 // that keeps a member here stays known in both cells, and both renew its holdings. Nothing is cancelled,
 // and a grant that is given away is not remembered as ended, so that it can come back.
-func (c *cell) resize() {
+func (c *cell) resize(now time.Time) {
 	if count := cellCount(c.config, c.first); count != c.count {
 		c.count = count
 		for _, r := range c.order {
@@ -34,7 +39,7 @@
 		c.release(c.grants[id])
 	}
 	for _, r := range slices.Clone(c.order) {
-		if r.moved && len(r.parts) == 0 {
+		if r.moved && len(r.parts) == 0 && now.Sub(r.seen) > endpoint.DeadAfter {
 			c.removeReplica(r)
 		}
 	}
@@ -43,6 +48,13 @@
 	}
 }
 
+// listed says whether the endpoint is named to those who ask for the cell's endpoints. One that has moved
+// is named for some seconds more: its new cell hears of it only with the next announcement, and controllers
+// must not take it for lost.
+func (r *replica) listed(now time.Time) bool {
+	return r.announced || r.moved && r.announcement.Incarnation != "" && now.Sub(r.seen) <= endpoint.DeadAfter
+}
+
 // gone says that no member of the grant belongs to this cell any more.
 func (c *cell) gone(g *grant) bool {
 	return !slices.ContainsFunc(g.parts, func(p *part) bool { return !p.replica.moved })
--- a/internal/dispatch/wire.go
+++ b/internal/dispatch/wire.go
@@ -175,6 +175,11 @@
 // EndpointsRequest asks for the endpoints of a cell, for use when its dispatcher is lost.
 type EndpointsRequest struct {
 	Cell string
+	// Changes asks for what has changed since Version of the dispatcher's life Life, without the queue,
+	// the counts, the age, and the load of endpoints without a role.
+	Changes bool
+	Life    uint64
+	Version uint64
 }
 
 // EndpointView is one endpoint as its dispatcher sees it.
@@ -203,4 +208,10 @@
 	Status    Status
 	Endpoints []EndpointView
 	Waiting   []WaitingView
+	// Life and Version are what to ask with next for changes. Whole says that Endpoints has all endpoints
+	// and not only changed ones; Gone names those that the cell no longer has.
+	Life    uint64
+	Version uint64
+	Whole   bool
+	Gone    []string
 }
