Compare routing in several cells with one cell, and test them in the fleet

Cause: no measurement said what several cells cost in routing quality, and nothing ran them with real processes.

Change: BenchmarkRouting simulates 128 engines in virtual time with prefix caches and prompts that share beginnings. TestFairnessAcrossCells floods two cells from one workspace. TestCellsChangeUnderLoad changes the number of cells between 1, 2 and 4 while callers stream, also in groups.

--- a/internal/dispatch/cells_test.go
+++ b/internal/dispatch/cells_test.go
@@ -45,7 +45,8 @@
 			g.cell(now, message.Cell).shared(now, message)
 		}
 	}
-	for _, c := range g.cells {
+	for _, name := range allKeys(g.cells) {
+		c := g.cells[name]
 		for _, next := range c.calls {
 			if share, ok := next.(shareCall); ok {
 				g.messages, g.sent = append(g.messages, share.request), now
@@ -95,8 +96,8 @@
 }
 
 func (g *cellGroup) tick(now time.Time) {
-	for _, c := range g.cells {
-		c.tick(now)
+	for _, name := range allKeys(g.cells) {
+		g.cells[name].tick(now)
 	}
 	g.settle(now)
 }
@@ -173,3 +174,39 @@
 		})
 	}
 }
+
+// flooded returns the 95th percentiles of the time to first token, in seconds, of a workspace that takes
+// an eighth of the capacity and of one that asks for twice the capacity at the same time.
+func flooded(cells int) (polite, flood float64) {
+	s := newSimulation(cells, 8, 1)
+	first := map[string][]float64{}
+	s.observe = func(r *simRequest, took float64) { first[r.Workspace] = append(first[r.Workspace], took) }
+	count := 0
+	ask := func(workspace string, rate float64) {
+		var arrive func()
+		arrive = func() {
+			count++
+			r := request(fmt.Sprint("r", count), 2000, simOutput)
+			r.Workspace, r.TimeLeft, r.Fingerprint = workspace, 10*time.Second, uint64(count)
+			s.arrive(r)
+			s.at(seconds(s.random.ExpFloat64()/rate), arrive)
+		}
+		s.at(0, arrive)
+	}
+	s.run(2 * time.Second)
+	ask("polite", 5)
+	ask("flood", 80)
+	s.run(8 * time.Second)
+	return percentile(first["polite"], 0.95), percentile(first["flood"], 0.95)
+}
+
+// Guards against a workspace that fills the queues of all cells and delays another one more than it does
+// in a single cell.
+func TestFairnessAcrossCells(t *testing.T) {
+	is := is.New(t)
+	single, _ := flooded(1)
+	polite, flood := flooded(2)
+	t.Logf("p95 of the polite workspace %.2f s in one cell, %.2f s in two; of the flooding one %.2f s", single, polite, flood)
+	is.True(polite <= 1.5*single)
+	is.True(flood >= 2*polite)
+}
--- /dev/null
+++ b/internal/dispatch/routing_bench_test.go
@@ -0,0 +1,291 @@
+package dispatch
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/prefix"
+)
+
+// simRequest is a request of the routing simulation.
+type simRequest struct {
+	ReserveRequest
+	arrived   time.Time
+	grant     Grant
+	remaining float64
+	cached    int
+}
+
+// simEngine runs prefills in chunks by priority, and keeps the blocks that were used last.
+type simEngine struct {
+	announcement endpoint.Announcement
+	prefills     []*simRequest
+	busy         bool
+	used         map[uint64]int
+	uses         int
+}
+
+const (
+	simRate   = 10_000.0
+	simChunk  = 2048.0
+	simBlocks = 500
+	simOutput = 95
+)
+
+// lookup returns the number of leading blocks that are cached and stores all.
+func (e *simEngine) lookup(blocks []uint64) (hit int) {
+	for hit < len(blocks) && e.used[blocks[hit]] > 0 {
+		hit++
+	}
+	for _, block := range blocks {
+		e.uses++
+		e.used[block] = e.uses
+	}
+	if len(e.used) > simBlocks {
+		order := make([]uint64, 0, len(e.used))
+		for block := range e.used {
+			order = append(order, block)
+		}
+		slices.SortFunc(order, func(a, b uint64) int { return cmp.Compare(e.used[a], e.used[b]) })
+		for _, block := range order[:len(order)-simBlocks*9/10] {
+			delete(e.used, block)
+		}
+	}
+	return hit
+}
+
+type simEvent struct {
+	at   time.Time
+	next int
+	run  func()
+}
+
+type simEvents []simEvent
+
+func (s simEvents) Len() int { return len(s) }
+func (s simEvents) Less(i, j int) bool {
+	return s[i].at.Before(s[j].at) || s[i].at.Equal(s[j].at) && s[i].next < s[j].next
+}
+func (s simEvents) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *simEvents) Push(x any)   { *s = append(*s, x.(simEvent)) }
+func (s *simEvents) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+// simulation runs requests through the cells of a model in virtual time.
+type simulation struct {
+	group   *cellGroup
+	now     time.Time
+	events  simEvents
+	next    int
+	random  *rand.Rand
+	engines map[string]*simEngine
+	waiting []*simRequest
+	// first has the times to first token in seconds by length class.
+	first                   [lengthClasses][]float64
+	prompt, cached, refused int
+	// observe is called at each first token, with the time to it in seconds.
+	observe func(r *simRequest, took float64)
+}
+
+func newSimulation(cells, replicas int, seed uint64) *simulation {
+	s := &simulation{
+		group: newCellGroup(cells), now: epoch, random: rand.New(rand.NewPCG(seed, 1)),
+		engines: map[string]*simEngine{},
+	}
+	for i := range replicas {
+		e := &simEngine{announcement: engine(i, 1_000_000), used: map[uint64]int{}}
+		s.engines[e.announcement.Name] = e
+		s.at(time.Duration(i)*time.Second/time.Duration(replicas), func() { s.announce(e) })
+	}
+	s.at(100*time.Millisecond, s.tick)
+	return s
+}
+
+func (s *simulation) at(after time.Duration, run func()) {
+	s.next++
+	heap.Push(&s.events, simEvent{at: s.now.Add(after), next: s.next, run: run})
+}
+
+func (s *simulation) announce(e *simEngine) {
+	s.group.announce(s.now, e.announcement)
+	s.at(time.Second, func() { s.announce(e) })
+}
+
+func (s *simulation) tick() {
+	s.group.tick(s.now)
+	s.at(100*time.Millisecond, s.tick)
+}
+
+func (s *simulation) run(d time.Duration) {
+	for end := s.now.Add(d); len(s.events) > 0 && s.events[0].at.Before(end); {
+		event := heap.Pop(&s.events).(simEvent)
+		s.now = event.at
+		event.run()
+		s.collect()
+	}
+}
+
+// collect starts what was granted out of a queue.
+func (s *simulation) collect() {
+	s.waiting = slices.DeleteFunc(s.waiting, func(r *simRequest) bool {
+		return s.answer(r, s.group.endAwait(s.now, r.AttemptID, false))
+	})
+}
+
+func (s *simulation) answer(r *simRequest, reply ReserveReply) (done bool) {
+	switch reply.Status {
+	case Granted:
+		r.grant = reply.Grant
+		s.start(r)
+	case Refused:
+		s.refused++
+	}
+	return reply.Status != Queued
+}
+
+func (s *simulation) arrive(r ReserveRequest) {
+	request := &simRequest{ReserveRequest: r, arrived: s.now}
+	if !s.answer(request, s.group.reserve(s.now, r)) {
+		s.waiting = append(s.waiting, request)
+	}
+}
+
+func (s *simulation) start(r *simRequest) {
+	e := s.engines[r.grant.Members[0].Endpoint]
+	r.cached = min(e.lookup(r.Blocks)*prefix.BlockTokens, r.PromptTokens-1)
+	r.remaining = float64(r.PromptTokens - r.cached)
+	e.prefills = append(e.prefills, r)
+	if !e.busy {
+		s.chunk(e)
+	}
+}
+
+func (s *simulation) chunk(e *simEngine) {
+	e.busy = len(e.prefills) > 0
+	if !e.busy {
+		return
+	}
+	r := slices.MinFunc(e.prefills, func(a, b *simRequest) int { return cmp.Compare(a.grant.Priority, b.grant.Priority) })
+	tokens := min(r.remaining, simChunk)
+	s.at(seconds(tokens/simRate), func() {
+		if r.remaining -= tokens; r.remaining <= 0 {
+			e.prefills = slices.DeleteFunc(e.prefills, func(other *simRequest) bool { return other == r })
+			s.prefilled(r)
+		}
+		s.chunk(e)
+	})
+}
+
+func (s *simulation) prefilled(r *simRequest) {
+	took := s.now.Sub(r.arrived).Seconds()
+	class := Length(r.PromptTokens)
+	s.first[class] = append(s.first[class], took)
+	if s.observe != nil {
+		s.observe(r, took)
+	}
+	s.prompt += r.PromptTokens
+	s.cached += r.cached
+	event := Event{Grant: r.grant.ID, Type: FirstToken, Elapsed: s.now.Sub(r.arrived)}
+	s.group.report(s.now, event)
+	s.at(simOutput*time.Second/30, func() {
+		event.Type, event.CachedTokens, event.OutputTokens = Finished, r.cached, simOutput
+		s.group.report(s.now, event)
+	})
+}
+
+// documents is a workload of prompts that begin with one of 512 documents of 4 to 60 blocks, with
+// frequencies by Zipf's law, of short prompts, and of prompts of 100,000 tokens and more, 1 in 50.
+func (s *simulation) documents(rate float64) func() {
+	zipf := rand.NewZipf(s.random, 1.1, 4, 511)
+	count := 0
+	var arrive func()
+	arrive = func() {
+		count++
+		id := fmt.Sprint("r", count)
+		r := request(id, 500+s.random.IntN(3500), simOutput)
+		r.Fingerprint = uint64(count)
+		switch kind := s.random.Float64(); {
+		case kind < 0.02:
+			r.PromptTokens = 100_001 + s.random.IntN(200_000)
+		case kind < 0.7:
+			document := zipf.Uint64() + 1
+			for i := range 4 + document*7919%57 {
+				r.Blocks = append(r.Blocks, document<<32+i)
+			}
+			r.PromptTokens += len(r.Blocks) * prefix.BlockTokens
+		}
+		s.arrive(r)
+		s.at(seconds(s.random.ExpFloat64()/rate), arrive)
+	}
+	return arrive
+}
+
+func percentile(values []float64, share float64) float64 {
+	if len(values) == 0 {
+		return math.NaN()
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))]
+}
+
+// BenchmarkRouting compares 128 replicas in one cell with the same in four, in 60 s of simulated time
+// after 30 s, at two rates and with three seeds. It reports times to first token in milliseconds.
+func BenchmarkRouting(b *testing.B) {
+	random := func(request ReserveRequest, count int) []string {
+		request.Blocks = nil
+		return Candidates(request, count)
+	}
+	for _, rate := range []float64{45, 60} {
+		for _, policy := range []struct {
+			name              string
+			cells, candidates int
+			order             func(ReserveRequest, int) []string
+		}{
+			{"one cell", 1, 1, Candidates},
+			{"four cells, better of home and random", 4, 2, Candidates},
+			{"thirteen cells, better of home and random", 13, 2, Candidates},
+			{"four cells, better of two random", 4, 2, random},
+			{"four cells, best of all", 4, 4, Candidates},
+			{"four cells, home", 4, 1, Candidates},
+			{"four cells, one random", 4, 1, random},
+		} {
+			b.Run(fmt.Sprintf("%s/rate=%.0f", policy.name, rate), func(b *testing.B) {
+				for b.Loop() {
+					var first [lengthClasses][]float64
+					var prompt, cached, refused int
+					for seed := range uint64(3) {
+						s := newSimulation(policy.cells, 128, seed)
+						s.group.candidates, s.group.order = policy.candidates, policy.order
+						s.run(2 * time.Second)
+						s.at(0, s.documents(rate))
+						s.run(28 * time.Second)
+						s.first, s.prompt, s.cached = [lengthClasses][]float64{}, 0, 0
+						s.run(60 * time.Second)
+						for class, values := range s.first {
+							first[class] = append(first[class], values...)
+						}
+						prompt, cached, refused = prompt+s.prompt, cached+s.cached, refused+s.refused
+					}
+					for class, values := range first {
+						b.ReportMetric(percentile(values, 0.95)*1000, LengthClass(class).String()+"-p95")
+						if LengthClass(class) != Long {
+							b.ReportMetric(percentile(values, 0.5)*1000, LengthClass(class).String()+"-p50")
+						}
+					}
+					b.ReportMetric(100*float64(cached)/float64(prompt), "%cached")
+					b.ReportMetric(float64(refused), "refused")
+				}
+			})
+		}
+	}
+}
--- a/internal/fleet/failure_test.go
+++ b/internal/fleet/failure_test.go
@@ -50,6 +50,45 @@
 	d.awaitMemory()
 }
 
+// Guards against requests that fail, grants that are cancelled and memory that is lost when the number of a
+// model's cells changes while callers stream.
+func TestCellsChangeUnderLoad(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, size{controls: 3, entries: 4, engines: 6, services: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	results := make(chan string, 1024)
+	var streams sync.WaitGroup
+	for i := range 12 {
+		streams.Go(func() { stream(ctx, &caller{d: d}, i, results) })
+	}
+	for i := range 2 {
+		streams.Go(func() {
+			// A group, which needs more than one engine.
+			prompt := fmt.Sprint("group ", i) + strings.Repeat("oak ", 450_000)
+			if a := d.complete(context.Background(), d.callers[i], prompt, 400); a.err != nil {
+				results <- a.err.Error()
+			}
+		})
+	}
+	for _, replicas := range []int{64, 128, 1} {
+		d.submit(configuration.Change{Model: &configuration.Model{Name: model, Version: "v1", Replicas: replicas, MaxContext: 1_200_000}})
+		wait(4 * time.Second)
+	}
+	cancel()
+	streams.Wait()
+	close(results)
+	count := 0
+	for result := range results {
+		count++
+		if result != "" {
+			t.Error(result)
+		}
+	}
+	is.True(count > 12)
+	d.awaitMemory()
+}
+
 // stream sends completions, one after the other, until ctx ends; the last one is finished.
 func stream(ctx context.Context, c *caller, seed int, results chan<- string) {
 	for n := 0; ctx.Err() == nil; n++ {
