--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -33,7 +33,10 @@
 // cell is the view of one cell and all decisions on it. Its methods do no I/O and take the time as an
 // argument; calls to endpoints are collected in calls.
 type cell struct {
-	name     string
+	name string
+	// first is the first cell of the model, count the number of its cells at the last tick.
+	first    string
+	count    int
 	config   *Config
 	settings *Settings
 	mu       sync.Mutex
@@ -64,8 +67,10 @@
 	drain      drainRate
 	// scan numbers the runs of pump, groups the reserved groups.
 	scan, groups uint64
-	closed       bool
-	calls        []call
+	// changes is nil until somebody asks for changes.
+	changes *changeLog
+	closed  bool
+	calls   []call
 }
 
 // item is a reservation on its way to a grant.
@@ -123,8 +128,11 @@
 }
 
 func newCell(name string, config *Config, now time.Time) *cell {
+	first, _ := SplitCell(name)
 	return &cell{
 		name:     name,
+		first:    first,
+		count:    cellCount(config, first),
 		config:   config,
 		settings: &config.Settings,
 		replicas: make(map[string]*replica),
@@ -299,7 +307,11 @@
 		c.resume(gap)
 	}
 	c.ticked = now
+	c.resize(now)
 	for _, r := range slices.Clone(c.order) {
+		if r.moved {
+			continue
+		}
 		r.drained = c.config.EndpointDrained(r.name)
 		if now.Sub(r.seen) > endpoint.DeadAfter {
 			c.died(now, r, nil)
@@ -315,6 +327,7 @@
 		}
 	}
 	c.suspects.expire(now)
+	c.expireLosses(now)
 	for _, id := range sortedKeys(c.items, func(it *item) bool { return it.expired(now) }) {
 		c.expireItem(now, c.items[id])
 	}
@@ -415,7 +428,7 @@
 func (c *cell) view(now time.Time) EndpointsReply {
 	reply := EndpointsReply{Status: Granted}
 	for _, r := range c.order {
-		if !r.announced {
+		if !r.listed(now) {
 			continue
 		}
 		reply.Endpoints = append(reply.Endpoints, EndpointView{
--- a/internal/dispatch/wire.go
+++ b/internal/dispatch/wire.go
@@ -1,5 +1,5 @@
 // Package dispatch is the dispatcher of a cell: up to about 32 replicas of one model or service in
-// one region. It alone grants work to the replicas of its cell.
+// one region. It alone grants work to the replicas of its cell. A model with more has several cells.
 package dispatch
 
 import (
@@ -175,6 +175,11 @@
 // EndpointsRequest asks for the endpoints of a cell, for use when its dispatcher is lost.
 type EndpointsRequest struct {
 	Cell string
+	// Changes asks for what has changed since Version of the dispatcher's life Life, without the queue,
+	// the counts, the age, and the load of endpoints without a role.
+	Changes bool
+	Life    uint64
+	Version uint64
 }
 
 // EndpointView is one endpoint as its dispatcher sees it.
@@ -203,9 +208,10 @@
 	Status    Status
 	Endpoints []EndpointView
 	Waiting   []WaitingView
-}
-
-// Cell returns the name of the cell of a model or service in a region.
-func Cell(model, region string) string {
-	return model + "/" + region
+	// Life and Version are what to ask with next for changes. Whole says that Endpoints has all endpoints
+	// and not only changed ones; Gone names those that the cell no longer has.
+	Life    uint64
+	Version uint64
+	Whole   bool
+	Gone    []string
 }
