Send endpoints away from an entry without a lease

Cause: an entry that is cut off from the control instances still answered announcements with itself as the first address, from its old member list. Endpoints of cells that it dispatched kept announcing to it, so the dispatcher that the other entries had chosen did not hear of them, and they refused with no-endpoint for as long as the cut lasted.

Ruled out: refusing announcements without a lease. When the quorum is lost all entries would refuse, and the dispatchers would count all endpoints as dead, with the requests on them as suspects, although they go on streaming. The announcement is still taken over.

Change: an entry without a lease leaves itself out of its answers to announcements, as a draining one does.

Conclusion: endpoints move to the other entries within an announcement interval after the lease has run out.

--- a/entryd/internal/api/platform.go
+++ b/entryd/internal/api/platform.go
@@ -70,11 +70,12 @@
 }
 
 // addresses names the dispatcher of the endpoint's first cell, which then needs no forwarding, and other
-// entries to try when it does not answer.
+// entries to try when it does not answer. An entry without a lease sends endpoints elsewhere: its member
+// list is old, and the dispatchers that the others choose would not hear of the endpoints.
 func (p *platform) addresses(a endpoint.Announcement) []string {
-	view, _ := p.config.View()
+	view, err := p.config.View()
 	exclude := ""
-	if p.config.Draining() {
+	if err != nil || p.config.Draining() {
 		exclude = p.config.Instance
 	}
 	addresses := []string{}
