Test cut connections and a lost disk with real processes

Cause: docs/proofs.md listed partitions between real processes as not proved, and no test of processes covered a lost disk. The tests of package fleet also took free ports by listening on port 0 and closing again; ports of that kind are given out again to connections and to listeners on port 0, so a process now and then ended with "bind: address already in use" and the test failed after 30 s with "an answer of entry 0 did not happen" (seen once in a trial run).

Change: a relay in a test file carries the connections to the control instances. It stops bytes by sender and receiver silently, as a partition does, or refuses connections; it learns the sender of a connection from its first request. TestCutConnections cuts the control leader off both ways, in each direction, and so that only its own calls pass, and books through each entry during each cut. It then cuts an entry off while an operator replaces the callers' key: once the change is reported as in force, the cut-off entry refuses, the other one serves under the new key only, and the first returns with the new one. TestLostControlDisk wipes a control instance while it is stopped, starts it under its old name beside a single other voter (it ends itself, and nobody is elected), adds a new one by pierctl, and loses the leader with its disk right after. Waits are bounded by 30 s, and no verdict depends on how long anything takes.

Ports are taken from 10000 to 19999, below the range that Linux gives out, at random, checked by listening, and never twice in one test process. Deployments may have relays, an operator and a replacement time. No check of an existing test changes.

Ruled out: one relay for each pair of processes, because the bootstrap refuses voters that know different addresses of each other.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,4 +1,5 @@
-// Package fleet tests whole deployments as processes: kills, freezes and graceful stops.
+// Package fleet tests whole deployments as processes: kills, freezes, graceful stops, cut connections
+// and lost disks.
 package fleet
 
 import (
@@ -10,11 +11,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -32,6 +35,7 @@
 const (
 	clusterKey   = "fleet-test-cluster-key"
 	workspaceKey = "fleet-test-workspace-key"
+	operatorKey  = "fleet-test-operator-key"
 	model        = "saw-diagnosis"
 	service      = "bookings"
 	// patience bounds waits for what must happen; no test depends on how long it takes.
@@ -55,7 +59,7 @@
 	}
 	defer os.RemoveAll(directory)
 	binaries = directory
-	for _, program := range []string{"controld", "entryd", "standin"} {
+	for _, program := range []string{"controld", "entryd", "pierctl", "standin"} {
 		build := exec.Command("go", "build", "-o", filepath.Join(directory, program), "./"+program)
 		build.Dir = filepath.Join("..", "..")
 		if out, err := build.CombinedOutput(); err != nil {
@@ -79,7 +83,11 @@
 	t         *testing.T
 	directory string
 	processes map[string]*process
+	// controls are the peer addresses of the control instances, listens those on which they listen.
 	controls  []string
+	listens   []string
+	operators []string
+	relays    *relays
 	callers   []string
 	platforms []string
 	engines   []string
@@ -87,18 +95,32 @@
 	pool      *peer.Pool
 	client    *control.Client
 	commands  int
+	size      size
 }
 
 type size struct {
 	controls, entries, engines, services int
+	// relayed sends the connections to the control instances through relays.
+	relayed bool
+	// replaceAfter is the option of controld, if set.
+	replaceAfter string
 }
 
 // deploy starts a deployment and waits until a request is answered.
 func deploy(t *testing.T, s size) *deployment {
 	t.Helper()
-	d := &deployment{t: t, directory: t.TempDir(), processes: make(map[string]*process)}
+	d := &deployment{t: t, directory: t.TempDir(), processes: make(map[string]*process), size: s}
+	d.listens = freeAddresses(t, s.controls)
+	d.controls = d.listens
+	if s.relayed {
+		d.relays = newRelays(t)
+		d.controls = nil
+		for i, address := range d.listens {
+			d.controls = append(d.controls, d.relays.listen(t, fmt.Sprint("control-", i), address))
+		}
+	}
 	t.Cleanup(d.kill)
-	d.controls = freeAddresses(t, s.controls)
+	d.operators = freeAddresses(t, s.controls)
 	d.callers = freeAddresses(t, s.entries)
 	d.platforms = freeAddresses(t, s.entries)
 	d.engines = freeAddresses(t, s.engines)
@@ -115,7 +137,7 @@
 	for i := range d.services {
 		d.start(fmt.Sprint("service-", i), "standin", d.serviceSettings(i), "service")
 	}
-	d.pool = peer.NewPool(peer.PoolConfig{Key: clusterKey})
+	d.pool = peer.NewPool(peer.PoolConfig{Key: clusterKey, Dial: d.dial})
 	t.Cleanup(d.pool.Close)
 	d.client = control.NewClient(control.ClientConfig{Addresses: d.controls, Caller: d.pool})
 	d.declare()
@@ -123,15 +145,38 @@
 	return d
 }
 
+// dial connects the test directly to the control instances, past the relays.
+func (d *deployment) dial(ctx context.Context, address string) (net.Conn, error) {
+	if i := slices.Index(d.controls, address); i >= 0 {
+		address = d.listens[i]
+	}
+	return (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", address)
+}
+
+// taken holds all addresses that freeAddresses has returned, so that parallel tests share none.
+var taken sync.Map
+
+// Ports below those that Linux gives to connections and to listeners on port 0 (32768 and above): those
+// took ports that freeAddresses had just released, and the process ended with "address already in use".
+const (
+	firstPort = 10_000
+	portCount = 10_000
+)
+
 // freeAddresses returns addresses whose ports were free a moment ago.
 func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		is.New(t).NoErr(err)
+	for len(addresses) < count {
+		address := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(portCount))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue // in use
+		}
 		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+		if _, used := taken.LoadOrStore(address, true); !used {
+			addresses = append(addresses, address)
+		}
 	}
 	return addresses
 }
@@ -148,8 +193,17 @@
 
 func (d *deployment) controlSettings(i int) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "instance: control-%d\ndata-centre: %s\ndata-directory: %s\npeer-listen: %s\noperator-listen: 127.0.0.1:0\ncluster-key: %s\nsnapshot-every: 64\nbootstrap:\n",
-		i, centre(i), filepath.Join(d.directory, fmt.Sprint("data-", i)), d.controls[i], clusterKey)
+	fmt.Fprintf(&b, "instance: control-%d\ndata-centre: %s\ndata-directory: %s\npeer-listen: %s\nadvertise-peer: %s\noperator-listen: %s\ncluster-key: %s\nsnapshot-every: 64\n",
+		i, centre(i), filepath.Join(d.directory, fmt.Sprint("data-", i)), d.listens[i], d.controls[i], d.operators[i], clusterKey)
+	hash := sha256.Sum256([]byte(operatorKey))
+	fmt.Fprintf(&b, "operators:\n  - name: test\n    key-hash: %x\n", hash)
+	if d.size.replaceAfter != "" {
+		fmt.Fprintf(&b, "replace-after: %s\n", d.size.replaceAfter)
+	}
+	if i >= d.size.controls {
+		return b.String() // added later
+	}
+	b.WriteString("bootstrap:\n")
 	for j, address := range d.controls {
 		fmt.Fprintf(&b, "  - instance: control-%d\n    address: %s\n", j, address)
 	}
--- /dev/null
+++ b/internal/fleet/partition_test.go
@@ -0,0 +1,205 @@
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/control"
+)
+
+// Guards against a control leader that keeps its office while it is cut off in any way, and against an
+// entry that is cut off from the control instances and admits under a configuration that has been
+// replaced.
+func TestCutConnections(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, size{controls: 3, entries: 2, engines: 1, services: 1, relayed: true})
+	for n, fault := range []struct {
+		name    string
+		stopped func(leader string, f flow) bool
+		refuses bool
+	}{
+		{"cut off both ways", func(l string, f flow) bool { return f.from() == l || f.to() == l }, false},
+		{"nothing arrives", func(l string, f flow) bool { return f.to() == l }, false},
+		{"nothing leaves", func(l string, f flow) bool { return f.from() == l }, false},
+		{"its calls pass, calls to it do not", func(l string, f flow) bool { return f.target == l }, true},
+	} {
+		d.awaitReached(3)
+		old := d.leader()
+		name := fmt.Sprint("control-", old)
+		refused := ""
+		if fault.refuses {
+			refused = name
+		}
+		d.relays.cut(func(f flow) bool { return fault.stopped(name, f) }, refused)
+		d.eventually("another leader than one that is "+fault.name, func() bool { return d.leader() != old })
+		for i := range d.callers {
+			d.awaitBooking(i, fmt.Sprintf("job-%d-%d", n, i))
+		}
+		d.relays.heal()
+	}
+	d.awaitReached(3)
+	d.cutOffEntry()
+}
+
+// cutOffEntry cuts entry 0 off while an operator replaces the callers' key.
+func (d *deployment) cutOffEntry() {
+	is := is.New(d.t)
+	const newKey = "fleet-test-next-key"
+	d.relays.cut(func(f flow) bool { return f.source == "entry-0" }, "")
+	hash := sha256.Sum256([]byte(newKey))
+	change := workspaceWithLimit(-1)
+	change.Workspace.KeyHashes = []string{hex.EncodeToString(hash[:])}
+	query, err := d.client.Query(context.Background(), control.QueryRequest{})
+	is.NoErr(err)
+	d.eventually("a change that is in force", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		reply, err := d.client.Submit(ctx, control.SubmitRequest{
+			CommandID: "replace-key", Author: "test", Expected: query.Revision, Changes: []configuration.Change{change}, Digest: []byte{1},
+		})
+		return err == nil && reply.Status == control.Accepted && reply.InForce
+	})
+	ask := func(entry int, key string) int {
+		return d.call(context.Background(), d.callers[entry], http.MethodGet, "/v1/services/"+service+"/health", "",
+			map[string]string{"Authorization": "Bearer " + key}).status
+	}
+	is.Equal(ask(0, workspaceKey), http.StatusServiceUnavailable) // its lease has run out
+	is.Equal(ask(1, workspaceKey), http.StatusUnauthorized)
+	// Endpoints that announced to the cut-off entry find the other one.
+	d.eventually("an answer of the other entry", func() bool { return ask(1, newKey) == http.StatusOK })
+	d.relays.heal()
+	d.eventually("the return of the entry", func() bool { return ask(0, newKey) == http.StatusOK })
+	is.Equal(ask(0, workspaceKey), http.StatusUnauthorized)
+}
+
+// awaitBooking books through an entry, which takes its lease and a commit.
+func (d *deployment) awaitBooking(entry int, reference string) {
+	d.t.Helper()
+	d.eventually("the booking of "+reference, func() bool {
+		return d.call(context.Background(), d.callers[entry], http.MethodPost, "/v1/services/"+service+"/jobs",
+			`{"reference":"`+reference+`"}`, map[string]string{"Idempotency-Key": reference}).err == nil
+	})
+}
+
+// voters returns the members of the control group as its leader sees them.
+func (d *deployment) voters() []control.Voter {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	reply, err := d.client.Query(ctx, control.QueryRequest{Quorum: true})
+	if err != nil {
+		return nil
+	}
+	return reply.Voters
+}
+
+// awaitReached waits until the given number of voters, and no others, answer the leader.
+func (d *deployment) awaitReached(count int) {
+	d.t.Helper()
+	d.eventually(fmt.Sprint("contact with ", count, " voters"), func() bool {
+		reached := 0
+		for _, v := range d.voters() {
+			if !v.Voter || !v.Reached {
+				return false
+			}
+			reached++
+		}
+		return reached == count
+	})
+}
+
+// Guards against a control instance that votes under its old identity after it lost its disk, and
+// against a repair after which the loss of a second instance costs the quorum or the state.
+func TestLostControlDisk(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := deploy(t, size{controls: 3, entries: 1, engines: 1, services: 1, replaceAfter: "1s"})
+	d.awaitReached(3)
+	leader := d.leader()
+	wiped, other := (leader+1)%3, (leader+2)%3
+	name := fmt.Sprint("control-", wiped)
+	is.NoErr(d.stop(name))
+	is.NoErr(os.RemoveAll(filepath.Join(d.directory, fmt.Sprint("data-", wiped))))
+	probe := configuration.Change{Model: &configuration.Model{Name: "probe", Version: "before"}}
+	d.submit(probe)
+
+	// Only the wiped instance could give the other one a quorum.
+	d.killOne(fmt.Sprint("control-", leader))
+	elections := d.elections(other)
+	d.restart(name)
+	end := make(chan error, 1)
+	go func() { end <- d.processes[name].command.Wait() }()
+	select {
+	case err := <-end:
+		var exit *exec.ExitError
+		is.True(errors.As(err, &exit)) // it learns that its identity is lost and stops
+	case <-time.After(patience):
+		t.Fatal("the wiped instance goes on under its old identity")
+	}
+	d.processes[name].command = nil
+	is.True(strings.Contains(d.logOf(name), "start with an empty directory and a new id"))
+	is.Equal(d.elections(other), elections)
+	d.restart(fmt.Sprint("control-", leader))
+
+	// The commands of docs/operators.md, "Replace an instance or disk".
+	d.controls = append(d.controls, freeAddresses(t, 1)...)
+	d.listens = d.controls
+	d.operators = append(d.operators, freeAddresses(t, 1)...)
+	d.start("control-3", "controld", d.controlSettings(3), "run")
+	d.eventually("the command that adds an instance", func() bool {
+		return d.pierctl("quorum", "add", "control-3", d.controls[3]) == nil
+	})
+	d.client = control.NewClient(control.ClientConfig{Addresses: d.controls, Caller: d.pool})
+	d.awaitReached(3)
+	for _, v := range d.voters() {
+		is.True(v.ID != name)
+	}
+	last := d.submit(configuration.Change{Model: &configuration.Model{Name: "probe", Version: "repaired"}})
+
+	second := d.leader()
+	d.killOne(fmt.Sprint("control-", second))
+	is.NoErr(os.RemoveAll(filepath.Join(d.directory, fmt.Sprint("data-", second))))
+	d.eventually("another leader", func() bool { return d.leader() != second })
+	reply, err := d.client.Query(context.Background(), control.QueryRequest{Configuration: true})
+	is.NoErr(err)
+	is.Equal(reply.Revision, last)
+	is.Equal(reply.Configuration.Models["probe"].Version, "repaired")
+	d.submit(probe)
+	d.awaitReady()
+}
+
+func (d *deployment) logOf(name string) string {
+	data, err := os.ReadFile(filepath.Join(d.directory, name+".log"))
+	is.New(d.t).NoErr(err)
+	return string(data)
+}
+
+// elections counts how often a control instance became the leader.
+func (d *deployment) elections(i int) int {
+	return strings.Count(d.logOf(fmt.Sprint("control-", i)), `"role":"leader"`)
+}
+
+// pierctl runs an operator's command.
+func (d *deployment) pierctl(arguments ...string) error {
+	is := is.New(d.t)
+	key, settings := filepath.Join(d.directory, "operator.key"), filepath.Join(d.directory, "pierctl.yaml")
+	is.NoErr(os.WriteFile(key, []byte(operatorKey), 0o600))
+	is.NoErr(os.WriteFile(settings, fmt.Appendf(nil, "addresses: %s\nkey-file: %s\n", list(d.operators), key), 0o600))
+	out, err := exec.Command(filepath.Join(binaries, "pierctl"), append([]string{"--settings", settings}, arguments...)...).CombinedOutput()
+	if err != nil {
+		d.t.Logf("pierctl %v: %v: %s", arguments, err, out)
+	}
+	return err
+}
