dispatch: look at free memory before the ends of all grants

Cause: a reservation counts as waiting for memory when any replica lacks it, so each try of a long queue asks for a hold, and each hold sorted the ends of all grants before it found that memory is free elsewhere. With some 2,000 waiting reservations one process could not keep up with its cell.

Change: earliestGroup first asks whether a group is free now. The result is the same.

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -239,6 +239,11 @@
 
 // earliestGroup returns the group that has the tokens free first when all work ends at the given times.
 func earliestGroup(now time.Time, replicas []*replica, size, tokens int, end func(*grant) time.Time) ([]*replica, time.Time) {
+	// Most calls are for reservations that wait for something else than memory; to sort the ends of all
+	// grants for each of them kept the lock of a cell with a long queue.
+	if members := freeGroup(replicas, size, tokens, (*replica).free); members != nil {
+		return members, now
+	}
 	type release struct {
 		at   time.Time
 		part *part
