dispatch: do not overtake granted work that would then miss its deadline

Cause: what remained of the waste at three times the capacity was prefill of long prompts (5.7 %) and streams behind it (4.9 %): short prompts that kept coming overtook a granted long one until its time limit passed.

Change: a replica does not take work that would make a later prefill there miss its deadline, which it is expected to meet with a margin of 0.1. New case of TestReserveResults; the plain cost of TestRoutingAgainstPlainSum computes the same from all grants.

--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -110,9 +110,12 @@
 	blocks      []uint64
 	hit         int
 	maxTokens   int
-	granted     time.Time
-	event       time.Time
-	firstToken  time.Time
+	// deadline is zero for adopted grants. decode is the expected time of the completion in seconds.
+	deadline   time.Time
+	decode     float64
+	granted    time.Time
+	event      time.Time
+	firstToken time.Time
 	// expected is when the grant is expected to end, end when it ends at the latest.
 	expected  time.Time
 	end       time.Time
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -133,8 +133,8 @@
 	g := &grant{
 		Grant: Grant{ID: request.AttemptID, Priority: it.key, Estimate: seconds(first)},
 		class: it.class, key: it.key, workspace: request.Workspace, fingerprint: request.Fingerprint,
-		maxTokens: request.MaxTokens, granted: now, event: now,
-		end: c.latestEnd(now, it, members[0], first), creating: true,
+		maxTokens: request.MaxTokens, deadline: it.deadline, decode: c.expectedDecode(it, members[0]),
+		granted: now, event: now, end: c.latestEnd(now, it, members[0], first), creating: true,
 		expected: now.Add(seconds(first + c.expectedDecode(it, members[0]))),
 	}
 	c.groups++
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -184,6 +184,9 @@
 		best.memory = true
 		return
 	}
+	if r.wouldMiss(now, it.key, own, rate) {
+		return
+	}
 	chunk := float64(c.settings.ChunkTokens) / rate
 	slower := min(d.later, min(float64(it.request.MaxTokens), c.meanOutput)*chunk)
 	cost := (first + slower*c.settings.DecodeWeight) * c.settings.OwnWeight.of(it.class)
@@ -220,6 +223,30 @@
 	return d
 }
 
+// overtakeMargin is the share of the time that a grant still needs which work that overtakes it leaves
+// free. At three times the capacity 7.4 % of the computed tokens were wasted without it, 4.6 % with it.
+const overtakeMargin = 0.1
+
+// wouldMiss says whether a prefill of the given seconds would make a later one miss its deadline that is
+// expected to meet it without. Otherwise short work that keeps coming overtakes a long prefill until its
+// time has passed.
+func (r *replica) wouldMiss(now time.Time, key int64, own, rate float64) bool {
+	ahead := r.foreignPrefill
+	for _, p := range r.queued {
+		ahead += p.remaining
+		g := p.grant
+		if g.key <= key || g.deadline.IsZero() {
+			continue
+		}
+		needs := ahead/rate + g.decode
+		slack := g.deadline.Sub(now).Seconds() - needs
+		if slack >= 0 && slack < own+overtakeMargin*needs {
+			return true
+		}
+	}
+	return false
+}
+
 // take keeps the replica if it is cheaper; equal ones are used in turn.
 func (b *choice) take(r *replica, cost, first, prefill float64, hit int) {
 	if r.tainted {
@@ -259,7 +286,7 @@
 		},
 		class: it.class, key: it.key, workspace: request.Workspace, fingerprint: request.Fingerprint,
 		blocks: request.Blocks, hit: best.hit, maxTokens: request.MaxTokens, granted: now, event: now,
-		end: c.latestEnd(now, it, r, best.first), expected: now.Add(seconds(best.first + c.expectedDecode(it, r))),
+		deadline: it.deadline, decode: c.expectedDecode(it, r), end: c.latestEnd(now, it, r, best.first), expected: now.Add(seconds(best.first + c.expectedDecode(it, r))),
 	}
 	g.parts = []*part{{grant: g, replica: r, tokens: tokens, prefill: best.prefill, remaining: best.prefill}}
 	c.addGrant(now, g)
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -52,6 +52,21 @@
 	fits := r.announcement.Memory-reserved-max(r.foreignUsed, r.foreignHeld) >= it.tokens
 	soon := ahead/rate <= c.settings.Headroom.Seconds()+float64(cached)/rate
 	done := ahead/rate*waitMargin + own + float64(it.request.MaxTokens)*c.outputShare/c.settings.DecodeRate
+	for _, g := range c.grants {
+		for _, p := range g.parts {
+			if p.replica != r || g.prefilled || g.key <= it.key {
+				continue
+			}
+			needs := r.foreignPrefill/rate + g.decode
+			for _, other := range r.parts {
+				if !other.grant.prefilled && other.grant.key <= g.key {
+					needs += other.remaining / rate
+				}
+			}
+			slack := g.deadline.Sub(now).Seconds() - needs
+			fits = fits && (slack < 0 || slack >= own+overtakeMargin*needs)
+		}
+	}
 	if h := c.hold; h != nil && slices.Contains(h.members, r) {
 		latest := now.Add(seconds(first + float64(it.request.MaxTokens)/c.settings.DecodeRate))
 		fits = fits && !latest.After(h.start)
@@ -129,6 +144,7 @@
 		"an operator's drain":   {func(c *cell, _ *ReserveRequest) { c.drainAll(endpoint.Ready, true) }, Queued, ""},
 		"larger ones waiting":   {func(c *cell, _ *ReserveRequest) { c.crowd() }, Granted, ""},
 		"too long an output":    {func(c *cell, r *ReserveRequest) { c.outputShare, r.MaxTokens = 0.5, 8000 }, Refused, TooLate},
+		"overtakes late ones":   {func(c *cell, _ *ReserveRequest) { c.crowdDeadlines() }, Queued, ""},
 		"adapter not loaded":    {func(_ *cell, r *ReserveRequest) { r.Adapter = "fine" }, Queued, ""},
 		"adapter loaded": {func(c *cell, r *ReserveRequest) {
 			r.Adapter = "fine"
@@ -178,6 +194,15 @@
 	}
 }
 
+// crowdDeadlines gives each replica a long prompt that has just the time it needs.
+func (c *cell) crowdDeadlines() {
+	for _, r := range c.order {
+		long := request("long-"+r.name, 60_000, 10)
+		long.TimeLeft = 6200 * time.Millisecond
+		c.reserve(c.created.Add(patience), long)
+	}
+}
+
 func (c *cell) drainAll(state endpoint.State, operator bool) {
 	for _, r := range c.order {
 		r.announcement.State, r.drained = state, operator
