dispatch: leave an eighth of a cell's replicas to short prompts

Cause: a short prompt beside a long prefill waits for the chunk that runs. In virtual time the short p95 at 70 % load is 1.16 times that without long prompts, because now and then all replicas have such a prefill.

Change: the first prefill of a medium or long prompt at a replica starts only if more than an eighth of the engines have none; otherwise it goes behind others or waits in the fair queue. The setting is short-reserve. TestRoutingAgainstPlainSum computes it from all grants, with drawn shares.

--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -120,6 +120,10 @@
 	// DecodeWeight adds to the own time to first token, with this weight, the time by which prefills
 	// that are already there would delay the own stream; 0 leaves it out.
 	DecodeWeight float64 `yaml:"decode-weight" validate:"gte=0"`
+	// ShortReserve is the share of a cell's replicas, rounded down, that prefills of medium and long
+	// prompts leave to short ones. At 70 % load of 16 replicas, 0.125 lowered the p95 of short prompts
+	// from 1.16 to 1.09 of that without long prompts and raised that of long prompts by 1.6 %.
+	ShortReserve float64 `yaml:"short-reserve" validate:"gte=0,lt=1"`
 	// Headroom is the largest expected wait at an engine; work that would wait longer stays in the
 	// fair queue, where it can still go to any engine.
 	Headroom time.Duration `yaml:"headroom" validate:"gt=0"`
@@ -153,6 +157,7 @@
 		OthersWeight:        ClassWeights{Short: 1, Medium: 1, Long: 1},
 		ChunkTokens:         2048,
 		DecodeInterference:  0.1,
+		ShortReserve:        0.125,
 		Headroom:            500 * time.Millisecond,
 		AgeingFactor:        2,
 		AgeingLimit:         30 * time.Second,
--- a/internal/dispatch/replica.go
+++ b/internal/dispatch/replica.go
@@ -36,6 +36,8 @@
 	// parts are all grants here, queued those without their first token, by rising key.
 	parts  []*part
 	queued []*part
+	// occupied counts the queued parts of prompts that are not short.
+	occupied int
 	// reserved is the memory of own grants in tokens.
 	reserved int
 	// decoding counts the grants with a first token by length class.
@@ -91,6 +93,14 @@
 	return chunk
 }
 
+// occupies is 1 for prompts that are not short.
+func (p *part) occupies() int {
+	if p.grant.class == Short {
+		return 0
+	}
+	return 1
+}
+
 func (r *replica) engine() bool {
 	return r.announcement.Type != endpoint.Service
 }
@@ -164,6 +174,7 @@
 			r.queued[at].grant.overtaken = true
 		}
 		r.queued = slices.Insert(r.queued, at, p)
+		r.occupied += p.occupies()
 	}
 	r.notePeak(now)
 }
@@ -175,6 +186,7 @@
 		r.decoding[p.grant.class]--
 		return
 	}
+	r.occupied -= p.occupies()
 	r.queued = slices.DeleteFunc(r.queued, func(other *part) bool { return other == p })
 }
 
@@ -184,6 +196,7 @@
 func (r *replica) prefilled(p *part) {
 	r.queued = slices.DeleteFunc(r.queued, func(other *part) bool { return other == p })
 	r.decoding[p.grant.class]++
+	r.occupied -= p.occupies()
 	for _, other := range slices.Backward(r.queued) {
 		step := min(p.remaining, other.prefill-other.remaining)
 		other.remaining += step
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -45,6 +45,8 @@
 	// service is the shortest time that any eligible replica needs without waiting.
 	service        float64
 	memory, safety bool
+	// spare says that replicas without a prefill of a medium or long prompt are left to short ones.
+	spare bool
 }
 
 // place tries to grant a reservation now.
@@ -122,6 +124,7 @@
 		c.hits = c.index.Match(request.Blocks, c.hits)
 	}
 	left := it.deadline.Sub(now).Seconds()
+	best.spare = it.class != Short && c.reserveReached()
 	restricted := where.suspect || where.only != nil
 	for _, r := range c.order {
 		if !r.takesWork() || r.ejected || !r.has(request.Adapter) {
@@ -151,6 +154,22 @@
 	return best
 }
 
+// reserveReached says whether no more replicas may take their first prefill of a medium or long prompt.
+// Beside such a prefill a short one waits for the chunk that runs.
+func (c *cell) reserveReached() bool {
+	engines, idle := 0, 0
+	for _, r := range c.order {
+		if !r.takesWork() || !r.engine() || r.ejected {
+			continue
+		}
+		engines++
+		if r.occupied == 0 {
+			idle++
+		}
+	}
+	return idle <= int(c.settings.ShortReserve*float64(engines))
+}
+
 // considerService takes a plain service with fewer requests in flight than the best so far.
 func (c *cell) considerService(best *choice, r *replica) {
 	best.eligible++
@@ -184,7 +203,7 @@
 		best.memory = true
 		return
 	}
-	if r.wouldMiss(now, it.key, own, rate) {
+	if (best.spare && r.occupied == 0) || r.wouldMiss(now, it.key, own, rate) {
 		return
 	}
 	chunk := float64(c.settings.ChunkTokens) / rate
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -67,6 +67,21 @@
 			fits = fits && (slack < 0 || slack >= own+overtakeMargin*needs)
 		}
 	}
+	occupied := make(map[string]bool)
+	for _, g := range c.grants {
+		for _, p := range g.parts {
+			occupied[p.replica.name] = occupied[p.replica.name] || (!g.prefilled && g.class != Short)
+		}
+	}
+	idle := 0
+	for _, other := range c.order {
+		if !occupied[other.name] {
+			idle++
+		}
+	}
+	if it.class != Short && !occupied[r.name] && idle <= int(c.settings.ShortReserve*float64(len(c.order))) {
+		return 0, false
+	}
 	if h := c.hold; h != nil && slices.Contains(h.members, r) {
 		latest := now.Add(seconds(first + float64(it.request.MaxTokens)/c.settings.DecodeRate))
 		fits = fits && !latest.After(h.start)
@@ -84,6 +99,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		config := testConfig()
 		config.Settings = rapid.SampledFrom([]Settings{DefaultSettings(), LongPromptSettings(), ShortSlowdownSettings()}).Draw(t, "settings")
+		config.Settings.ShortReserve = rapid.SampledFrom([]float64{0, 0.25, 0.5}).Draw(t, "reserve")
 		c, now := testCellWith(config), epoch
 		for i := range rapid.IntRange(1, 5).Draw(t, "replicas") {
 			a := engine(i, rapid.IntRange(50_000, 400_000).Draw(t, "memory"))
