loadtool: report the waste by its cause

Of the wasted tokens only the sum was known. The stand-in now lists the attempts that ended early with their request, tokens and whether they had a first token; the load tool joins them with what became of each request: completed by another attempt (replaced), failed or refused with its reason, or without any response (unanswered). The result has wasted-by-cause, the summary a table.

TestAddWork gets lists of both readings; the engine's test of releases also compares the list with the sum.

--- a/loadtool/internal/caller/caller.go
+++ b/loadtool/internal/caller/caller.go
@@ -48,6 +48,8 @@
 
 // Result is what came of a request.
 type Result struct {
+	// RequestID is empty without a response.
+	RequestID string
 	// Reason is empty for a complete response, else the code of a refusal or a reason of this package.
 	Reason string
 	// Refused means that the server answered with an error before the first token.
@@ -100,6 +102,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
+	result.RequestID = response.Header.Get(endpoint.HeaderRequestID)
 	if response.StatusCode != http.StatusOK {
 		result.Refused = true
 		result.Reason = code(response)
--- a/loadtool/internal/report/result.go
+++ b/loadtool/internal/report/result.go
@@ -48,9 +48,11 @@
 	Goodput      float64 `json:"goodput"`
 	TokenGoodput float64 `json:"token-goodput"`
 	// Wasted are the tokens that engines computed for attempts that ended early, Computed all tokens.
-	Wasted   int `json:"wasted-tokens"`
-	Computed int `json:"computed-tokens"`
-	Cached   int `json:"cached-tokens"`
+	Wasted int `json:"wasted-tokens"`
+	// WastedBy splits Wasted by what became of the request and how far its attempt came.
+	WastedBy map[string]int `json:"wasted-by-cause"`
+	Computed int            `json:"computed-tokens"`
+	Cached   int            `json:"cached-tokens"`
 	// Imbalance is the largest number of prompt tokens computed by an engine over the mean.
 	Imbalance float64 `json:"imbalance"`
 	// HeldAfter are the tokens still reserved at the engines some seconds after the last response.
--- a/loadtool/internal/report/text.go
+++ b/loadtool/internal/report/text.go
@@ -30,9 +30,28 @@
 	for _, p := range policies {
 		writeRuns(t, p)
 	}
+	fmt.Fprintln(t, "\nWasted tokens by cause, % of the computed ones")
+	fmt.Fprintln(t, "experiment\tpolicy\tcause\twasted %")
+	for _, p := range policies {
+		writeWaste(t, p)
+	}
 	return t.Flush()
 }
 
+func writeWaste(w io.Writer, p Policy) {
+	runs := p.of(All)
+	causes := make(map[string]bool)
+	for _, r := range runs {
+		for cause := range r.WastedBy {
+			causes[cause] = true
+		}
+	}
+	for _, cause := range slices.Sorted(maps.Keys(causes)) {
+		share := spread(runs, func(r Run) float64 { return 100 * float64(r.WastedBy[cause]) / float64(max(1, r.Computed)) })
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", p.Experiment, p.Policy, cause, share.text("%.2f"))
+	}
+}
+
 func writeClasses(w io.Writer, p Policy, variant string) {
 	for _, name := range p.classNames(variant) {
 		classes := p.class(variant, name)
--- a/loadtool/internal/runner/collector.go
+++ b/loadtool/internal/runner/collector.go
@@ -21,10 +21,11 @@
 	idle        []*hdrhistogram.Histogram
 	firstTokens map[int]time.Duration
 	tokens      int
+	reasons     map[string]string
 }
 
 func newCollector(e experiment.Experiment) *collector {
-	c := &collector{experiment: e, firstTokens: make(map[int]time.Duration)}
+	c := &collector{experiment: e, firstTokens: make(map[int]time.Duration), reasons: make(map[string]string)}
 	for _, class := range e.Classes {
 		c.classes = append(c.classes, report.Class{
 			Name: class.Name, Refused: make(map[string]int), Failed: make(map[string]int),
@@ -37,11 +38,14 @@
 
 // add records a result. Requests that arrived during the warm-up are not counted.
 func (c *collector) add(a experiment.Arrival, r caller.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.RequestID != "" {
+		c.reasons[r.RequestID] = r.Reason
+	}
 	if a.At < c.experiment.WarmUp {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	class := &c.classes[a.Class]
 	class.Requests++
 	switch {
@@ -84,5 +88,6 @@
 		},
 		histograms:  c.histograms,
 		firstTokens: c.firstTokens,
+		reasons:     c.reasons,
 	}
 }
--- a/loadtool/internal/runner/engines.go
+++ b/loadtool/internal/runner/engines.go
@@ -24,6 +24,14 @@
 	Output  int `json:"output"`
 	Cached  int `json:"cached"`
 	Wasted  int `json:"wasted"`
+	// Early has the attempts that ended early in the order of their ends.
+	Early []early `json:"early"`
+}
+
+type early struct {
+	RequestID string `json:"request-id"`
+	Started   bool   `json:"started"`
+	Tokens    int    `json:"tokens"`
 }
 
 // engines reads the figures of stand-in engines.
@@ -79,8 +87,17 @@
 	}
 }
 
-// addWork adds what the engines did between two readings of their totals.
-func addWork(run *report.Run, before, after []totals) {
+const (
+	// replaced is the cause of waste of a request that another attempt completed, unanswered that of a
+	// request whose caller got no response.
+	replaced   = "replaced"
+	unanswered = "unanswered"
+)
+
+// addWork adds what the engines did between two readings of their totals. The reasons are those of the
+// requests that were answered, by request id.
+func addWork(run *report.Run, before, after []totals, reasons map[string]string) {
+	run.WastedBy = make(map[string]int)
 	prefill, largest := 0, 0
 	for i := range after {
 		mine := after[i].Prefill - before[i].Prefill
@@ -89,8 +106,26 @@
 		run.Computed += mine + after[i].Output - before[i].Output
 		run.Cached += after[i].Cached - before[i].Cached
 		run.Wasted += after[i].Wasted - before[i].Wasted
+		for _, attempt := range after[i].Early[len(before[i].Early):] {
+			run.WastedBy[attempt.cause(reasons)] += attempt.Tokens
+		}
 	}
 	if prefill > 0 {
 		run.Imbalance = float64(largest) * float64(len(after)) / float64(prefill)
 	}
 }
+
+// cause is what became of the request of the attempt, and how far the attempt came.
+func (e early) cause(reasons map[string]string) string {
+	cause, answered := reasons[e.RequestID]
+	switch {
+	case !answered:
+		cause = unanswered
+	case cause == "":
+		cause = replaced
+	}
+	if e.Started {
+		return cause + " after first token"
+	}
+	return cause + " in prefill"
+}
--- a/loadtool/internal/runner/runner.go
+++ b/loadtool/internal/runner/runner.go
@@ -104,6 +104,8 @@
 	histograms []*hdrhistogram.Histogram
 	// firstTokens has the time to first token by number of the arrival.
 	firstTokens map[int]time.Duration
+	// reasons are those of the answered requests by request id.
+	reasons map[string]string
 }
 
 func (r *runner) run(ctx context.Context, seed uint64, variant string) (*outcome, error) {
@@ -127,7 +129,7 @@
 	}
 	o := collector.outcome()
 	o.summary.Seed, o.summary.Variant = seed, variant
-	addWork(&o.summary, before, after)
+	addWork(&o.summary, before, after, o.reasons)
 	o.summary.HeldAfter, err = r.engines.held(ctx)
 	if err != nil {
 		return nil, err
--- a/loadtool/internal/runner/runner_test.go
+++ b/loadtool/internal/runner/runner_test.go
@@ -74,7 +74,12 @@
 	is := is.New(t)
 	var run report.Run
 	addWork(&run,
-		[]totals{{Prefill: 100, Output: 10, Wasted: 7}, {Prefill: 200, Cached: 1}},
-		[]totals{{Prefill: 400, Output: 20, Wasted: 9}, {Prefill: 300, Cached: 5}})
-	is.Equal(run, report.Run{Computed: 410, Cached: 4, Wasted: 2, Imbalance: 1.5})
+		[]totals{{Prefill: 100, Output: 10, Wasted: 7, Early: []early{{"old", true, 7}}}, {Prefill: 200, Cached: 1}},
+		[]totals{{Prefill: 400, Output: 20, Wasted: 9, Early: []early{{"old", true, 7}, {"a", true, 1}, {"b", false, 1}}}, {
+			Prefill: 300, Cached: 5, Wasted: 6, Early: []early{{"c", true, 4}, {"c", true, 2}},
+		}},
+		map[string]string{"a": "", "c": caller.TimeLimit})
+	is.Equal(run, report.Run{Computed: 410, Cached: 4, Wasted: 8, Imbalance: 1.5, WastedBy: map[string]int{
+		"replaced after first token": 1, "unanswered in prefill": 1, "time-limit after first token": 6,
+	}})
 }
--- a/standin/internal/model/engine.go
+++ b/standin/internal/model/engine.go
@@ -94,13 +94,28 @@
 	Cached  int `json:"cached"`
 	// Wasted are the tokens computed for attempts that ended early.
 	Wasted int `json:"wasted"`
+	// Early has the attempts that ended early with computed tokens, in the order of their ends.
+	Early []Early `json:"early"`
 }
 
+// Early is an attempt that ended early.
+type Early struct {
+	RequestID string `json:"request-id"`
+	// Started says that its first token had been generated.
+	Started bool `json:"started"`
+	Tokens  int  `json:"tokens"`
+}
+
+// maxEarly bounds the memory of Totals.Early.
+const maxEarly = 65536
+
 // Totals returns the work done so far.
 func (e *Engine) Totals() Totals {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.totals
+	totals := e.totals
+	totals.Early = slices.Clone(totals.Early)
+	return totals
 }
 
 // New returns an engine; Run has to be called for it to make progress.
@@ -345,6 +360,9 @@
 	if err != nil {
 		e.totals.Cancelled++
 		e.totals.Wasted += a.spent
+		if a.spent > 0 && len(e.totals.Early) < maxEarly {
+			e.totals.Early = append(e.totals.Early, Early{RequestID: a.RequestID, Started: a.started, Tokens: a.spent})
+		}
 	}
 	if a.stop != nil {
 		a.stop()
--- a/standin/internal/model/engine_test.go
+++ b/standin/internal/model/engine_test.go
@@ -178,6 +178,11 @@
 				totals := e.Totals()
 				is.Equal(totals.Attempts, 2)
 				is.Equal(totals.Wasted > 0, totals.Cancelled == 2) // b never ran
+				early := 0
+				for _, attempt := range totals.Early {
+					early += attempt.Tokens
+				}
+				is.Equal(early, totals.Wasted)
 			})
 		})
 	}
