--- a/internal/dispatch/routing_bench_test.go
+++ b/internal/dispatch/routing_bench_test.go
@@ -23,8 +23,8 @@
 	cached    int
 }
 
-// simEngine runs prefills in chunks by priority, and keeps the blocks that were used last.
-type simEngine struct {
+// chunkEngine runs prefills in chunks by priority, and keeps the blocks that were used last.
+type chunkEngine struct {
 	announcement endpoint.Announcement
 	prefills     []*simRequest
 	busy         bool
@@ -33,14 +33,14 @@
 }
 
 const (
-	simRate   = 10_000.0
-	simChunk  = 2048.0
-	simBlocks = 500
-	simOutput = 95
+	simRate     = 10_000.0
+	chunkTokens = 2048.0
+	simBlocks   = 500
+	simOutput   = 95
 )
 
 // lookup returns the number of leading blocks that are cached and stores all.
-func (e *simEngine) lookup(blocks []uint64) (hit int) {
+func (e *chunkEngine) lookup(blocks []uint64) (hit int) {
 	for hit < len(blocks) && e.used[blocks[hit]] > 0 {
 		hit++
 	}
@@ -88,7 +88,7 @@
 	events  simEvents
 	next    int
 	random  *rand.Rand
-	engines map[string]*simEngine
+	engines map[string]*chunkEngine
 	waiting []*simRequest
 	// first has the times to first token in seconds by length class.
 	first                   [lengthClasses][]float64
@@ -100,10 +100,10 @@
 func newSimulation(cells, replicas int, seed uint64) *simulation {
 	s := &simulation{
 		group: newCellGroup(cells), now: epoch, random: rand.New(rand.NewPCG(seed, 1)),
-		engines: map[string]*simEngine{},
+		engines: map[string]*chunkEngine{},
 	}
 	for i := range replicas {
-		e := &simEngine{announcement: engine(i, 1_000_000), used: map[uint64]int{}}
+		e := &chunkEngine{announcement: engine(i, 1_000_000), used: map[uint64]int{}}
 		s.engines[e.announcement.Name] = e
 		s.at(time.Duration(i)*time.Second/time.Duration(replicas), func() { s.announce(e) })
 	}
@@ -116,7 +116,7 @@
 	heap.Push(&s.events, simEvent{at: s.now.Add(after), next: s.next, run: run})
 }
 
-func (s *simulation) announce(e *simEngine) {
+func (s *simulation) announce(e *chunkEngine) {
 	s.group.announce(s.now, e.announcement)
 	s.at(time.Second, func() { s.announce(e) })
 }
@@ -170,13 +170,13 @@
 	}
 }
 
-func (s *simulation) chunk(e *simEngine) {
+func (s *simulation) chunk(e *chunkEngine) {
 	e.busy = len(e.prefills) > 0
 	if !e.busy {
 		return
 	}
 	r := slices.MinFunc(e.prefills, func(a, b *simRequest) int { return cmp.Compare(a.grant.Priority, b.grant.Priority) })
-	tokens := min(r.remaining, simChunk)
+	tokens := min(r.remaining, chunkTokens)
 	s.at(seconds(tokens/simRate), func() {
 		if r.remaining -= tokens; r.remaining <= 0 {
 			e.prefills = slices.DeleteFunc(e.prefills, func(other *simRequest) bool { return other == r })
--- a/internal/fleet/failure_test.go
+++ b/internal/fleet/failure_test.go
@@ -244,6 +244,10 @@
 		} else {
 			_ = d.wait(fault.name)
 			d.restart(fault.name)
+			// The next round counts a refused connection to this entry as a fault of another one.
+			d.eventually("the restart of "+fault.name, func() bool {
+				return d.call(ctx, d.callers[index(fault.name)], http.MethodGet, "/v1/models", "", nil).status != 0
+			})
 		}
 		requests.Wait()
 		cancel()
