Name the leader's operator address, and remove the forwarding

Cause: controld passed a LeaderAddress that was always empty, so forwarding to the leader never happened. Commands and queries do not need it: every instance reaches the leader as entries do. Changes of the quorum do, and their answer named nobody.

Ruled out: making the forwarding work. It sent the operator's key on without TLS whatever the settings say, and pierctl follows the address in an answer itself and keeps https. Addresses in the replicated membership: they would change the log's format for one command.

Change: LeaderAddress is the `operator` address of the leader in the bootstrap list, which had no effect before; the answer to a change of the quorum at a follower names it. The forwarding with its HTTP client and header is removed. An instance that was added later is not in the list; pierctl then asks its addresses in turn, as before.

Tests: TestForwardsToLeader tested the removed forwarding. TestNamesLeader takes its place: for commands, queries and changes of the quorum a follower answers 503 with the leader's address and runs nothing; pierctl's TestFollowsLeader and TestLeaderKeepsTheScheme cover the rest. TestOperatorAddress covers the list.

Conclusion: `pierctl quorum` works with the address of any first voter.

--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -99,8 +99,7 @@
 		Quorum:        d.node,
 		Peers:         d.pool,
 		Operators:     d.settings.Operators,
-		LeaderAddress: func(string) string { return "" },
-		Client:        http.DefaultClient,
+		LeaderAddress: d.settings.operatorAddress,
 		Now:           time.Now,
 		Logger:        d.logger,
 	})
@@ -146,6 +145,17 @@
 	return addresses
 }
 
+// operatorAddress returns the operator address of the instance with the given peer address, as far as the
+// bootstrap list names it. An instance that was added later is not listed; pierctl then asks all in turn.
+func (s Settings) operatorAddress(peer string) string {
+	for _, v := range s.Bootstrap {
+		if v.Address == peer {
+			return v.Operator
+		}
+	}
+	return ""
+}
+
 func (d *daemon) gauges() {
 	d.certificates.Register(d.registry)
 	d.registry.GaugeFunc("control_leader", func() int64 {
--- a/controld/internal/operator/burn.go
+++ b/controld/internal/operator/burn.go
@@ -18,7 +18,7 @@
 	defer cancel()
 	state, err := a.query(ctx, control.QueryRequest{Members: true})
 	if err != nil {
-		a.unavailable(w, r.WithContext(ctx), nil, err)
+		a.unavailable(w, r, err)
 		return
 	}
 	query := r.URL.Query()
--- a/controld/internal/operator/command.go
+++ b/controld/internal/operator/command.go
@@ -50,7 +50,7 @@
 	defer cancel()
 	reply, err := a.run(ctx, operatorOf(r), request, transaction)
 	if err != nil {
-		a.unavailable(w, r.WithContext(ctx), request, err)
+		a.unavailable(w, r, err)
 		return
 	}
 	a.config.Logger.Info(
--- a/controld/internal/operator/leader.go
+++ b/controld/internal/operator/leader.go
@@ -1,23 +1,17 @@
 package operator
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 
+	"github.com/dandelionpier/dandelionpier/internal/consensus"
 	"github.com/dandelionpier/dandelionpier/internal/control"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/language"
 )
 
-// forwardedHeader marks a request that another control instance sent on. It is not sent on again,
-// so that two instances with old views of the leader do not pass it back and forth.
-const forwardedHeader = "X-Forwarded-By-Control"
-
-// maxReplyBytes bounds the rows of an answer, and what is copied from the leader.
+// maxReplyBytes bounds the rows of an answer.
 const maxReplyBytes = 4 << 20
 
 // notLeader says that another instance leads.
@@ -43,52 +37,27 @@
 	}
 }
 
-// unavailable forwards the request if another instance leads, and else answers that the request
-// may be sent again.
-func (a *API) unavailable(w http.ResponseWriter, r *http.Request, request any, err error) {
+// unavailable answers that the request may be sent again, and names the leader if another instance is
+// known to lead.
+func (a *API) unavailable(w http.ResponseWriter, r *http.Request, err error) {
 	var elsewhere *notLeader
-	if !errors.As(err, &elsewhere) {
+	var hint *consensus.LeaderHint
+	switch {
+	case errors.As(err, &elsewhere):
+		a.nameLeader(w, err, elsewhere.leader)
+	case errors.As(err, &hint):
+		a.nameLeader(w, err, hint.Address)
+	default:
 		a.fail(w, r, http.StatusServiceUnavailable, err)
-		return
-	}
-	address := ""
-	if elsewhere.leader != "" {
-		address = a.config.LeaderAddress(elsewhere.leader)
 	}
-	if address != "" && r.Header.Get(forwardedHeader) == "" {
-		if a.forward(w, r, address, request) == nil {
-			return
-		}
-	}
-	respond(w, http.StatusServiceUnavailable, language.ErrorReply{Error: err.Error(), Leader: address})
 }
 
-// forward sends the request to the leader with the operator's own key, and copies the answer. After
-// an error nothing has been written.
-func (a *API) forward(w http.ResponseWriter, r *http.Request, address string, request any) error {
-	const op = "forward to leader"
-	body, err := json.Marshal(request)
-	if err != nil {
-		return fault.Wrap(err, op, Malformed, address)
-	}
-	out, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+address+r.URL.RequestURI(), bytes.NewReader(body))
-	if err != nil {
-		return fault.Wrap(err, op, Unavailable, address)
-	}
-	out.Header.Set("Authorization", r.Header.Get("Authorization"))
-	out.Header.Set("Content-Type", "application/json")
-	out.Header.Set(forwardedHeader, "1")
-	response, err := a.config.Client.Do(out)
-	if err != nil {
-		return fault.Wrap(err, op, Unavailable, address)
-	}
-	defer response.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, 2*maxReplyBytes))
-	if err != nil {
-		return fault.Wrap(err, op, Unavailable, address)
+// nameLeader does not forward the request: the operator's client asks the leader itself, over TLS if it
+// uses it.
+func (a *API) nameLeader(w http.ResponseWriter, err error, leader string) {
+	reply := language.ErrorReply{Error: err.Error()}
+	if leader != "" {
+		reply.Leader = a.config.LeaderAddress(leader)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(response.StatusCode)
-	_, _ = w.Write(answer) // the client left; nobody is there to tell
-	return nil
+	respond(w, http.StatusServiceUnavailable, reply)
 }
--- a/controld/internal/operator/operator.go
+++ b/controld/internal/operator/operator.go
@@ -56,11 +56,9 @@
 	Peers Caller
 	// Operators are the operators with the sums of their keys.
 	Operators []Operator
-	// LeaderAddress returns the operator address (host:port) of a leader named in a reply, or an
-	// empty string if it is not known.
+	// LeaderAddress returns the operator address (host:port) of the leader with the given peer address,
+	// or an empty string if it is not known.
 	LeaderAddress func(leader string) string
-	// Client forwards requests to the leader.
-	Client *http.Client
 	// Now is the clock.
 	Now    func() time.Time
 	Logger *zap.Logger
@@ -99,7 +97,7 @@
 	a.router.ServeHTTP(w, r)
 }
 
-// decode reads a strict JSON body into target and returns the body for forwarding.
+// decode reads a strict JSON body into target.
 func decode(w http.ResponseWriter, r *http.Request, target any) error {
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
 	decoder.DisallowUnknownFields()
--- a/controld/internal/operator/query.go
+++ b/controld/internal/operator/query.go
@@ -36,7 +36,7 @@
 	defer cancel()
 	reply, err := a.answer(ctx, query)
 	if err != nil {
-		a.unavailable(w, r.WithContext(ctx), request, err)
+		a.unavailable(w, r, err)
 		return
 	}
 	respond(w, http.StatusOK, reply)
