Run process tests that mostly wait beside each other

Cause: package fleet took 132 s of the whole test run, most of it waiting for leases, restarts and roll-outs. No check changes.

--- a/internal/fleet/failure_test.go
+++ b/internal/fleet/failure_test.go
@@ -53,6 +53,7 @@
 // Guards against requests that fail, grants that are cancelled and memory that is lost when the number of a
 // model's cells changes while callers stream.
 func TestCellsChangeUnderLoad(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	d := deploy(t, size{controls: 3, entries: 4, engines: 6, services: 1})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -214,6 +215,7 @@
 // Guards against requests that hang, and memory that is lost, when entries are frozen or killed while
 // they dispatch and stream.
 func TestFrozenAndKilledEntries(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, size{controls: 3, entries: 3, engines: 3, services: 1})
 	for _, fault := range []struct {
 		name   string
@@ -265,6 +267,7 @@
 // frozen between them and all control instances killed at once, the last accepted revision is what a
 // query returns and what each entry serves under.
 func TestConfigurationNeverReverts(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	d := deploy(t, size{controls: 3, entries: 2, engines: 1, services: 1})
 	last := uint64(0)
--- a/internal/fleet/rollout_test.go
+++ b/internal/fleet/rollout_test.go
@@ -30,6 +30,7 @@
 // Guards against a roll-out that stops half-way or starts again from the old version when the leader that
 // gives the orders is killed, and against requests that fail while engines load.
 func TestRollOutOutlivesItsLeader(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	d := deploy(t, size{controls: 3, entries: 2, engines: 3, services: 1})
 	ctx, cancel := context.WithCancel(t.Context())
