Keep the port of a refusing address bound in tests

Cause: TestOutcomes/never_connected got 400 instead of 502 once: the port of a closed listener went to the next fake engine of the same test. Change: the address is that of a bound socket that does not listen. It refuses connections, and nobody else gets the port. Measured: go test -race -count=3 -run 'Outcomes|Once|Claim|Unrepeat' ./entryd/internal/cli: no failure.

--- a/entryd/internal/cli/failure_test.go
+++ b/entryd/internal/cli/failure_test.go
@@ -169,12 +169,7 @@
 
 // Guards against a wrong outcome of a request that failed before its first byte.
 func TestOutcomes(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	nobody := "http://" + closed.Addr().String()
-	_ = closed.Close()
+	nobody := "http://" + unused(t)
 	cut := engine(t, func(http.ResponseWriter, *http.Request, events) { panic(http.ErrAbortHandler) })
 	rejecting := engine(t, func(w http.ResponseWriter, _ *http.Request, _ events) {
 		w.WriteHeader(400)
--- a/entryd/internal/cli/service_test.go
+++ b/entryd/internal/cli/service_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -118,15 +120,18 @@
 	}
 }
 
-// unused returns an address that refuses connections.
+// unused returns an address that refuses connections. Its port stays bound, without a listener: one that was
+// only free a moment ago went to the next listener of a test once.
 func unused(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
+	is := is.New(t)
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	is.NoErr(syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := syscall.Getsockname(socket)
+	is.NoErr(err)
+	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
 }
 
 // Guards against wrong answers to a key that was used before.
