--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -80,7 +80,7 @@
 
 // deployment is a running fleet on loopback.
 type deployment struct {
-	t         *testing.T
+	t         testing.TB
 	directory string
 	processes map[string]*process
 	// controls are the peer addresses of the control instances, listens those on which they listen.
@@ -107,7 +107,7 @@
 }
 
 // deploy starts a deployment and waits until a request is answered.
-func deploy(t *testing.T, s size) *deployment {
+func deploy(t testing.TB, s size) *deployment {
 	t.Helper()
 	d := &deployment{t: t, directory: t.TempDir(), processes: make(map[string]*process), size: s}
 	d.listens = freeAddresses(t, s.controls)
@@ -164,7 +164,7 @@
 )
 
 // freeAddresses returns addresses whose ports were free a moment ago.
-func freeAddresses(t *testing.T, count int) []string {
+func freeAddresses(t testing.TB, count int) []string {
 	t.Helper()
 	var addresses []string
 	for len(addresses) < count {
--- a/internal/fleet/relay_test.go
+++ b/internal/fleet/relay_test.go
@@ -41,7 +41,7 @@
 	return f.target
 }
 
-func newRelays(t *testing.T) *relays {
+func newRelays(t testing.TB) *relays {
 	r := &relays{changed: make(chan struct{})}
 	t.Cleanup(func() {
 		r.heal()
@@ -56,7 +56,7 @@
 }
 
 // listen returns the address of a relay in front of the target at behind.
-func (r *relays) listen(t *testing.T, target, behind string) string {
+func (r *relays) listen(t testing.TB, target, behind string) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = listener.Close() })
