standin: send the first token in an event of its own

Cause: scripts/measure sets tokens-per-event to 4, so the first event, from which the time to first token counts, came with the fourth token.

Change: the first event has one token, the following ones tokens-per-event.

--- a/standin/internal/engine/completion.go
+++ b/standin/internal/engine/completion.go
@@ -157,7 +157,7 @@
 		Priority:     h.priority,
 		PromptTokens: p.tokens,
 		MaxTokens:    p.maxTokens,
-		Generated:    min(h.resumeFrom*perEvent, p.maxTokens),
+		Generated:    min(firstToken(h.resumeFrom, perEvent), p.maxTokens),
 		Blocks:       p.blocks,
 		Holding:      h.holding,
 		Group:        1 + len(h.group),
--- a/standin/internal/engine/engine_test.go
+++ b/standin/internal/engine/engine_test.go
@@ -136,6 +136,22 @@
 	})
 }
 
+// Guards against a first event that waits for more than the first token, and against a resumption that
+// does not continue at the same token when events have several.
+func TestStreamWithSeveralTokensPerEvent(t *testing.T) {
+	several := settings()
+	several.TokensPerEvent = 3
+	bubble(t, []options.Engine{settings(), several, several}, func(t *testing.T, n network) {
+		is := is.New(t)
+		single, whole := stream(n["e0"]), stream(n["e1"])
+		is.Equal(whole[0], single[0])
+		is.Equal(len(whole), 5) // 1, 3 and 1 tokens, usage, [DONE]
+		for from := range whole[:4] {
+			is.Equal(stream(n["e2"], endpoint.HeaderResumeFrom, strconv.Itoa(from)), whole[from:])
+		}
+	})
+}
+
 // Guards against a chat and a completion response that lack the whole output.
 func TestWholeResponse(t *testing.T) {
 	bubble(t, []options.Engine{settings()}, func(t *testing.T, n network) {
--- a/standin/internal/engine/output.go
+++ b/standin/internal/engine/output.go
@@ -65,9 +65,16 @@
 	return append(b, quoted...)
 }
 
+// firstToken is the first output token of the event at position. The first event has one token, so that
+// it measures the time to first token: with perEvent tokens, it came perEvent-1 decode steps late, each of
+// which takes a chunk's time beside a long prefill.
+func firstToken(position, perEvent int) int {
+	return max(0, 1+(position-1)*perEvent)
+}
+
 // textEvents is the number of events with text; one event with usage follows them.
 func (w writer) textEvents() int {
-	return (w.prompt.maxTokens + w.perEvent - 1) / w.perEvent
+	return 1 + (w.prompt.maxTokens-1+w.perEvent-1)/w.perEvent
 }
 
 // available is the number of text events that can be sent once generated tokens exist.
@@ -75,7 +82,7 @@
 	if generated >= w.prompt.maxTokens {
 		return w.textEvents()
 	}
-	return generated / w.perEvent
+	return (generated + w.perEvent - 1) / w.perEvent
 }
 
 // appendEvent appends the SSE event at position under the given index, which differs from the
@@ -92,8 +99,8 @@
 		b = w.appendUsage(b, cached)
 		return append(b, "}\n\n"...)
 	}
-	from := position * w.perEvent
-	b = appendTokens(b, w.prompt.digest, from, min(from+w.perEvent, w.prompt.maxTokens))
+	to := min(firstToken(position+1, w.perEvent), w.prompt.maxTokens)
+	b = appendTokens(b, w.prompt.digest, firstToken(position, w.perEvent), to)
 	b = w.appendClose(b, "null")
 	return append(b, "}\n\n"...)
 }
