Dial anew when a peer's connection has ended between two calls

Cause: after the restart of an entry the first query or report of an operator named the entry as missing (exit code 6), with "connection is shut down", and so did any first call of a pool to a restarted process: the pool kept the connection although its reader had seen the end. Seen in the walk through the operators' guide. The call failed as one that may have run, though nothing was sent. Ruled out: sending again after rpc.ErrShutdown; calls that were sent get it too when another call closes the connection. Change: the connection remembers that reading has ended, and the next call dials anew before it sends. Before: go test -run TestRestartedPeer ./internal/peer fails with "connection is shut down"; after: go test -race -count=20 ./internal/peer passes. Conclusion: only calls during the end of a connection are lost.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -46,10 +46,12 @@
 	writeTimeout = 2 * time.Second
 )
 
-// deadlineConn sets a deadline on each write, records when bytes last arrived and counts the bytes.
+// deadlineConn sets a deadline on each write, records when bytes last arrived and whether the connection
+// has ended, and counts the bytes.
 type deadlineConn struct {
 	net.Conn
 	lastRead atomic.Int64
+	ended    atomic.Bool
 	traffic  *atomic.Int64
 }
 
@@ -59,6 +61,9 @@
 		c.lastRead.Store(time.Now().UnixNano())
 		c.traffic.Add(int64(n))
 	}
+	if err != nil {
+		c.ended.Store(true)
+	}
 	return n, err
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,10 +1,13 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -189,3 +192,92 @@
 	cancelFirst()
 	is.True(errors.Is(<-end, context.Canceled))
 }
+
+// pipes is a listener for connections within the process.
+type pipes struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+}
+
+func (l *pipes) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipes) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// buffered is an end of net.Pipe whose writes do not wait for the reader, as those of a socket.
+type buffered struct {
+	net.Conn
+	queue chan []byte
+	done  chan struct{}
+	close func()
+}
+
+func newBuffered(conn net.Conn) *buffered {
+	b := &buffered{Conn: conn, queue: make(chan []byte, 16), done: make(chan struct{})}
+	b.close = sync.OnceFunc(func() { close(b.done) })
+	go func() {
+		for {
+			select {
+			case data := <-b.queue:
+				_, _ = conn.Write(data)
+			case <-b.done:
+				return
+			}
+		}
+	}()
+	return b
+}
+
+func (b *buffered) Write(data []byte) (int, error) {
+	select {
+	case b.queue <- bytes.Clone(data):
+		return len(data), nil
+	case <-b.done:
+		return 0, net.ErrClosed
+	}
+}
+
+func (b *buffered) Close() error {
+	b.close()
+	return b.Conn.Close()
+}
+
+// Guards against a first call after the other side's restart that fails on the old connection as one that
+// may have run, although the pool knows that the connection has ended.
+func TestRestartedPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		server := peer.NewServer(peer.ServerConfig{Key: key, Logger: zap.NewNop()})
+		is.NoErr(server.Register("Echo", &echo{}))
+		listener := &pipes{accepted: make(chan net.Conn), closed: make(chan struct{})}
+		ctx, cancel := context.WithCancel(t.Context())
+		end := task.Start(ctx, func(ctx context.Context) error { return server.Serve(ctx, listener) })
+		var far net.Conn
+		p := peer.NewPool(peer.PoolConfig{Key: key, Dial: func(context.Context, string) (net.Conn, error) {
+			near, other := net.Pipe()
+			far = newBuffered(other)
+			listener.accepted <- far
+			return newBuffered(near), nil
+		}})
+		var reply string
+		is.NoErr(p.Call(t.Context(), "127.0.0.1:1", "Echo.Say", "before", &reply))
+		is.NoErr(far.Close())
+		synctest.Wait()
+		is.NoErr(p.Call(t.Context(), "127.0.0.1:1", "Echo.Say", "after", &reply))
+		is.Equal(reply, "after")
+		p.Close()
+		cancel()
+		is.NoErr(<-end)
+	})
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -162,9 +162,15 @@
 	return l.client, l.conn, nil
 }
 
+// current returns the connection, unless there is none or it has ended: a call on it would fail as one
+// that may have run, although nothing can be sent.
 func (l *link) current() (*rpc.Client, *deadlineConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.client != nil && l.conn.ended.Load() {
+		_ = l.client.Close()
+		l.client, l.conn = nil, nil
+	}
 	return l.client, l.conn
 }
 
