Read the rest of a refused body before answering

Cause: net/http does not read the rest of a request body on a connection that it will close, as after "Connection: close" or on a draining entry. Closing it with unread bytes resets it, so a caller that still sends a long prompt loses the refusal and cannot tell that the request did not run.

Change: the entry reads up to 8 MiB, within the 200 ms that already bounded the reading.

Conclusion: a refusal reaches a caller whose body arrives within 200 ms.

--- a/entryd/internal/filter/record.go
+++ b/entryd/internal/filter/record.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"io"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -49,9 +50,11 @@
 			}
 			err := guarded(config.Access, handler, w, r, x)
 			if !x.BodyRead && r.ContentLength != 0 {
-				// net/http reads on in a body that was refused before it answers; a caller that does not
-				// send it must not hold the answer.
+				// Closing a connection with unread bytes resets it, and the caller loses the answer, so the
+				// rest of a refused body is read first. A caller that does not send it must not hold the
+				// answer.
 				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
+				_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscard))
 			}
 			finish(w, x, err)
 			config.Access.Info("Request", x.Fields(time.Now())...)
@@ -64,6 +67,9 @@
 // the answer to a body that did not arrive within the time limit can still be written.
 const discardTimeout = 200 * time.Millisecond
 
+// maxDiscard is the largest body that the design allows.
+const maxDiscard = 8 << 20
+
 // guarded keeps a fault in the handling of one request from ending the process.
 func guarded(logger *zap.Logger, handler Handler, w http.ResponseWriter, r *http.Request, x *exchange.Exchange) (err error) {
 	defer func() {
