--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -26,7 +26,6 @@
 	jobs    map[string]*job
 	// waiting are the jobs without a grant.
 	waiting map[string]*job
-	ended   []*job
 }
 
 // trial sets up a fleet. Times are simulated; the cell sees them divided by speed, as on the bench.
