Bound what an entry polls for the time without a dispatcher

Cause: an entry asked for all endpoints of all models in use once a second. Ruled out: changes since a version (entries need the loads, which always change); longer intervals for all (a list older than 3 s was not used at all). Change: an entry asks at most four models a second, one cell of each at random, for 12 endpoints in all. Dispatchers answer with a random sample of those that take work. Endpoints that were last heard of within 30 s serve where nothing newer is known. Tests: TestPollsAreBounded, TestStaleEndpointsServe, TestSample.

--- a/controld/internal/operator/fleet.go
+++ b/controld/internal/operator/fleet.go
@@ -29,9 +29,11 @@
 	missing []language.Missing
 }
 
-// askFleet asks the dispatcher of each cell for its view, with the request that it is given for the cell. A cell whose dispatcher does not answer
-// within fleetTimeout is named in missing.
-func askFleet(ctx context.Context, peers Caller, c configuration.Configuration, members []session.Member, request func(cell string) dispatch.EndpointsRequest) fleet {
+// askFleet asks the dispatcher of each cell for its view, with the request that it is given for the cell.
+// A cell whose dispatcher does not answer within fleetTimeout is named in missing.
+func askFleet(ctx context.Context, peers Caller, c configuration.Configuration, members []session.Member,
+	request func(cell string) dispatch.EndpointsRequest,
+) fleet {
 	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
 	defer cancel()
 	var (
--- a/entryd/internal/cell/cell_test.go
+++ b/entryd/internal/cell/cell_test.go
@@ -29,6 +29,7 @@
 	batches  int
 	failures int
 	polls    []dispatch.EndpointView
+	polled   []dispatch.EndpointsRequest
 	calls    int
 }
 
@@ -49,6 +50,9 @@
 		r.events = append(r.events, request.Events...)
 		r.batches++
 	case dispatch.EndpointsRequest:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.polled = append(r.polled, request)
 		reply.(*dispatch.EndpointsReply).Endpoints = r.polls
 	}
 	return nil
@@ -257,3 +261,54 @@
 		<-end
 	})
 }
+
+// Guards against an entry that asks for more endpoints the more models it serves, and against one that
+// never asks about some of them.
+func TestPollsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := &remote{reserve: func(_ context.Context, reply *dispatch.ReserveReply) error {
+			reply.Status = dispatch.Granted
+			return nil
+		}}
+		client := newClient(r)
+		ctx, cancel := context.WithCancel(t.Context())
+		end := make(chan error, 1)
+		go func() { end <- client.Run(ctx) }()
+		const models, seconds, perSecond = 24, 200, 12 // one model is missed with a chance of 24 * (20/24)^200
+		for i := range models {
+			use := request
+			use.Cell = fmt.Sprintf("model-%d/norte", i)
+			_, err := client.Reserve(ctx, use, attempts())
+			is.NoErr(err)
+		}
+		time.Sleep(seconds * time.Second)
+		cancel()
+		is.NoErr(<-end)
+		asked, endpoints := make(map[string]bool), 0
+		for _, poll := range r.polled {
+			asked[poll.Cell] = true
+			endpoints += poll.Sample
+			is.True(poll.Sample > 0)
+		}
+		is.True(endpoints <= seconds*perSecond)
+		is.Equal(len(asked), models)
+	})
+}
+
+// Guards against requests that are refused without a dispatcher because the list of a model that is
+// seldom asked about is older than the time after which endpoints count as dead.
+func TestStaleEndpointsServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		client := newClient(&remote{reserve: silent})
+		client.Announce(announcement("engine-1", 0))
+		time.Sleep(10 * time.Second)
+		grant, err := client.Reserve(t.Context(), request, attempts())
+		is.NoErr(err)
+		is.Equal(grant.Members[0].Endpoint, "engine-1")
+		time.Sleep(time.Minute)
+		_, err = client.Reserve(t.Context(), request, attempts())
+		is.True(err != nil)
+	})
+}
--- a/entryd/internal/cell/roster.go
+++ b/entryd/internal/cell/roster.go
@@ -16,14 +16,21 @@
 )
 
 const (
-	// pollInterval is the age of the list when a dispatcher is lost, at most.
 	pollInterval = time.Second
 	pollTimeout  = 500 * time.Millisecond
+	// pollCells and pollEndpoints bound what an entry asks for at a time. All endpoints of 24 models would
+	// be 230 KB a second at the size of design.md, section 4; 12 are 1.1 KB, and as many are answered.
+	pollCells     = 4
+	pollEndpoints = 12
 	// inUse is how long a cell is polled after the last request for it.
 	inUse = time.Minute
+	// staleAfter is how long an endpoint that is no longer heard of serves where nothing newer is known. With
+	// more models in use than pollCells the list of one is some seconds old. An endpoint that has left
+	// since refuses, and the request is tried elsewhere.
+	staleAfter = 30 * time.Second
 )
 
-// roster is the last known state of the endpoints of the cells in use. It is as old as the last poll
+// roster is the last known state of some endpoints of the cells in use. It is as old as the last poll
 // or announcement and serves only while a dispatcher is lost.
 type roster struct {
 	mu    sync.Mutex
@@ -68,7 +75,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	maps.DeleteFunc(r.cells, func(_ string, state *cellState) bool {
-		maps.DeleteFunc(state.endpoints, func(_ string, k known) bool { return now.Sub(k.at) > endpoint.DeadAfter })
+		maps.DeleteFunc(state.endpoints, func(_ string, k known) bool { return now.Sub(k.at) > staleAfter })
 		return now.Sub(state.lastUse) > inUse && len(state.endpoints) == 0
 	})
 	var names []string
@@ -116,17 +123,24 @@
 	state := r.cell(request.Cell)
 	now := time.Now()
 	need := request.PromptTokens + request.MaxTokens
-	var candidates []known
+	var fresh, stale []known
 	for name, k := range state.endpoints {
 		a := k.announcement
-		usable := a.State == endpoint.Ready && !k.open && now.Sub(k.at) <= endpoint.DeadAfter &&
-			!settings[name].Drain && !slices.Contains(request.Exclude, name) &&
+		usable := a.State == endpoint.Ready && !k.open && !settings[name].Drain && !slices.Contains(request.Exclude, name) &&
 			(request.Adapter == "" || slices.Contains(a.Adapters, request.Adapter)) &&
 			(a.Type == endpoint.Service || a.Memory >= need)
-		if usable {
-			candidates = append(candidates, k)
+		switch age := now.Sub(k.at); {
+		case !usable || age > staleAfter:
+		case age <= endpoint.DeadAfter:
+			fresh = append(fresh, k)
+		default:
+			stale = append(stale, k)
 		}
 	}
+	candidates := fresh
+	if len(candidates) == 0 {
+		candidates = stale
+	}
 	if len(candidates) == 0 {
 		return dispatch.GrantMember{}, false
 	}
@@ -146,7 +160,7 @@
 	return float64(l.Running+l.Queued+k.chosen) + float64(l.QueuedPrefill)/tokensPerRequest
 }
 
-// poll asks the dispatchers of the cells in use for their endpoints once a second.
+// poll asks the dispatchers of the cells in use for some of their endpoints once a second.
 func (c *Client) poll(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
@@ -157,24 +171,34 @@
 		case <-ticker.C:
 		}
 		var calls sync.WaitGroup
-		view, _ := c.config.View()
-		for _, first := range c.roster.used() {
-			for _, name := range dispatch.Cells(first, view.Cells(first)) {
-				calls.Go(func() { c.pollCell(ctx, first, name) })
-			}
+		cells := c.pollNext()
+		for _, first := range cells {
+			calls.Go(func() { c.pollCell(ctx, first, pollEndpoints/len(cells)) })
 		}
 		calls.Wait()
 	}
 }
 
-// pollCell adds the endpoints of a cell to those of its model, which are kept under the first cell.
-func (c *Client) pollCell(ctx context.Context, first, name string) {
+// pollNext returns the first cells of the models to ask about now, at random.
+func (c *Client) pollNext() []string {
+	used := c.roster.used()
+	rand.Shuffle(len(used), func(i, j int) { used[i], used[j] = used[j], used[i] })
+	return used[:min(len(used), pollCells)]
+}
+
+// pollCell asks one cell of a model, at random, and adds what it is told to the endpoints of the model, which
+// are kept under the first cell.
+func (c *Client) pollCell(ctx context.Context, first string, sample int) {
+	view, _ := c.config.View()
+	names := dispatch.Cells(first, view.Cells(first))
+	name := names[rand.IntN(len(names))]
 	target, ok := c.dispatcher(name)
 	if !ok {
 		return
 	}
 	var reply dispatch.EndpointsReply
-	err := c.call(ctx, target, pollTimeout, "Dispatch.Endpoints", dispatch.EndpointsRequest{Cell: name}, &reply)
+	request := dispatch.EndpointsRequest{Cell: name, Sample: sample}
+	err := c.call(ctx, target, pollTimeout, "Dispatch.Endpoints", request, &reply)
 	if err != nil {
 		c.config.Logger.Debug("Could not poll the endpoints of a cell", zap.String("cell", name), zap.Error(err))
 		return
--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -437,10 +438,7 @@
 		if !r.listed(now) {
 			continue
 		}
-		reply.Endpoints = append(reply.Endpoints, EndpointView{
-			Announcement: r.announcement, Grants: len(r.parts), GrantedTokens: r.reserved,
-			Age: now.Sub(r.seen), Open: r.ejected,
-		})
+		reply.Endpoints = append(reply.Endpoints, r.view(now))
 	}
 	for _, f := range c.queue.order(now) {
 		for _, it := range f.items {
@@ -453,6 +451,21 @@
 	return reply
 }
 
+// sample returns some endpoints that take work, at random.
+func (c *cell) sample(now time.Time, count int) EndpointsReply {
+	var usable []*replica
+	for _, r := range c.order {
+		if r.listed(now) && r.takesWork() && !r.ejected {
+			usable = append(usable, r)
+		}
+	}
+	reply := EndpointsReply{Status: Granted}
+	for _, i := range rand.Perm(len(usable))[:min(count, len(usable))] {
+		reply.Endpoints = append(reply.Endpoints, usable[i].view(now))
+	}
+	return reply
+}
+
 // idle says that nothing is known of the cell, so that it can be dropped.
 func (c *cell) idle(now time.Time) bool {
 	return len(c.order) == 0 && len(c.items) == 0 && len(c.grants) == 0 && now.Sub(c.ready) > endedTTL
--- a/internal/dispatch/changes_test.go
+++ b/internal/dispatch/changes_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
-	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 )
 
 // Guards against a caller that keeps an endpoint which is gone, or misses one that has changed, however
@@ -65,10 +67,10 @@
 	})
 }
 
-// BenchmarkPoll measures one poll of a cell of 32 engines under load: the whole, the changes when only
-// loads have changed, and when one engine has changed its state.
+// BenchmarkPoll measures one poll of a cell of 32 engines under load: the whole, a sample of 6, the changes
+// when only loads have changed, and when one engine has changed its state.
 func BenchmarkPoll(b *testing.B) {
-	for name, change := range map[string]int{"whole": -1, "loads": 0, "one": 1} {
+	for name, change := range map[string]int{"whole": -1, "sample": -2, "loads": 0, "one": 1} {
 		b.Run(name, func(b *testing.B) {
 			c, _ := loadedCell(32)
 			bytes := &counter{}
@@ -84,9 +86,12 @@
 						r.announcement.State = []endpoint.State{endpoint.Ready, endpoint.Draining}[round%2]
 					}
 				}
-				if change < 0 {
+				switch change {
+				case -1:
 					reply = c.view(epoch.Add(time.Duration(round)))
-				} else {
+				case -2:
+					reply = c.sample(epoch.Add(time.Duration(round)), 6)
+				default:
 					reply = c.changed(epoch, request)
 					request.Life, request.Version = reply.Life, reply.Version
 				}
@@ -100,3 +105,30 @@
 		})
 	}
 }
+
+// Guards against a sample with endpoints that take no work, with one twice, or with too many.
+func TestSample(t *testing.T) {
+	is := is.New(t)
+	c := testCellWith(testConfig())
+	for i := range 20 {
+		a := engine(i, 1000)
+		if i%2 == 0 {
+			a.State = endpoint.Draining
+		}
+		c.announce(epoch, a)
+	}
+	seen := make(map[string]bool)
+	for range 100 {
+		reply := c.sample(epoch, 4)
+		is.Equal(len(reply.Endpoints), 4)
+		names := make(map[string]bool)
+		for _, view := range reply.Endpoints {
+			is.Equal(view.Announcement.State, endpoint.Ready)
+			names[view.Announcement.Name] = true
+			seen[view.Announcement.Name] = true
+		}
+		is.Equal(len(names), 4)
+	}
+	is.Equal(len(seen), 10) // one is missed in 100 samples with a chance of 10 * 0.6^100
+	is.Equal(len(c.sample(epoch, 100).Endpoints), 10)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -179,10 +179,14 @@
 	}
 	c.mu.Lock()
 	defer d.finish(c)
-	if request.Changes {
-		return c.changed(d.config.Clock(), request), nil
+	switch now := d.config.Clock(); {
+	case request.Changes:
+		return c.changed(now, request), nil
+	case request.Sample > 0:
+		return c.sample(now, request.Sample), nil
+	default:
+		return c.view(now), nil
 	}
-	return c.view(d.config.Clock()), nil
 }
 
 // cellOf returns the cell of an endpoint among those of a model.
--- a/internal/dispatch/replica.go
+++ b/internal/dispatch/replica.go
@@ -113,6 +113,13 @@
 	return r.announced && r.announcement.State == endpoint.Ready && !r.drained
 }
 
+func (r *replica) view(now time.Time) EndpointView {
+	return EndpointView{
+		Announcement: r.announcement, Grants: len(r.parts), GrantedTokens: r.reserved,
+		Age: now.Sub(r.seen), Open: r.ejected,
+	}
+}
+
 // has reports whether an adapter is loaded; no adapter always is.
 func (r *replica) has(adapter string) bool {
 	return adapter == "" || slices.Contains(r.announcement.Adapters, adapter)
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -295,6 +295,7 @@
 	if !r.engine() {
 		tokens = 0
 	}
+	decode := c.expectedDecode(it, r)
 	g := &grant{
 		Grant: Grant{
 			ID:           request.AttemptID,
@@ -305,7 +306,8 @@
 		},
 		class: it.class, key: it.key, workspace: request.Workspace, fingerprint: request.Fingerprint,
 		blocks: request.Blocks, hit: best.hit, maxTokens: request.MaxTokens, granted: now, event: now,
-		deadline: it.deadline, decode: c.expectedDecode(it, r), end: c.latestEnd(now, it, r, best.first), expected: now.Add(seconds(best.first + c.expectedDecode(it, r))),
+		deadline: it.deadline, decode: decode,
+		expected: now.Add(seconds(best.first + decode)), end: c.latestEnd(now, it, r, best.first),
 	}
 	g.parts = []*part{{grant: g, replica: r, tokens: tokens, prefill: best.prefill, remaining: best.prefill}}
 	c.addGrant(now, g)
--- a/internal/dispatch/wire.go
+++ b/internal/dispatch/wire.go
@@ -180,6 +180,8 @@
 	Changes bool
 	Life    uint64
 	Version uint64
+	// Sample, if it is more than 0, asks for so many endpoints that take work, at random, without the queue.
+	Sample int
 }
 
 // EndpointView is one endpoint as its dispatcher sees it.
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -56,7 +56,8 @@
 	generation uint64
 }
 
-// fold adds the details up. It replaces the maps, which a State may share. What entries still hold of a closed month is of no further use.
+// fold adds the details up. It replaces the maps, which a State may share. What entries still hold of a
+// closed month is of no further use.
 func (a *Account) fold() {
 	for _, sum := range a.Detail {
 		a.Total = a.Total.plus(sum)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -33,8 +33,9 @@
 	useTime   = 2 * time.Second
 
 	// answerTimeout is how long a request waits for a slice, the time that a dispatcher has for its first
-	// answer, maxPatience how long it waits for a home whose answers are known to take longer. callTimeout bounds the call itself: the answer of a home in another region may take longer
-	// and is used by the following requests.
+	// answer, maxPatience how long it waits for a home whose answers are known to take longer. callTimeout
+	// bounds the call itself: the answer of a home in another region may take longer and is used by the
+	// following requests.
 	answerTimeout = 50 * time.Millisecond
 	maxPatience   = 250 * time.Millisecond
 	callTimeout   = 500 * time.Millisecond
--- a/standin/internal/engine/platform.go
+++ b/standin/internal/engine/platform.go
@@ -46,8 +46,8 @@
 	respond(w, e.model.Release(mux.Vars(r)["id"]))
 }
 
-// renew starts the TTL of a holding anew, with the ttl-ms of the body if there is one. The head of a group adds occupy-ms, the simulated time for
-// which the group's prefill occupies this engine.
+// renew starts the TTL of a holding anew, with the ttl-ms of the body if there is one. The head of a group
+// adds occupy-ms, the simulated time for which the group's prefill occupies this engine.
 func (e *Engine) renew(w http.ResponseWriter, r *http.Request) {
 	id := mux.Vars(r)["id"]
 	var h endpoint.Holding
