--- a/entryd/internal/cell/roster.go
+++ b/entryd/internal/cell/roster.go
@@ -25,9 +25,9 @@
 	// inUse is how long a cell is polled after the last request for it.
 	inUse = time.Minute
 	// staleAfter is how long an endpoint that is no longer heard of serves where nothing newer is known. With
-	// more models in use than pollCells the list of one is some seconds old. An endpoint that has left
-	// since refuses, and the request is tried elsewhere.
-	staleAfter = 30 * time.Second
+	// more models in use than pollCells the list of one is some seconds old. It is short because an endpoint
+	// that has left must not get new work for long; it refuses, and the request is tried elsewhere.
+	staleAfter = 10 * time.Second
 )
 
 // roster is the last known state of some endpoints of the cells in use. It is as old as the last poll
