Remove a setting without effect, and say what bootstrap[].operator does

advertise-operator was read by nothing. A follower names the operator address of the leader from bootstrap[].operator since its forwarding was removed.

--- a/controld/internal/cli/settings.go
+++ b/controld/internal/cli/settings.go
@@ -11,22 +11,21 @@
 
 // Settings are the options of controld.
 type Settings struct {
-	Instance          string              `yaml:"instance" validate:"required" description:"Name of this instance, unique in the deployment. An instance that lost its disk returns under a new one."`
-	DataCentre        string              `yaml:"data-centre" validate:"required" description:"Data centre of this instance."`
-	DataDirectory     string              `yaml:"data-directory" validate:"required" description:"Directory of the log and snapshots, on a disk that keeps synced files."`
-	PeerListen        string              `yaml:"peer-listen" validate:"required,listen_address" description:"Address for the other processes of the system."`
-	AdvertisePeer     string              `yaml:"advertise-peer" validate:"omitempty,hostname_port" description:"Address that other processes are told; empty means the address listened on."`
-	OperatorListen    string              `yaml:"operator-listen" validate:"required,listen_address" description:"Address of the operators' API."`
-	AdvertiseOperator string              `yaml:"advertise-operator" validate:"omitempty,hostname_port" description:"Has no effect at present: each control instance answers operators itself."`
-	MetricsListen     string              `yaml:"metrics-listen" validate:"omitempty,listen_address" description:"Address of metrics, health and readiness; empty means none."`
-	ClusterKey        string              `yaml:"cluster-key" validate:"required,min=16" description:"Key that all processes of the deployment share."`
-	Bootstrap         []Voter             `yaml:"bootstrap" validate:"dive" description:"First voters, the same list on each of them; used only while the data directory is new."`
-	Operators         []operator.Operator `yaml:"operators" validate:"dive" description:"People who may issue commands and queries."`
-	SnapshotEvery     int                 `yaml:"snapshot-every" validate:"min=16" description:"Entries of the log between two snapshots."`
-	ReplaceAfter      time.Duration       `yaml:"replace-after" validate:"gt=0" description:"Time for which a voter is unreachable before a standby takes its place."`
-	MaxLoads          int                 `yaml:"max-loads" validate:"min=1" description:"Engines that the weight store can serve at a time."`
-	LogLevel          string              `yaml:"log-level" validate:"oneof=debug info warn error" description:"Least level of log lines."`
-	TLS               TLS                 `yaml:"tls"`
+	Instance       string              `yaml:"instance" validate:"required" description:"Name of this instance, unique in the deployment. An instance that lost its disk returns under a new one."`
+	DataCentre     string              `yaml:"data-centre" validate:"required" description:"Data centre of this instance."`
+	DataDirectory  string              `yaml:"data-directory" validate:"required" description:"Directory of the log and snapshots, on a disk that keeps synced files."`
+	PeerListen     string              `yaml:"peer-listen" validate:"required,listen_address" description:"Address for the other processes of the system."`
+	AdvertisePeer  string              `yaml:"advertise-peer" validate:"omitempty,hostname_port" description:"Address that other processes are told; empty means the address listened on."`
+	OperatorListen string              `yaml:"operator-listen" validate:"required,listen_address" description:"Address of the operators' API."`
+	MetricsListen  string              `yaml:"metrics-listen" validate:"omitempty,listen_address" description:"Address of metrics, health and readiness; empty means none."`
+	ClusterKey     string              `yaml:"cluster-key" validate:"required,min=16" description:"Key that all processes of the deployment share."`
+	Bootstrap      []Voter             `yaml:"bootstrap" validate:"dive" description:"First voters, the same list on each of them; used only while the data directory is new."`
+	Operators      []operator.Operator `yaml:"operators" validate:"dive" description:"People who may issue commands and queries."`
+	SnapshotEvery  int                 `yaml:"snapshot-every" validate:"min=16" description:"Entries of the log between two snapshots."`
+	ReplaceAfter   time.Duration       `yaml:"replace-after" validate:"gt=0" description:"Time for which a voter is unreachable before a standby takes its place."`
+	MaxLoads       int                 `yaml:"max-loads" validate:"min=1" description:"Engines that the weight store can serve at a time."`
+	LogLevel       string              `yaml:"log-level" validate:"oneof=debug info warn error" description:"Least level of log lines."`
+	TLS            TLS                 `yaml:"tls"`
 }
 
 // TLS are the files of the certificate and the listeners that use it, and the files for orders to
@@ -47,7 +46,7 @@
 type Voter struct {
 	Instance string `yaml:"instance" validate:"required" description:"Name of the control instance."`
 	Address  string `yaml:"address" validate:"required,hostname_port" description:"Its peer address."`
-	Operator string `yaml:"operator" validate:"omitempty,hostname_port" description:"Has no effect at present, as advertise-operator."`
+	Operator string `yaml:"operator" validate:"omitempty,hostname_port" description:"Its address for operators, which another instance names while this one leads; empty means that clients ask the instances in turn."`
 }
 
 const (
