--- a/entryd/internal/cell/cell_test.go
+++ b/entryd/internal/cell/cell_test.go
@@ -157,6 +157,21 @@
 	})
 }
 
+// wantReserved requires the grant "g", or a refusal with the given code.
+func wantReserved(t *testing.T, grant dispatch.Grant, err error, code string) {
+	t.Helper()
+	is := is.New(t)
+	if code == "" {
+		is.NoErr(err)
+		is.Equal(grant.ID, "g")
+		return
+	}
+	var refused refusal.Error
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Code, code)
+	is.Equal(refused.Outcome, refusal.DidNotRun)
+}
+
 // Guards against a queued reservation that is lost, granted twice, or waits past the time limit.
 func TestQueue(t *testing.T) {
 	granted := dispatch.ReserveReply{Status: dispatch.Granted, Grant: dispatch.Grant{ID: "g"}}
@@ -191,15 +206,7 @@
 				defer cancel()
 				grant, err := newClient(test.remote).Reserve(ctx, request, attempts())
 				is.Equal(test.remote.calls, test.calls)
-				if test.code == "" {
-					is.NoErr(err)
-					is.Equal(grant.ID, "g")
-					return
-				}
-				var refused refusal.Error
-				is.True(errors.As(err, &refused))
-				is.Equal(refused.Code, test.code)
-				is.Equal(refused.Outcome, refusal.DidNotRun)
+				wantReserved(t, grant, err, test.code)
 			})
 		})
 	}
--- a/entryd/internal/cell/fallback_test.go
+++ b/entryd/internal/cell/fallback_test.go
@@ -79,15 +79,7 @@
 				began := time.Now()
 				grant, err := client.Reserve(ctx, withFingerprint(1), attempts())
 				is.True(time.Since(began) <= min(test.limit, 11*time.Second))
-				if test.code == "" {
-					is.NoErr(err)
-					is.Equal(grant.ID, "g")
-					return
-				}
-				var refused refusal.Error
-				is.True(errors.As(err, &refused))
-				is.Equal(refused.Code, test.code)
-				is.Equal(refused.Outcome, refusal.DidNotRun)
+				wantReserved(t, grant, err, test.code)
 			})
 		})
 	}
--- a/internal/fleet/failure_test.go
+++ b/internal/fleet/failure_test.go
@@ -24,29 +24,13 @@
 func TestGracefulStopCutsNothing(t *testing.T) {
 	is := is.New(t)
 	d := deploy(t, size{controls: 3, entries: 4, engines: 4, services: 2})
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	results := make(chan string, 1024)
-	var streams sync.WaitGroup
-	for i := range 12 {
-		streams.Go(func() { stream(ctx, &caller{d: d}, i, results) })
-	}
+	streams := d.startStreams(12)
 	for _, name := range []string{"entry-1", "engine-2", "service-0", fmt.Sprint("control-", d.leader()), "entry-3", "engine-0"} {
 		if err := d.stop(name); err != nil {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	cancel()
-	streams.Wait()
-	close(results)
-	count := 0
-	for result := range results {
-		count++
-		if result != "" {
-			t.Error(result)
-		}
-	}
-	is.True(count > 12) // the callers worked while the processes stopped
+	is.True(streams.end() > 12) // the callers worked while the processes stopped
 	d.awaitMemory()
 }
 
@@ -56,19 +40,13 @@
 	t.Parallel()
 	is := is.New(t)
 	d := deploy(t, size{controls: 3, entries: 4, engines: 6, services: 1})
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	results := make(chan string, 1024)
-	var streams sync.WaitGroup
-	for i := range 12 {
-		streams.Go(func() { stream(ctx, &caller{d: d}, i, results) })
-	}
+	streams := d.startStreams(12)
 	for i := range 2 {
-		streams.Go(func() {
+		streams.group.Go(func() {
 			// A group, which needs more than one engine.
 			prompt := fmt.Sprint("group ", i) + strings.Repeat("oak ", 450_000)
 			if a := d.complete(context.Background(), d.callers[i], prompt, 400); a.err != nil {
-				results <- a.err.Error()
+				streams.results <- a.err.Error()
 			}
 		})
 	}
@@ -76,18 +54,40 @@
 		d.submit(configuration.Change{Model: &configuration.Model{Name: model, Version: "v1", Replicas: replicas, MaxContext: 1_200_000}})
 		wait(4 * time.Second)
 	}
-	cancel()
-	streams.Wait()
-	close(results)
-	count := 0
-	for result := range results {
+	is.True(streams.end() > 12)
+	d.awaitMemory()
+}
+
+// streams are callers that stream one completion after the other. A result is empty or a failure.
+type streams struct {
+	t       testing.TB
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+	results chan string
+}
+
+func (d *deployment) startStreams(callers int) *streams {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.t.Cleanup(cancel)
+	s := &streams{t: d.t, cancel: cancel, results: make(chan string, 1024)}
+	for i := range callers {
+		s.group.Go(func() { stream(ctx, &caller{d: d}, i, s.results) })
+	}
+	return s
+}
+
+// end lets the callers finish what they stream, reports failures and returns the number of results.
+func (s *streams) end() (count int) {
+	s.cancel()
+	s.group.Wait()
+	close(s.results)
+	for result := range s.results {
 		count++
 		if result != "" {
-			t.Error(result)
+			s.t.Error(result)
 		}
 	}
-	is.True(count > 12)
-	d.awaitMemory()
+	return count
 }
 
 // stream sends completions, one after the other, until ctx ends; the last one is finished.
