Give requests placed without a dispatcher the priority of one

Cause: an entry that places a request itself sent the workspace's class (0 to 9) as engine priority, while dispatchers send Unix milliseconds. Ruled out: the sample of endpoints that entries poll now (the requests met at one engine for its long prefill; the engine's own queue was not the longest in requests); retries (each had one attempt). Change: dispatch.Settings.Priority is the formula of the dispatcher; entries use it with their settings and the default prefill rate. Test: TestPriorityWithoutDispatcher, red before.

--- a/entryd/internal/cell/cell_test.go
+++ b/entryd/internal/cell/cell_test.go
@@ -303,6 +303,31 @@
 	})
 }
 
+// Guards against requests placed without a dispatcher that run before all others at their engine, long ones
+// before short ones as well: their priority must compare with that of a dispatcher's grants.
+func TestPriorityWithoutDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		client := newClient(&remote{reserve: silent})
+		a := announcement("engine-1", 0)
+		a.Memory = 1_000_000
+		client.Announce(a)
+		long := request
+		long.PromptTokens = 200_000
+		first, err := client.Reserve(t.Context(), long, attempts())
+		is.NoErr(err)
+		second, err := client.Reserve(t.Context(), request, attempts())
+		is.NoErr(err)
+		is.True(second.Priority >= time.Now().UnixMilli())
+		is.True(second.Priority < first.Priority)
+		low := request
+		low.Priority = 1
+		third, err := client.Reserve(t.Context(), low, attempts())
+		is.NoErr(err)
+		is.True(third.Priority > second.Priority)
+	})
+}
+
 // Guards against requests that are refused without a dispatcher because the list of a model that is
 // seldom asked about is older than the time after which endpoints count as dead.
 func TestStaleEndpointsServe(t *testing.T) {
--- a/entryd/internal/cell/client.go
+++ b/entryd/internal/cell/client.go
@@ -53,7 +53,10 @@
 	View   func() (session.View, error)
 	Local  Dispatcher
 	Caller Caller
-	Logger *zap.Logger
+	// Settings are those of the dispatchers, for the priority of requests that are placed without one; zero
+	// means the defaults.
+	Settings dispatch.Settings
+	Logger   *zap.Logger
 }
 
 // Client reaches the dispatchers of all cells. It is safe for concurrent use.
@@ -68,6 +71,9 @@
 
 // New returns a client; Run must run for reports and announcements to be sent.
 func New(config Config) *Client {
+	if config.Settings.PrefillRate == 0 {
+		config.Settings = dispatch.DefaultSettings()
+	}
 	c := &Client{config: config, roster: newRoster(), crashes: newCrashes()}
 	c.reporter = newReporter(c)
 	c.forwarder = newForwarder(c)
@@ -188,7 +194,7 @@
 	return dispatch.Grant{
 		ID:       newAttempt(),
 		Members:  []dispatch.GrantMember{member},
-		Priority: int64(request.Priority),
+		Priority: c.config.Settings.Priority(time.Now(), request, c.config.Settings.PrefillRate),
 	}, nil
 }
 
--- a/entryd/internal/cli/serve.go
+++ b/entryd/internal/cli/serve.go
@@ -224,7 +224,7 @@
 	view := e.parts.Keeper.View
 	e.cells = cell.New(cell.Config{
 		Instance: o.Instance, Incarnation: e.member.Incarnation, View: view,
-		Local: e.parts.Dispatcher, Caller: pool, Logger: e.logger,
+		Local: e.parts.Dispatcher, Caller: pool, Settings: o.DispatchSettings(), Logger: e.logger,
 	})
 	e.home = quota.NewHome(quota.HomeConfig{Instance: o.Instance, View: view})
 	e.limiter = quota.NewLimiter(quota.LimiterConfig{
--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -237,14 +237,8 @@
 	}
 }
 
-// key is the engine priority in milliseconds: the arrival, plus the expected prefill times the ageing
-// factor, plus a step for each workspace priority class. It does not change with time, so work is
-// overtaken only by what arrives within a bounded time after it.
 func (c *cell) key(now time.Time, request ReserveRequest) int64 {
-	prefill := float64(request.PromptTokens) / c.rate * c.settings.AgeingFactor
-	ageing := min(c.settings.AgeingLimit, time.Duration(prefill*float64(time.Second)))
-	class := time.Duration(request.Priority) * c.settings.ClassStep
-	return now.Add(ageing + class).UnixMilli()
+	return c.settings.Priority(now, request, c.rate)
 }
 
 func (c *cell) queued(it *item) ReserveReply {
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -154,6 +154,16 @@
 	BreakerMaxBackOff time.Duration `yaml:"breaker-max-back-off" validate:"gt=0"`
 }
 
+// Priority is the engine priority in milliseconds: the arrival, plus the expected prefill at a rate in tokens
+// a second times the ageing factor, plus a step for each workspace priority class. It does not change with
+// time, so work is overtaken only by what arrives within a bounded time after it.
+func (s *Settings) Priority(arrival time.Time, request ReserveRequest, rate float64) int64 {
+	prefill := float64(request.PromptTokens) / rate * s.AgeingFactor
+	ageing := min(s.AgeingLimit, time.Duration(prefill*float64(time.Second)))
+	class := time.Duration(request.Priority) * s.ClassStep
+	return arrival.Add(ageing + class).UnixMilli()
+}
+
 // DefaultSettings returns settings between the two samples: a second is worth less to prompts whose time
 // to first token is longer anyway.
 func DefaultSettings() Settings {
