--- a/internal/consensus/applier.go
+++ b/internal/consensus/applier.go
@@ -180,10 +180,10 @@
 
 // due reports whether enough was applied since the last snapshot.
 func (a *applier) due(index uint64) bool {
-	if a.size >= max(snapshotBytes, a.snapshotSize/snapshotShare) {
-		return true
+	if a.size < a.snapshotSize/snapshotShare {
+		return false
 	}
-	return index >= a.snapshot+uint64(a.node.config.SnapshotEvery) && a.size >= a.snapshotSize/snapshotShare
+	return a.size >= snapshotBytes || index >= a.snapshot+uint64(a.node.config.SnapshotEvery)
 }
 
 func (a *applier) apply(e *journal.Entry) error {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -333,15 +333,20 @@
 
 func (d *deployment) declare() {
 	d.submit(
-		configuration.Change{Model: &configuration.Model{
-			Name: model, Version: "v1", Replicas: len(d.engines), MaxContext: 1_200_000,
-			PromptPrice: tokenPrice, CachedPrice: tokenPrice, OutputPrice: tokenPrice,
-		}},
+		d.modelAt("v1"),
 		configuration.Change{Service: &configuration.Service{Name: service, UnrepeatableMethods: []string{http.MethodPost}}},
 		workspaceWithLimit(-1),
 	)
 }
 
+// modelAt declares the callers' model with a version.
+func (d *deployment) modelAt(version string) configuration.Change {
+	return configuration.Change{Model: &configuration.Model{
+		Name: model, Version: version, Replicas: len(d.engines), MaxContext: 1_200_000,
+		PromptPrice: tokenPrice, CachedPrice: tokenPrice, OutputPrice: tokenPrice,
+	}}
+}
+
 // workspaceWithLimit declares the callers' workspace with a spending limit in micro-cents.
 func workspaceWithLimit(limit int64) configuration.Change {
 	hash := sha256.Sum256([]byte(workspaceKey))
--- a/internal/fleet/rollout_test.go
+++ b/internal/fleet/rollout_test.go
@@ -4,13 +4,10 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
-	"sync"
 	"testing"
 
 	"github.com/matryer/is"
 
-	"github.com/dandelionpier/dandelionpier/internal/configuration"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 )
 
@@ -33,24 +30,8 @@
 	t.Parallel()
 	is := is.New(t)
 	d := deploy(t, size{controls: 3, entries: 2, engines: 3, services: 1})
-	ctx, cancel := context.WithCancel(t.Context())
-	var callers sync.WaitGroup
-	for i := range 4 {
-		callers.Go(func() {
-			for n := 0; ctx.Err() == nil; n++ {
-				a := d.complete(context.Background(), d.callers[(i+n)%2], fmt.Sprintf("%d %d ", i, n)+strings.Repeat("saw ", 500), 10)
-				if a.err != nil {
-					t.Errorf("request during the roll-out: %v", a.err)
-				}
-			}
-		})
-	}
-	defer callers.Wait()
-	defer cancel()
-	d.submit(configuration.Change{Model: &configuration.Model{
-		Name: model, Version: "v2", Replicas: len(d.engines), MaxContext: 1_200_000,
-		PromptPrice: tokenPrice, CachedPrice: tokenPrice, OutputPrice: tokenPrice,
-	}})
+	streams := d.startStreams(4)
+	d.submit(d.modelAt("v2"))
 	d.eventually("the first engine on the new version", func() bool { return d.versions()["v2"] > 0 })
 	is.True(d.versions()["v1"] > 0)
 	leader := fmt.Sprint("control-", d.leader())
@@ -58,4 +39,5 @@
 	d.eventually("all engines on the new version", func() bool { return d.versions()["v2"] == len(d.engines) })
 	d.restart(leader)
 	d.eventually("the return of the killed leader", func() bool { return d.versions()["v2"] == len(d.engines) && d.leader() >= 0 })
+	is.True(streams.end() > 4) // the callers worked during the roll-out
 }
