Open logger and certificates of the stand-ins in one place

The engine, service and weight store repeated the same eight lines. Behaviour is the same; make lint, go test -race ./standin/..., the graceful stop over processes and make demo pass.

--- a/standin/internal/cli/cli.go
+++ b/standin/internal/cli/cli.go
@@ -99,11 +99,7 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(o.Common)
-	if err != nil {
-		return err
-	}
-	configs, err := o.TLS.Open(logger)
+	logger, configs, err := open(o.Common)
 	if err != nil {
 		return err
 	}
@@ -132,11 +128,7 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(o.Common)
-	if err != nil {
-		return err
-	}
-	configs, err := o.TLS.Open(logger)
+	logger, configs, err := open(o.Common)
 	if err != nil {
 		return err
 	}
@@ -148,21 +140,23 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(o.Common)
-	if err != nil {
-		return err
-	}
 	// Announcements have no type for a weight store.
 	o.AnnounceTo = nil
-	configs, err := o.TLS.Open(logger)
+	logger, configs, err := open(o.Common)
 	if err != nil {
 		return err
 	}
 	return run(ctx, o.Common, configs, weights.New(o), logger, rand.Text())
 }
 
-func newLogger(o options.Common) (*zap.Logger, error) {
-	return logging.New(logging.Config{Level: o.LogLevel, Program: "standin", Instance: o.Name})
+// open returns the logger and the TLS configurations of the settings.
+func open(o options.Common) (*zap.Logger, certificate.Configs, error) {
+	logger, err := logging.New(logging.Config{Level: o.LogLevel, Program: "standin", Instance: o.Name})
+	if err != nil {
+		return nil, certificate.Configs{}, err
+	}
+	configs, err := o.TLS.Open(logger)
+	return logger, configs, err
 }
 
 func run(ctx context.Context, o options.Common, configs certificate.Configs, e node.Endpoint, logger *zap.Logger, incarnation string) error {
