--- a/controld/internal/cli/cli.go
+++ b/controld/internal/cli/cli.go
@@ -32,7 +32,7 @@
 					if err != nil {
 						return err
 					}
-					return run(ctx, s)
+					return run(ctx, c.String("settings"), s)
 				},
 			},
 			{
--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -3,19 +3,23 @@
 import (
 	"context"
 	"crypto/tls"
+	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/controld/internal/controller"
+	"github.com/dandelionpier/dandelionpier/controld/internal/formation"
 	"github.com/dandelionpier/dandelionpier/controld/internal/operator"
 	"github.com/dandelionpier/dandelionpier/internal/certificate"
 	"github.com/dandelionpier/dandelionpier/internal/consensus"
 	"github.com/dandelionpier/dandelionpier/internal/control"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/journal"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/metrics"
 	"github.com/dandelionpier/dandelionpier/internal/peer"
@@ -35,22 +39,52 @@
 
 	certificates certificate.Configs
 	endpoints    certificate.Client
+
+	identity formation.Identity
+	control  *control.Client
+	seeds    *seeds
 }
 
-func run(ctx context.Context, s Settings) error {
+// run serves until ctx ends. An instance whose files the quorum does not count any more starts again with
+// an empty directory and a new id, if it can find the quorum by its seeds.
+func run(ctx context.Context, path string, s Settings) error {
 	logger, err := logging.New(logging.Config{Level: s.LogLevel, Program: "controld", Instance: s.Instance})
 	if err != nil {
 		return err
 	}
 	defer func() { _ = logger.Sync() }()
+	debug.SetMemoryLimit(memoryLimit(s.MemoryLimit))
+	for {
+		err := runOnce(ctx, path, s, logger)
+		if err == nil || len(s.Seeds) == 0 || !formation.Fresh(err) {
+			return err
+		}
+		logger.Warn("Discarding the files of the quorum, to join it again", zap.Error(err))
+		s.FirstStart = false
+		if err := journal.Discard(s.DataDirectory); err != nil {
+			return err
+		}
+	}
+}
+
+func runOnce(ctx context.Context, path string, s Settings, logger *zap.Logger) error {
 	d, err := build(s, logger)
 	if err != nil {
 		return err
 	}
 	defer d.pool.Close()
+	d.seeds.path = path
 	return d.serve(ctx)
 }
 
+// memoryLimit returns the limit in bytes of one in MiB.
+func memoryLimit(mebibytes int64) int64 {
+	if mebibytes == 0 {
+		return math.MaxInt64
+	}
+	return mebibytes << 20
+}
+
 func build(s Settings, logger *zap.Logger) (*daemon, error) {
 	d := &daemon{settings: s, logger: logger, registry: metrics.NewRegistry()}
 	metrics.RegisterProcess(d.registry)
@@ -61,14 +95,18 @@
 	if d.endpoints, err = s.TLS.Endpoints.Open(logger); err != nil {
 		return nil, err
 	}
-	d.pool = peer.NewPool(peer.PoolConfig{Key: s.ClusterKey, TLS: d.certificates.PeerClient})
-	d.server = peer.NewServer(peer.ServerConfig{Key: s.ClusterKey, TLS: d.certificates.PeerServer, Logger: logger})
+	if d.identity, err = s.identify(); err != nil {
+		return nil, err
+	}
+	d.seeds = newSeeds(s)
+	d.pool = peer.NewPool(peer.PoolConfig{Key: s.clusterKey(), TLS: d.certificates.PeerClient})
+	d.server = peer.NewServer(peer.ServerConfig{Key: s.clusterKey(), TLS: d.certificates.PeerServer, Logger: logger})
 	d.machine = control.NewMachine()
 	d.node, err = consensus.New(consensus.Config{
-		ID:            s.Instance,
+		ID:            d.identity.ID,
 		Address:       s.peerAddress(),
 		Directory:     s.DataDirectory,
-		Bootstrap:     s.bootstrap(),
+		Bootstrap:     d.identity.Bootstrap,
 		StateMachine:  d.machine,
 		Transport:     consensus.NewPeerTransport(d.pool),
 		Logger:        logger,
@@ -82,24 +120,28 @@
 		Machine: d.machine,
 		Log:     d.node,
 		Voters:  d.voters,
+		Control: d.memberAddresses(),
 		Logger:  logger,
 	})
+	d.control = control.NewClient(control.ClientConfig{Addresses: d.controlAddresses(), Caller: d.pool})
 	if err := d.service.Register(d.server); err != nil {
 		return nil, err
 	}
 	if err := consensus.Register(d.server, d.node); err != nil {
 		return nil, err
 	}
+	if err := d.server.Register(formation.ServiceName, formation.NewAdmitter(d.node, logger)); err != nil {
+		return nil, err
+	}
 	d.gauges()
 	return d, nil
 }
 
 // operators returns the operators' API. It reaches the leader as entries do, so every instance answers.
 func (d *daemon) operators() http.Handler {
-	client := control.NewClient(control.ClientConfig{Addresses: d.settings.controlAddresses(), Caller: d.pool})
 	return operator.New(operator.Config{
-		Submitter:     client,
-		Querier:       client,
+		Submitter:     d.control,
+		Querier:       d.control,
 		Quorum:        d.node,
 		Peers:         d.pool,
 		Operators:     d.settings.Operators,
@@ -138,17 +180,6 @@
 	rolesInterval  = 5 * time.Second
 )
 
-// controlAddresses are the peer addresses of this instance and of the first voters.
-func (s Settings) controlAddresses() []string {
-	addresses := []string{s.peerAddress()}
-	for _, v := range s.Bootstrap {
-		if v.Address != addresses[0] {
-			addresses = append(addresses, v.Address)
-		}
-	}
-	return addresses
-}
-
 // operatorAddress returns the operator address of the instance with the given peer address, as far as the
 // bootstrap list names it. An instance that was added later is not listed; pierctl then asks all in turn.
 func (s Settings) operatorAddress(peer string) string {
@@ -181,14 +212,6 @@
 	return s.PeerListen
 }
 
-func (s Settings) bootstrap() []consensus.Server {
-	var servers []consensus.Server
-	for _, v := range s.Bootstrap {
-		servers = append(servers, consensus.Server{ID: v.Instance, Address: v.Address})
-	}
-	return servers
-}
-
 func (d *daemon) voters() []control.Voter {
 	status := d.node.Status()
 	var voters []control.Voter
@@ -240,18 +263,12 @@
 	stopping := ctx
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	orders, roles := d.controllers()
-	ends := []<-chan error{
-		task.Start(ctx, func(ctx context.Context) error { return controller.Run(ctx, orders, ordersInterval) }),
-		task.Start(ctx, func(ctx context.Context) error { return controller.Run(ctx, roles, rolesInterval) }),
-		task.Start(ctx, func(ctx context.Context) error {
-			return d.serveOperators(ctx, d.settings.OperatorListen, func(net.Addr) {})
-		}),
+	ends := append(d.interfaces(ctx),
 		task.Start(ctx, func(ctx context.Context) error { return d.server.Serve(ctx, peers) }),
 		task.Start(ctx, d.node.Run),
 		task.Start(ctx, d.service.Run),
 		task.Start(ctx, func(ctx context.Context) error { return d.handOver(stopping, ctx) }),
-	}
+	)
 	if d.settings.MetricsListen != "" {
 		handler := metrics.Handler(metrics.HandlerConfig{Registry: d.registry, Ready: d.ready, Profiles: true})
 		ends = append(ends, task.Start(ctx, func(ctx context.Context) error {
--- a/controld/internal/cli/settings.go
+++ b/controld/internal/cli/settings.go
@@ -16,9 +16,14 @@
 	DataDirectory  string              `yaml:"data-directory" validate:"required" description:"Directory of the log and snapshots, on a disk that keeps synced files."`
 	PeerListen     string              `yaml:"peer-listen" validate:"required,listen_address" description:"Address for the other processes of the system."`
 	AdvertisePeer  string              `yaml:"advertise-peer" validate:"omitempty,hostname_port" description:"Address that other processes are told; empty means the address listened on."`
-	OperatorListen string              `yaml:"operator-listen" validate:"required,listen_address" description:"Address of the operators' API."`
+	OperatorListen string              `yaml:"operator-listen" validate:"omitempty,listen_address" description:"Address of the operators' API; empty means none."`
+	PlatformListen string              `yaml:"platform-listen" validate:"omitempty,listen_address" description:"Address for check-ins of endpoints and declarations in the platform's form; empty means none."`
 	MetricsListen  string              `yaml:"metrics-listen" validate:"omitempty,listen_address" description:"Address of metrics, health and readiness; empty means none."`
-	ClusterKey     string              `yaml:"cluster-key" validate:"required,min=16" description:"Key that all processes of the deployment share."`
+	ClusterKey     string              `yaml:"cluster-key" validate:"omitempty,min=16" description:"Key that all processes of the deployment share; needed unless open-network is set."`
+	OpenNetwork    bool                `yaml:"open-network" description:"Accept every process that reaches the peer address, without a cluster key. Only for networks that nobody else reaches."`
+	Seeds          []string            `yaml:"seeds" validate:"dive,hostname_port" description:"Addresses on the instances that form the quorum, instead of bootstrap. Their hosts must serve peers at this instance's peer port. An instance without files asks them to join."`
+	FirstStart     bool                `yaml:"first-start" description:"The whole deployment starts for the first time: the seeds become the first voters."`
+	MemoryLimit    int64               `yaml:"memory-limit" validate:"min=0" description:"Soft memory limit of the process in MiB; 0 means none."`
 	Bootstrap      []Voter             `yaml:"bootstrap" validate:"dive" description:"First voters, the same list on each of them; used only while the data directory is new."`
 	Operators      []operator.Operator `yaml:"operators" validate:"dive" description:"People who may issue commands and queries."`
 	SnapshotEvery  int                 `yaml:"snapshot-every" validate:"min=16" description:"Entries of the log between two snapshots."`
@@ -79,6 +84,9 @@
 	if err := s.TLS.Endpoints.Check(); err != nil {
 		return Settings{}, err
 	}
+	if s.ClusterKey == "" && !s.OpenNetwork {
+		return Settings{}, settings.Refuse(path, "cluster-key", "a cluster key is required unless open-network is set")
+	}
 	return s, s.TLS.Check(s.TLS.use())
 }
 
--- a/entryd/internal/cli/cli.go
+++ b/entryd/internal/cli/cli.go
@@ -50,6 +50,13 @@
 				}
 				return serve(ctx, o, connect, func(Listening) {})
 			}},
+			{Name: "gateway", Usage: "serve declared routes in the platform's form until SIGTERM", Flags: []cli.Flag{file}, Action: func(ctx context.Context, c *cli.Command) error {
+				o, err := options.LoadGateway(c.String("settings"))
+				if err != nil {
+					return err
+				}
+				return serveGateway(ctx, c.String("settings"), o)
+			}},
 			{Name: "check-settings", Usage: "check a settings file", Flags: []cli.Flag{file}, Action: func(_ context.Context, c *cli.Command) error {
 				if _, err := options.Load(c.String("settings")); err != nil {
 					return err
--- a/entryd/internal/cli/serve.go
+++ b/entryd/internal/cli/serve.go
@@ -18,7 +18,7 @@
 	"github.com/dandelionpier/dandelionpier/entryd/internal/cell"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/completion"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/options"
-	"github.com/dandelionpier/dandelionpier/entryd/internal/retry"
+	"github.com/dandelionpier/dandelionpier/internal/retry"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/service"
 	"github.com/dandelionpier/dandelionpier/internal/burn"
 	"github.com/dandelionpier/dandelionpier/internal/certificate"
--- a/entryd/internal/completion/server.go
+++ b/entryd/internal/completion/server.go
@@ -15,7 +15,7 @@
 
 	"github.com/dandelionpier/dandelionpier/entryd/internal/cell"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/exchange"
-	"github.com/dandelionpier/dandelionpier/entryd/internal/retry"
+	"github.com/dandelionpier/dandelionpier/internal/retry"
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	mu     sync.Mutex
 	leader string
 	next   int
+	// learned are addresses that a leader has named. They are tried beside those of the configuration.
+	learned []string
 }
 
 // NewClient returns a client that does not know the leader yet.
@@ -82,12 +85,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader == "" {
-		c.leader = c.config.Addresses[c.next%len(c.config.Addresses)]
+		known := slices.Concat(c.learned, c.config.Addresses)
+		c.leader = known[c.next%len(known)]
 		c.next++
 	}
 	return c.leader
 }
 
+// Learn takes the addresses of the control instances that a leader has named.
+func (c *Client) Learn(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.learned = slices.Clone(addresses)
+}
+
+// Use replaces the addresses of the configuration.
+func (c *Client) Use(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.config.Addresses = slices.Clone(addresses)
+}
+
 // follow forgets an address that does not lead and takes up the one that it named.
 func (c *Client) follow(from, leader string) {
 	c.mu.Lock()
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -11,8 +11,10 @@
 
 	"github.com/dandelionpier/dandelionpier/internal/claim"
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/declaration"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/ledger"
+	"github.com/dandelionpier/dandelionpier/internal/registration"
 )
 
 // Kind classifies an Error.
@@ -50,6 +52,9 @@
 	LeaseBudget  *ledger.LeaseRequest  `cbor:"5,keyasint,omitempty"`
 	SettleBudget *ledger.SettleRequest `cbor:"6,keyasint,omitempty"`
 	Quarantine   *QuarantineRequest    `cbor:"7,keyasint,omitempty"`
+	Declare      *DeclareRequest       `cbor:"8,keyasint,omitempty"`
+	Register     *RegisterRequest      `cbor:"9,keyasint,omitempty"`
+	Suspect      *SuspectRequest       `cbor:"10,keyasint,omitempty"`
 }
 
 // Result is the recorded result of an operator's command.
@@ -67,6 +72,9 @@
 	Claims        []claim.Record              `cbor:"5,keyasint"`
 	Ledger        ledger.State                `cbor:"6,keyasint"`
 	Quarantine    map[uint64]int64            `cbor:"7,keyasint"`
+	Document      declaration.Document        `cbor:"8,keyasint"`
+	Endpoints     registration.Snapshot       `cbor:"9,keyasint"`
+	Suspects      map[uint64]suspect          `cbor:"10,keyasint"`
 }
 
 // Machine is the replicated state machine. Apply, Snapshot and Restore are called by the log, in
@@ -82,7 +90,11 @@
 	ledger        *ledger.Book
 	// quarantine maps fingerprints to the end of their quarantine in Unix milliseconds.
 	quarantine map[uint64]int64
-	changed    chan struct{}
+	// suspects maps fingerprints to the deaths of endpoints that ran the request.
+	suspects  map[uint64]suspect
+	document  declaration.Document
+	endpoints *registration.Book
+	changed   chan struct{}
 	// encoded is the configuration as entries fetch it; nil until one asks.
 	encoded []byte
 }
@@ -132,6 +144,12 @@
 		return m.ledger.Settle(*command.SettleBudget, m.now)
 	case command.Quarantine != nil:
 		return m.addQuarantine(command.Quarantine.Fingerprint)
+	case command.Declare != nil:
+		return m.declare(*command.Declare)
+	case command.Register != nil:
+		return m.register(*command.Register)
+	case command.Suspect != nil:
+		return m.noteDeath(*command.Suspect)
 	default:
 		return fault.New("apply command", Corrupt, "the command is empty")
 	}
@@ -372,6 +390,9 @@
 		Claims:        m.claims.Records(),
 		Ledger:        m.ledger.State(),
 		Quarantine:    maps.Clone(m.quarantine),
+		Document:      m.document,
+		Endpoints:     m.endpoints.Snapshot(),
+		Suspects:      maps.Clone(m.suspects),
 	}
 	for _, id := range m.resultOrder {
 		s.Results = append(s.Results, m.results[id])
@@ -422,4 +443,10 @@
 	if m.quarantine == nil {
 		m.quarantine = make(map[uint64]int64)
 	}
+	m.document = s.Document
+	m.endpoints = registration.NewBook(s.Endpoints)
+	m.suspects = s.Suspects
+	if m.suspects == nil {
+		m.suspects = make(map[uint64]suspect)
+	}
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -38,7 +38,10 @@
 	Log     Log
 	// Voters describes the quorum for queries.
 	Voters func() []Voter
-	Logger *zap.Logger
+	// Control returns the peer addresses of the control instances, for entries; nil means that entries keep
+	// to their settings.
+	Control func() []string
+	Logger  *zap.Logger
 }
 
 // Service answers entries and operators on behalf of the control quorum. Only the leader answers;
@@ -46,6 +49,7 @@
 type Service struct {
 	config   ServiceConfig
 	registry *session.Registry
+	presence presence
 }
 
 const (
@@ -70,6 +74,9 @@
 		"Claims":   &claimService{s},
 		"Ledger":   &ledgerService{s},
 		"Commands": &commandService{s},
+
+		"Declarations":  &declarationService{s},
+		"Registrations": &registrationService{s},
 	} {
 		if err := to.Register(name, receiver); err != nil {
 			return err
@@ -87,8 +94,9 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			if _, ok := s.leads(); ok {
+			if term, ok := s.leads(); ok {
 				s.registry.Expire(now)
+				s.dropSilent(term, now)
 			}
 		}
 	}
@@ -172,6 +180,7 @@
 	reply.Lease = session.LeaseLength
 	s.fill(request, reply)
 	s.registry.Fill(request.MembershipVersion, reply)
+	reply.News = s.config.Machine.news(request.Known, s.controlAddresses())
 	quarantined := s.config.Machine.Quarantined(now.UnixMilli())
 	if session.QuarantineVersion(quarantined) != request.QuarantineVersion {
 		reply.Quarantined, reply.QuarantineChanged = quarantined, true
@@ -183,9 +192,10 @@
 func (s *sessionService) fill(request session.HeartbeatRequest, reply *session.HeartbeatReply) {
 	revisions, complete := s.config.Machine.Since(request.Revision)
 	reply.Revision = request.Revision + uint64(len(revisions))
-	if !complete || request.Revision == 0 {
+	current := s.config.Machine.Configuration().Revision
+	if !complete || request.Revision == 0 && current > 0 {
 		reply.FetchSnapshot = true
-		reply.Revision = s.config.Machine.Configuration().Revision
+		reply.Revision = current
 		return
 	}
 	reply.Revisions = revisions
@@ -236,9 +246,18 @@
 	}
 }
 
+// controlAddresses returns the peer addresses that entries are told.
+func (s *Service) controlAddresses() []string {
+	if s.config.Control == nil {
+		return nil
+	}
+	return s.config.Control()
+}
+
 func (s *sessionService) differs(request session.WatchRequest) bool {
 	machine := s.config.Machine
 	return machine.Configuration().Revision != request.Revision ||
+		machine.versions(s.controlAddresses()) != request.Known ||
 		s.registry.Version() != request.MembershipVersion ||
 		session.QuarantineVersion(machine.Quarantined(time.Now().UnixMilli())) != request.QuarantineVersion
 }
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,250 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/logging"
+	"github.com/dandelionpier/dandelionpier/internal/placement"
+	"github.com/dandelionpier/dandelionpier/internal/routing"
+)
+
+// delivery is the caller's side of a stream: what it has got so far.
+type delivery struct {
+	writer  http.ResponseWriter
+	flusher *http.ResponseController
+	started bool
+	// last is the id of the last event that the caller has.
+	last   string
+	events int
+}
+
+// serveStream passes the events of a stream on as they come. A stream that breaks off goes on at another
+// engine behind the last event, where the route allows it.
+func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, x *exchange) {
+	g.budgets.of(x.service).Request()
+	d := &delivery{writer: w, flusher: http.NewResponseController(w), last: x.call.After}
+	for {
+		p, refusal := g.place(ctx, x, d.last)
+		if refusal != nil {
+			g.breakOff(w, x, d, *refusal)
+			return
+		}
+		endpoint, status, err := g.stream(ctx, x, p, d)
+		if err == nil {
+			g.finished(x, endpoint, status)
+			return
+		}
+		if !g.again(ctx, x, err) {
+			g.breakOff(w, x, d, g.failure(ctx, x, err))
+			return
+		}
+		if d.events > 0 {
+			x.log.Info("Resuming a stream at another engine", zap.String("after", d.last))
+		}
+	}
+}
+
+// breakOff refuses a stream that has not begun, and cuts one that has: it must not look complete.
+func (g *Gateway) breakOff(w http.ResponseWriter, x *exchange, d *delivery, refusal Refusal) {
+	if !d.started {
+		g.refuse(w, x, refusal)
+		return
+	}
+	x.log.Info("Broke a stream off", zap.String("reason", refusal.Message), zap.Int("events", d.events),
+		zap.Int("sent", x.sent), zap.Strings("tried", x.tried))
+	panic(http.ErrAbortHandler)
+}
+
+// stream makes one attempt and passes its events on.
+func (g *Gateway) stream(parent context.Context, x *exchange, p *pass, d *delivery) (endpoint string, status int, err error) {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	watch := newWatchdog(cancel, g.firstPatience(x, p))
+	defer watch.stop()
+	var pause time.Duration
+	a, err := g.try(ctx, x, p)
+	if err == nil {
+		status = a.StatusCode
+		pause, err = g.relay(x, p, a, d, watch)
+		_ = a.Body.Close()
+	}
+	if err != nil && parent.Err() == nil && watch.fired() {
+		err = fault.New("wait for event", Broken, "%s was silent for %v", p.hop.Endpoint, watch.length)
+	}
+	g.finish(parent, x, p, a, err, pause)
+	return p.hop.Endpoint, status, err
+}
+
+// relay passes an answer on: a stream by events, anything else as it is.
+func (g *Gateway) relay(x *exchange, p *pass, a *answer, d *delivery, watch *watchdog) (pause time.Duration, err error) {
+	if a.StatusCode != http.StatusOK {
+		return 0, g.relayWhole(x, p, a, d)
+	}
+	reader := newEventReader(a.Body)
+	var first, last time.Time
+	count := 0
+	for {
+		e, err := reader.next()
+		if errors.Is(err, io.EOF) {
+			return meanPause(first, last, count), d.end(a)
+		}
+		if err != nil {
+			return meanPause(first, last, count), err
+		}
+		last = time.Now()
+		if count++; count == 1 {
+			first = last
+			g.noteFirst(x, p)
+		}
+		watch.reset(eventPatience(x.route))
+		if err := d.event(a, e); err != nil {
+			return meanPause(first, last, count), err
+		}
+	}
+}
+
+// relayWhole passes on an answer that is no stream, unless the caller has events already.
+func (g *Gateway) relayWhole(x *exchange, p *pass, a *answer, d *delivery) error {
+	body, err := a.whole(p.hop)
+	if err != nil {
+		return err
+	}
+	if d.started || x.route.Repeat.Repeatable() && a.StatusCode >= http.StatusInternalServerError && x.mayTry() {
+		return fault.New("relay answer", Broken, "%s answered %d", p.hop.Endpoint, a.StatusCode)
+	}
+	copyHeader(d.writer.Header(), a.Header)
+	d.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	d.writer.WriteHeader(a.StatusCode)
+	// An error here means that the caller has left.
+	_, _ = d.writer.Write(body)
+	return nil
+}
+
+func (g *Gateway) noteFirst(x *exchange, p *pass) {
+	took := time.Since(p.started)
+	g.config.Metrics.Histogram("gateway_first_event_microseconds", "route", x.route.Name).Update(time.Since(x.arrived).Microseconds())
+	x.log.Info("First event of a stream", zap.String(logging.Endpoint, p.hop.Endpoint), zap.Int("helpers", len(p.hop.Helpers)),
+		zap.Int("prompt", x.call.Prompt.Tokens), zap.Duration("took", took), zap.Duration("expected", p.grant.First),
+		zap.Duration("after", time.Since(x.arrived)))
+	if p.job != nil {
+		g.config.Placer.Report(placement.Event{Type: placement.FirstEvent, Job: *p.job, Endpoint: p.hop.Endpoint, Elapsed: took})
+	}
+}
+
+func meanPause(first, last time.Time, count int) time.Duration {
+	if count < 2 {
+		return 0
+	}
+	return last.Sub(first) / time.Duration(count-1)
+}
+
+// begin sends the header of the first answer.
+func (d *delivery) begin(a *answer) {
+	if d.started {
+		return
+	}
+	d.started = true
+	copyHeader(d.writer.Header(), a.Header)
+	d.writer.WriteHeader(a.StatusCode)
+}
+
+// event passes one event on. Events that the caller has are left out; a gap is an error of kind Broken.
+func (d *delivery) event(a *answer, e event) error {
+	const op = "pass event on"
+	have, err := strconv.ParseInt(d.last, 10, 64)
+	if id, idErr := strconv.ParseInt(e.id, 10, 64); err == nil && idErr == nil {
+		switch {
+		case id <= have:
+			return nil
+		case id > have+1:
+			return fault.New(op, Broken, "event %d follows %d", id, have)
+		}
+	}
+	d.begin(a)
+	if _, err := d.writer.Write(e.raw); err != nil {
+		return fault.Wrap(err, op, Gone, "write")
+	}
+	if e.id != "" {
+		d.last = e.id
+	}
+	d.events++
+	return fault.Wrap(d.flusher.Flush(), op, Gone, "flush")
+}
+
+// end completes a stream. One without any event is passed on as it is.
+func (d *delivery) end(a *answer) error {
+	d.begin(a)
+	return nil
+}
+
+const (
+	// leastPatience and mostPatience bound the silence after which a stream goes on elsewhere. Callers give a
+	// stream up after two seconds at the earliest.
+	leastPatience = time.Second
+	mostPatience  = 2500 * time.Millisecond
+	// pausePatience is the multiple of the longest pause that meets the objective.
+	pausePatience = 4
+	// firstPatienceFactor multiplies the expected time to the first event.
+	firstPatienceFactor = 3
+)
+
+// eventPatience is how long a stream may be silent between two events.
+func eventPatience(route routing.Route) time.Duration {
+	if !route.Repeat.Repeatable() {
+		return route.Timeout
+	}
+	return min(mostPatience, max(leastPatience, pausePatience*route.MaxPause))
+}
+
+// firstPatience is how long an engine has for the first event. A request that may run once is not given up.
+func (g *Gateway) firstPatience(x *exchange, p *pass) time.Duration {
+	if !x.route.Repeat.Repeatable() {
+		return x.route.Timeout
+	}
+	return firstPatienceFactor*p.grant.First + max(leastPatience, x.route.Objective/2)
+}
+
+// watchdog cancels an attempt whose endpoint is silent.
+type watchdog struct {
+	timer  *time.Timer
+	length time.Duration
+	silent chan struct{}
+}
+
+func newWatchdog(cancel context.CancelFunc, length time.Duration) *watchdog {
+	w := &watchdog{length: length, silent: make(chan struct{})}
+	w.timer = time.AfterFunc(length, func() {
+		close(w.silent)
+		cancel()
+	})
+	return w
+}
+
+// reset starts the wait for the next event.
+func (w *watchdog) reset(length time.Duration) {
+	if w.timer.Stop() {
+		w.length = length
+		w.timer.Reset(length)
+	}
+}
+
+func (w *watchdog) stop() {
+	w.timer.Stop()
+}
+
+func (w *watchdog) fired() bool {
+	select {
+	case <-w.silent:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -143,6 +143,30 @@
 	return j, contents, nil
 }
 
+// StoredIdentity returns the identity of a directory, and false when the directory holds none. Errors are of
+// kind Disk or Corrupt.
+func StoredIdentity(directory string) (Identity, bool, error) {
+	j := &Journal{config: Config{Directory: directory}}
+	var c Contents
+	err := j.readIdentity(&c)
+	return c.Identity, err == nil && !c.New, err
+}
+
+// Discard removes all files of a directory that no process uses, so that a member can return under a new id.
+func Discard(directory string) error {
+	const op = "discard journal"
+	files, err := os.ReadDir(directory)
+	if err != nil {
+		return fault.Wrap(err, op, Disk, directory)
+	}
+	for _, file := range files {
+		if err := os.Remove(filepath.Join(directory, file.Name())); err != nil {
+			return fault.Wrap(err, op, Disk, file.Name())
+		}
+	}
+	return syncDirectory(directory, (*os.File).Sync)
+}
+
 // Append stores state and entries with one write and one sync. An entry replaces stored entries
 // from its index on.
 func (j *Journal) Append(state HardState, entries []Entry) error {
--- /dev/null
+++ b/internal/placement/choose.go
@@ -0,0 +1,221 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxParts bounds the engines that read one prompt.
+	maxParts = 16
+	// lateLoss is the share of a request's worth that is lost when it misses its objective, missedLoss when
+	// it misses its time limit.
+	lateLoss   = 0.75
+	missedLoss = 1.5
+	// safeShare is the share of the objective up to which an expected time costs next to nothing.
+	safeShare = 0.7
+	// helperCost is what each further engine of a request costs, so that no more are taken than help.
+	helperCost = 0.02
+	// packing is the gain of an engine that writes already: streams on few engines leave the others to long
+	// prompts. crossing is the cost of an engine in another data centre.
+	packing  = 0.05
+	crossing = 0.01
+	// failureCost is the cost of an engine that fails all requests.
+	failureCost = 3
+	// fragilePrompt is the length in tokens from which the reading of a prompt disturbs streams.
+	fragilePrompt = 20_000
+	// retryMin and retryMax bound the pause that a rejected caller is asked for.
+	retryMin = 100 * time.Millisecond
+	retryMax = 5 * time.Second
+)
+
+// choice is the result of one decision: replicas, the one that answers first, or a reply.
+type choice struct {
+	replicas []*replica
+	// memory and hold are in tokens, for each replica.
+	memory []int
+	hold   []int
+	first  time.Duration
+	cost   float64
+	reply  *ReserveReply
+}
+
+// weight is what a request is worth in comparison to others: long prompts have waited for more.
+func weight(j *Job) float64 {
+	const perToken = 1.0 / 10_000
+	return 1 + float64(j.Prompt)*perToken
+}
+
+// lateness is the share of a request's worth that is lost when its first event comes after first.
+func lateness(j *Job, first time.Duration) float64 {
+	if first > j.Left {
+		return missedLoss
+	}
+	if j.Objective <= 0 {
+		return 0
+	}
+	ratio := float64(first+j.Waited) / float64(j.Objective)
+	switch {
+	case ratio <= safeShare:
+		return 0.02 * ratio
+	case ratio <= 1:
+		return 0.02 + lateLoss/2*(ratio-safeShare)/(1-safeShare)
+	default:
+		return lateLoss + min(0.2, 0.02*(ratio-1))
+	}
+}
+
+// choose returns the engines with the least expected loss over the request and what runs already. It answers
+// a load of short prompts with tight pauses beside long prompts whose reading stops a pass for as long as it
+// takes: short ones are packed on engines that write, long ones spread over engines that do not.
+func (s *Scheduler) choose(now time.Time, j Job) choice {
+	var usable []*replica
+	for _, r := range s.order {
+		if r.usable(now) && !slices.Contains(j.Exclude, r.record.ID) {
+			usable = append(usable, r)
+		}
+	}
+	if len(usable) == 0 {
+		return s.rejected(now, "no engine takes work")
+	}
+	best := choice{cost: math.Inf(1)}
+	for _, parts := range []int{1, 2, 3, 4, 6, 8, 12, maxParts} {
+		if parts > len(usable) || parts > 1 && j.Prompt < fragilePrompt {
+			break
+		}
+		c, ok := s.spread(now, &j, usable, parts)
+		if ok && c.cost < best.cost {
+			best = c
+		}
+	}
+	switch {
+	case best.replicas == nil:
+		return s.rejected(now, "no engines have slots and memory for the request")
+	case best.first > j.Left:
+		return s.rejected(now, fmt.Sprintf("the expected time of %v exceeds the time left of %v",
+			best.first.Round(time.Millisecond), j.Left.Round(time.Millisecond)))
+	}
+	return best
+}
+
+// candidate is a replica with what a share of the request would cost there.
+type candidate struct {
+	replica *replica
+	// ready is the time until the share is read.
+	ready time.Duration
+	// harm is the worth that the streams there lose, bias the cost of a stream there beside its lateness.
+	harm float64
+	bias float64
+	// cost is the sum of all, by which candidates are compared.
+	cost float64
+}
+
+// spread returns the best choice of a number of engines for a request.
+func (s *Scheduler) spread(now time.Time, j *Job, usable []*replica, parts int) (choice, bool) {
+	candidates := make([]candidate, 0, len(usable))
+	for _, r := range usable {
+		if parts > 1 || s.fits(r, j) {
+			candidates = append(candidates, s.candidate(now, j, r, parts))
+		}
+	}
+	if len(candidates) < parts {
+		return choice{}, false
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	return s.assemble(j, candidates[:parts])
+}
+
+// fits reports whether a replica has a slot and memory for a request that it answers.
+func (s *Scheduler) fits(r *replica, j *Job) bool {
+	return r.heads() < s.profile.Slots && (s.profile.Memory == 0 || r.memory+j.Prompt+j.Output <= s.profile.Memory)
+}
+
+func (s *Scheduler) candidate(now time.Time, j *Job, r *replica, parts int) candidate {
+	read := r.scaled(s.profile.read(j.Prompt, parts))
+	c := candidate{replica: r, ready: r.backlog(now) + read, harm: s.harm(now, r, read)}
+	c.bias = failureCost * r.failures * r.failures
+	if r.record.DataCentre != j.DataCentre {
+		c.bias += crossing
+	}
+	writers, _ := r.writers()
+	if j.Prompt < fragilePrompt {
+		c.bias -= packing * float64(writers) / float64(s.profile.Slots)
+	} else {
+		c.bias += packing * float64(writers)
+	}
+	c.cost = c.harm + c.bias + weight(j)*lateness(j, c.ready+s.firstPass(r))
+	return c
+}
+
+// firstPass is the time from the end of reading to the first event, and the rest of the pass before it.
+func (s *Scheduler) firstPass(r *replica) time.Duration {
+	count, context := r.writers()
+	pass := r.scaled(s.profile.pass(count+1, context))
+	if count > 0 {
+		pass += pass / 2
+	}
+	return pass
+}
+
+// passWith is the pause that the streams at a replica see while it reads what is placed there and more.
+func (s *Scheduler) passWith(now time.Time, r *replica, more time.Duration) time.Duration {
+	count, context := r.writers()
+	return r.scaled(s.profile.pass(count, context)) + r.backlog(now) + more
+}
+
+// harm is the worth that is lost at the streams of a replica when it reads more.
+func (s *Scheduler) harm(now time.Time, r *replica, read time.Duration) float64 {
+	pass := s.passWith(now, r, read)
+	sum := 0.0
+	for _, t := range r.shares {
+		if t.job.spoiled || !t.head {
+			continue
+		}
+		if !t.reading && t.job.MaxPause > 0 && pass > t.job.MaxPause*9/10 {
+			sum += weight(&t.job.Job) * lateLoss
+		}
+	}
+	return sum
+}
+
+// assemble makes a choice of candidates: the cheapest one with a slot and memory answers.
+func (s *Scheduler) assemble(j *Job, candidates []candidate) (choice, bool) {
+	head := slices.IndexFunc(candidates, func(c candidate) bool { return s.fits(c.replica, j) })
+	if head < 0 {
+		return choice{}, false
+	}
+	candidates[0], candidates[head] = candidates[head], candidates[0]
+	parts := len(candidates)
+	c := choice{
+		replicas: make([]*replica, parts), memory: make([]int, parts), hold: make([]int, parts),
+		cost: helperCost*float64(parts-1) + candidates[0].bias,
+	}
+	var ready time.Duration
+	for i, candidate := range candidates {
+		c.replicas[i] = candidate.replica
+		c.cost += candidate.harm
+		ready = max(ready, candidate.ready)
+	}
+	c.memory[0] = j.Prompt + j.Output
+	c.first = ready + s.firstPass(c.replicas[0])
+	c.cost += weight(j) * lateness(j, c.first)
+	return c, true
+}
+
+// rejected returns the reply for a job that cannot be served, with the time at which an engine is expected
+// to have read what it has.
+func (s *Scheduler) rejected(now time.Time, reason string) choice {
+	after := retryMax
+	for _, r := range s.order {
+		if r.usable(now) {
+			after = min(after, r.backlog(now))
+		}
+	}
+	if len(s.order) == 0 {
+		after = retryMin
+	}
+	return choice{reply: &ReserveReply{Status: Rejected, After: min(retryMax, max(retryMin, after)), Reason: reason}}
+}
--- /dev/null
+++ b/internal/placement/client.go
@@ -0,0 +1,291 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/logging"
+	"github.com/dandelionpier/dandelionpier/internal/task"
+)
+
+// Caller makes net/rpc calls, as peer.Pool does.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Dispatcher is an instance that may dispatch for a service.
+type Dispatcher struct {
+	Instance string
+	Address  string
+}
+
+// ClientConfig sets up a Client.
+type ClientConfig struct {
+	// Instance is the name of this instance.
+	Instance string
+	// Dispatchers returns the instances that dispatch for a service, in the order in which they are asked.
+	Dispatchers func(service string) []Dispatcher
+	// Local is the dispatcher in this process.
+	Local  *Service
+	Fleet  Fleet
+	Caller Caller
+	Logger *zap.Logger
+}
+
+const (
+	// dispatchTimeout bounds one call to a dispatcher.
+	dispatchTimeout = 80 * time.Millisecond
+	// reportTimeout bounds one report; it is longer because nobody waits for it.
+	reportTimeout = 300 * time.Millisecond
+	// firstSilence and maxSilence bound the time for which a dispatcher that did not answer is passed over.
+	firstSilence = 250 * time.Millisecond
+	maxSilence   = 2 * time.Second
+	// reportDelay collects the events of one batch.
+	reportDelay = 3 * time.Millisecond
+	// maxPending bounds the events that wait for a dispatcher.
+	maxPending = 4096
+)
+
+// Client places jobs for an entry. It is safe for concurrent use.
+type Client struct {
+	config ClientConfig
+	// own sees the jobs of this entry only; it places them while no dispatcher answers.
+	own *board
+
+	mu      sync.Mutex
+	running map[string]*running
+	pending []Event
+	silence map[string]silence
+	// current is the dispatcher of each service that answered last, with its life.
+	current map[string]seat
+	wake    chan struct{}
+}
+
+type running struct {
+	job     Job
+	grant   Grant
+	until   time.Time
+	reading bool
+}
+
+type silence struct {
+	until  time.Time
+	length time.Duration
+}
+
+type seat struct {
+	dispatcher Dispatcher
+	life       uint64
+}
+
+// NewClient returns a client; Run must run for events to be reported.
+func NewClient(config ClientConfig) *Client {
+	return &Client{
+		config: config, own: newBoard(config.Fleet), running: make(map[string]*running),
+		silence: make(map[string]silence), current: make(map[string]seat), wake: make(chan struct{}, 1),
+	}
+}
+
+// Reserve places a job, waiting where the dispatcher says so. After Granted, Report must end the job. The
+// status of the reply is Granted or Rejected; the error is that of ctx.
+func (c *Client) Reserve(ctx context.Context, job Job) (ReserveReply, error) {
+	started := time.Now()
+	for {
+		j := job
+		j.Waited += time.Since(started)
+		j.Left -= time.Since(started)
+		reply := c.ask(ctx, j)
+		if ctx.Err() != nil {
+			c.Report(Event{Type: Left, Job: job})
+			return reply, ctx.Err()
+		}
+		if reply.Status == Wait {
+			task.Pause(ctx, reply.After)
+			continue
+		}
+		if reply.Status == Granted {
+			c.start(j, reply.Grant)
+		}
+		return reply, nil
+	}
+}
+
+// ask asks the dispatchers in turn, and decides here when none answers.
+func (c *Client) ask(ctx context.Context, job Job) ReserveReply {
+	for _, d := range c.config.Dispatchers(job.Service) {
+		if c.silent(d.Instance) {
+			continue
+		}
+		reply, err := c.reserve(ctx, d, job)
+		if ctx.Err() != nil {
+			return reply
+		}
+		c.note(d.Instance, err == nil)
+		if err != nil {
+			c.config.Logger.Info("A dispatcher did not answer", zap.String("dispatcher", d.Instance),
+				zap.String(logging.AttemptID, job.ID), zap.Error(err))
+			continue
+		}
+		c.follow(job.Service, d, reply.Life)
+		return reply
+	}
+	reply := ReserveReply{Status: Rejected, After: retryMin, Reason: "the service has no engines"}
+	c.own.with(job.Service, func(now time.Time, s *Scheduler) { reply = s.Reserve(now, job) })
+	if reply.Status == Granted {
+		c.add(Event{Type: Adopted, Job: job, Grant: reply.Grant, Reading: true})
+	}
+	return reply
+}
+
+func (c *Client) reserve(ctx context.Context, d Dispatcher, job Job) (ReserveReply, error) {
+	var reply ReserveReply
+	request := ReserveRequest{Entry: c.config.Instance, Job: job}
+	if d.Instance == c.config.Instance {
+		return reply, c.config.Local.Reserve(request, &reply)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dispatchTimeout)
+	defer cancel()
+	err := c.config.Caller.Call(ctx, d.Address, ServiceName+".Reserve", request, &reply)
+	if err != nil {
+		return ReserveReply{}, fault.Wrap(err, "reserve", NoDispatcher, d.Instance)
+	}
+	return reply, nil
+}
+
+func (c *Client) silent(instance string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.silence[instance].until)
+}
+
+func (c *Client) note(instance string, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if answered {
+		delete(c.silence, instance)
+		return
+	}
+	length := min(maxSilence, max(firstSilence, 2*c.silence[instance].length))
+	c.silence[instance] = silence{until: time.Now().Add(length), length: length}
+}
+
+// follow notes the dispatcher that answered, and tells a new one of what runs.
+func (c *Client) follow(service string, d Dispatcher, life uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current[service] == (seat{d, life}) {
+		return
+	}
+	c.current[service] = seat{d, life}
+	c.config.Logger.Info("Using a dispatcher", zap.String("service", service), zap.String("dispatcher", d.Instance))
+	now := time.Now()
+	for _, r := range c.running {
+		if r.job.Service != service {
+			continue
+		}
+		j := r.job
+		j.Left = r.until.Sub(now)
+		c.push(Event{Type: Adopted, Job: j, Grant: r.grant, Reading: r.reading})
+	}
+}
+
+func (c *Client) start(job Job, grant Grant) {
+	c.own.with(job.Service, func(now time.Time, s *Scheduler) {
+		s.Report(now, Event{Type: Adopted, Job: job, Grant: grant, Reading: true})
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[job.ID] = &running{job: job, grant: grant, until: time.Now().Add(job.Left), reading: true}
+}
+
+// Report says what happened to a job.
+func (c *Client) Report(e Event) {
+	c.own.with(e.Job.Service, func(now time.Time, s *Scheduler) { s.Report(now, e) })
+	c.add(e)
+}
+
+func (c *Client) add(e Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch e.Type {
+	case Adopted:
+	case FirstEvent:
+		if r := c.running[e.Job.ID]; r != nil {
+			r.reading = false
+		}
+	default:
+		delete(c.running, e.Job.ID)
+	}
+	c.push(e)
+}
+
+// push queues an event. The caller holds c.mu.
+func (c *Client) push(e Event) {
+	if len(c.pending) >= maxPending {
+		// The dispatcher lets go of what it is not told of at the end of its time limit.
+		c.pending = c.pending[1:]
+	}
+	c.pending = append(c.pending, e)
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run reports events until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.wake:
+		}
+		task.Pause(ctx, reportDelay)
+		c.flush(ctx)
+	}
+}
+
+func (c *Client) flush(ctx context.Context) {
+	c.mu.Lock()
+	events := c.pending
+	c.pending = nil
+	batches := make(map[Dispatcher][]Event)
+	for _, e := range events {
+		if s, ok := c.current[e.Job.Service]; ok {
+			batches[s.dispatcher] = append(batches[s.dispatcher], e)
+		}
+	}
+	c.mu.Unlock()
+	for d, batch := range batches {
+		if err := c.report(ctx, d, batch); err != nil {
+			c.config.Logger.Info("Could not report to a dispatcher", zap.String("dispatcher", d.Instance),
+				zap.Int("events", len(batch)), zap.Error(err))
+			c.note(d.Instance, false)
+			c.keep(batch)
+		}
+	}
+}
+
+// keep puts events back that were not reported; they go with the next ones.
+func (c *Client) keep(batch []Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(batch)+len(c.pending) <= maxPending {
+		c.pending = append(batch, c.pending...)
+	}
+}
+
+func (c *Client) report(ctx context.Context, d Dispatcher, batch []Event) error {
+	var reply ReportReply
+	request := ReportRequest{Entry: c.config.Instance, Events: batch}
+	if d.Instance == c.config.Instance {
+		return c.config.Local.Report(request, &reply)
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return c.config.Caller.Call(ctx, d.Address, ServiceName+".Report", request, &reply)
+}
--- /dev/null
+++ b/internal/placement/service.go
@@ -0,0 +1,96 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/registration"
+	"github.com/dandelionpier/dandelionpier/internal/routing"
+)
+
+// ServiceName is the name of Service on a peer server.
+const ServiceName = "Placement"
+
+// Fleet is what is declared and registered.
+type Fleet interface {
+	// Engine returns the declaration of the engines of a service.
+	Engine(service string) (routing.Engine, bool)
+	// Endpoints returns the endpoints of a service. The version changes with anything that Fleet returns.
+	Endpoints(service string) (records []registration.Record, version uint64)
+}
+
+// board holds a scheduler for each service. It is safe for concurrent use.
+type board struct {
+	fleet Fleet
+	mu    sync.Mutex
+	desks map[string]*desk
+}
+
+type desk struct {
+	scheduler *Scheduler
+	version   uint64
+}
+
+func newBoard(fleet Fleet) *board {
+	return &board{fleet: fleet, desks: make(map[string]*desk)}
+}
+
+// with runs f on the scheduler of a service, brought up to date. It returns false for a service without
+// engines.
+func (b *board) with(service string, f func(now time.Time, s *Scheduler)) bool {
+	engine, ok := b.fleet.Engine(service)
+	if !ok {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	d := b.desks[service]
+	if d == nil {
+		d = &desk{scheduler: NewScheduler(engine)}
+		b.desks[service] = d
+	}
+	if records, version := b.fleet.Endpoints(service); version != d.version {
+		d.scheduler.UseEngine(engine)
+		d.scheduler.Update(now, records)
+		d.version = version
+	}
+	f(now, d.scheduler)
+	return true
+}
+
+// Service is the dispatcher of services, over net/rpc.
+type Service struct {
+	life   uint64
+	board  *board
+	logger *zap.Logger
+}
+
+// NewService returns a dispatcher that knows of no running jobs.
+func NewService(fleet Fleet, logger *zap.Logger) *Service {
+	return &Service{life: rand.Uint64(), board: newBoard(fleet), logger: logger}
+}
+
+// Reserve places a job.
+func (s *Service) Reserve(request ReserveRequest, reply *ReserveReply) error {
+	ok := s.board.with(request.Job.Service, func(now time.Time, scheduler *Scheduler) {
+		*reply = scheduler.Reserve(now, request.Job)
+	})
+	if !ok {
+		*reply = ReserveReply{Status: Rejected, After: retryMin, Reason: "this instance knows no such service"}
+	}
+	reply.Life = s.life
+	return nil
+}
+
+// Report takes events of jobs.
+func (s *Service) Report(request ReportRequest, reply *ReportReply) error {
+	for _, e := range request.Events {
+		s.board.with(e.Job.Service, func(now time.Time, scheduler *Scheduler) { scheduler.Report(now, e) })
+	}
+	reply.Life = s.life
+	return nil
+}
--- /dev/null
+++ b/internal/registration/registration_test.go
@@ -0,0 +1,132 @@
+package registration_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionpier/dandelionpier/internal/registration"
+)
+
+// The seed is fixed so that every run gives the same verdict.
+func init() {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+}
+
+func record(id, address string, started int64, sequence uint64, state registration.State) registration.Record {
+	return registration.Record{ID: id, Service: "model", Address: address, State: state, Started: started, Sequence: sequence}
+}
+
+// Guards against check-ins that arrive late and bring back an ended life or an overtaken state.
+func TestLateCheckInsChangeNothing(t *testing.T) {
+	tests := map[string]struct {
+		steps func(*registration.Book)
+		late  registration.Record
+	}{
+		"ready behind draining": {
+			steps: func(b *registration.Book) {
+				b.CheckIn(record("e", "a:1", 10, 1, registration.Ready))
+				b.CheckIn(record("e", "a:1", 10, 3, registration.Draining))
+			},
+			late: record("e", "a:1", 10, 2, registration.Ready),
+		},
+		"behind a departure": {
+			steps: func(b *registration.Book) {
+				b.CheckIn(record("e", "a:1", 10, 1, registration.Ready))
+				b.Depart(registration.Departure{ID: "e"})
+			},
+			late: record("e", "a:1", 10, 9, registration.Ready),
+		},
+		"of an earlier life with the same id": {
+			steps: func(b *registration.Book) { b.CheckIn(record("e", "a:1", 20, 1, registration.Ready)) },
+			late:  record("e", "a:1", 10, 9, registration.Draining),
+		},
+		"of an earlier life at the same address": {
+			steps: func(b *registration.Book) { b.CheckIn(record("new", "a:1", 20, 1, registration.Ready)) },
+			late:  record("old", "a:1", 10, 9, registration.Ready),
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := registration.NewBook(registration.Snapshot{})
+			test.steps(b)
+			version := b.Version()
+			is.True(!b.News(test.late))
+			b.CheckIn(test.late)
+			is.Equal(b.Version(), version)
+		})
+	}
+}
+
+// Guards against an endpoint that restarts, or takes over an address, and stays unknown.
+func TestNewLifeReplacesOldOne(t *testing.T) {
+	is := is.New(t)
+	b := registration.NewBook(registration.Snapshot{})
+	b.CheckIn(record("old", "a:1", 10, 5, registration.Ready))
+	b.CheckIn(record("new", "a:1", 20, 1, registration.Ready))
+	_, known := b.Find("old")
+	is.True(!known)
+	b.Depart(registration.Departure{ID: "new"})
+	b.CheckIn(record("new", "a:1", 30, 1, registration.Ready))
+	r, known := b.Find("new")
+	is.True(known)
+	is.Equal(r.Started, int64(30))
+}
+
+// Guards against an endpoint that was only silent and is kept out when it is heard of again.
+func TestSilentEndpointMayReturn(t *testing.T) {
+	is := is.New(t)
+	b := registration.NewBook(registration.Snapshot{})
+	b.CheckIn(record("e", "a:1", 10, 5, registration.Ready))
+	b.Depart(registration.Departure{ID: "e", Started: 10, Silent: true})
+	b.CheckIn(record("e", "a:1", 10, 6, registration.Ready))
+	_, known := b.Find("e")
+	is.True(known)
+}
+
+// Guards against a reader whose list differs from the book after it applied the changes that it was sent,
+// and against a snapshot that loses something.
+func TestChangesLeadToWholeList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := registration.NewBook(registration.Snapshot{})
+		list := registration.NewList(0, nil)
+		t.Repeat(map[string]func(*rapid.T){
+			"check-in": func(t *rapid.T) {
+				state := rapid.SampledFrom([]registration.State{registration.Ready, registration.Draining}).Draw(t, "state")
+				b.CheckIn(record(fmt.Sprint("e", rapid.IntRange(0, 4).Draw(t, "id")), fmt.Sprint("a:", rapid.IntRange(1, 4).Draw(t, "port")),
+					rapid.Int64Range(1, 5).Draw(t, "started"), rapid.Uint64Range(1, 9).Draw(t, "sequence"), state))
+			},
+			"depart": func(t *rapid.T) {
+				b.Depart(registration.Departure{
+					ID: fmt.Sprint("e", rapid.IntRange(0, 4).Draw(t, "id")), Started: rapid.Int64Range(0, 5).Draw(t, "started"),
+					Silent: rapid.Bool().Draw(t, "silent"),
+				})
+			},
+			"restore": func(*rapid.T) { b = registration.NewBook(b.Snapshot()) },
+			"read": func(t *rapid.T) {
+				changes, complete := b.Since(list.Version)
+				if complete {
+					list = list.WithChanges(b.Version(), changes)
+				} else {
+					list = registration.NewList(b.Version(), b.Records())
+				}
+				if want := registration.NewList(b.Version(), b.Records()); fmt.Sprint(list) != fmt.Sprint(want) {
+					t.Fatalf("list %v differs from %v", list, want)
+				}
+			},
+		})
+		addresses := make(map[string]bool)
+		for _, r := range b.Records() {
+			if addresses[r.Address] {
+				t.Fatalf("two endpoints at %s", r.Address)
+			}
+			addresses[r.Address] = true
+		}
+	})
+}
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,115 @@
+// Package routing is the declared way of requests: which service a request of a host and path goes to,
+// for which workspaces, and within which limits. It is replaced as a whole under a version.
+package routing
+
+import (
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// Invalid means that a declaration contradicts itself and must not be accepted.
+const Invalid Kind = "invalid"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Repeat says what may be repeated of a request.
+type Repeat string
+
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Repeat = "idempotent"
+	// Once marks requests that run at most once.
+	Once Repeat = "once"
+	// Resumable streams may go on at another endpoint behind the last event that was delivered.
+	Resumable Repeat = "resumable"
+)
+
+// Repeatable reports whether a request may run at a second endpoint after it has reached a first one.
+func (r Repeat) Repeatable() bool {
+	return r != Once
+}
+
+// Target is a service of a route with its share of the requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Route sends the requests of a host and a path prefix to services.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Repeat Repeat
+	// Stream says that the answer is a series of events.
+	Stream bool
+	// Timeout is the longest time for which a caller is kept waiting.
+	Timeout time.Duration
+	// Objective is the time to the answer, or the first event, that the service-level objective asks for.
+	Objective time.Duration
+	// MaxPause is the longest pause between two events of a stream that meets the objective.
+	MaxPause time.Duration
+	// Priority is the rank of the requests; 0 is served first.
+	Priority int
+	Targets  []Target
+	// Attempts bounds the endpoints that one request may be sent to.
+	Attempts int
+	// Public routes need no key.
+	Public bool
+}
+
+// Engine describes the model engines of a service as their operator declares them.
+type Engine struct {
+	// Slots is the number of requests that an engine processes at a time.
+	Slots int
+	// Memory is the KV-cache capacity in tokens.
+	Memory int
+	// EventTokens is the number of tokens in one event of a stream; a pass runs as many steps.
+	EventTokens int
+	// Step is the time of one token step, StepPerRequest what each writing request adds to it, and
+	// StepPerKiloToken what each 1,000 tokens of their context add.
+	Step             time.Duration
+	StepPerRequest   time.Duration
+	StepPerKiloToken time.Duration
+	// ReadRate is in prompt tokens a second.
+	ReadRate float64
+	// ReadPerMegaPair is the time for each million pairs of a prompt token and an earlier one.
+	ReadPerMegaPair time.Duration
+	// Chunk bounds the prompt tokens that one step reads.
+	Chunk int
+	// UsualPrompt and UsualOutput are mean token counts of a request.
+	UsualPrompt int
+	UsualOutput int
+}
+
+// Service is a group of endpoints that run the same requests.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConnections bounds the connections of all callers together to one endpoint.
+	MaxConnections int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Workspace is a customer of the deployment.
+type Workspace struct {
+	Name string
+	Keys []string
+	// Priority takes precedence over that of a route.
+	Priority int
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -10,7 +11,9 @@
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/declaration"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/registration"
 	"github.com/dandelionpier/dandelionpier/internal/task"
 )
 
@@ -26,6 +29,8 @@
 	Member Member
 	Leader Leader
 	Logger *zap.Logger
+	// Learn, if set, takes the peer addresses of the control instances when they change.
+	Learn func(addresses []string)
 }
 
 // View is what an entry knows from the control leader. It is a value and is not changed.
@@ -37,6 +42,10 @@
 	Term              uint64
 	// Quarantined are the fingerprints of requests that crash endpoints.
 	Quarantined map[uint64]bool
+	// Declaration is the declared document, zero before one is known. Its version never falls.
+	Declaration declaration.Document
+	// Endpoints are the registered endpoints.
+	Endpoints registration.List
 	// dispatchers is Dispatchers of the configuration and the members.
 	dispatchers map[string]Member
 }
@@ -55,14 +64,27 @@
 	// wanted is the newest accepted revision that a leader has named.
 	wanted   uint64
 	leaseEnd time.Time
-	wake     chan struct{}
+	// control is the version of the control instances' addresses.
+	control uint64
+	// endWatch ends the watch that waits at a leader; nil before the first one.
+	endWatch context.CancelFunc
+	// changed is closed when the view changes.
+	changed chan struct{}
+	wake    chan struct{}
 	// beat is closed at the end of the next heartbeat.
 	beat chan struct{}
 }
 
 // NewKeeper returns a keeper without a lease; Run obtains it.
 func NewKeeper(config KeeperConfig) *Keeper {
-	return &Keeper{config: config, member: config.Member, wake: make(chan struct{}, 1), beat: make(chan struct{})}
+	return &Keeper{config: config, member: config.Member, wake: make(chan struct{}, 1), beat: make(chan struct{}), changed: make(chan struct{})}
+}
+
+// Changed returns a channel that is closed when the view next changes.
+func (k *Keeper) Changed() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.changed
 }
 
 // View returns what is known and an error of kind Expired when nothing may be admitted because the
@@ -152,6 +174,11 @@
 		Revision:          k.view.Configuration.Revision,
 		MembershipVersion: k.membershipVersion,
 		QuarantineVersion: k.quarantineVersion,
+		Known: Known{
+			Declaration: k.view.Declaration.Version,
+			Endpoints:   k.view.Endpoints.Version,
+			Control:     k.control,
+		},
 	}
 }
 
@@ -163,14 +190,20 @@
 	if reply.Term < k.view.Term || reply.Revision < k.wanted {
 		return false
 	}
+	defer k.notify()
 	before := k.view.Configuration
 	if err := k.apply(reply); err != nil {
 		k.config.Logger.Error("Could not apply the configuration", zap.Error(err))
 		return false
 	}
+	if k.view.Term != reply.Term && k.endWatch != nil {
+		// The watch may wait at the former leader, which tells nothing any more.
+		k.endWatch()
+	}
 	k.view.Term = reply.Term
 	k.wanted = reply.Revision
 	moved := k.applyMembers(reply)
+	k.applyNews(reply.News)
 	if moved || !sameCells(k.cells, k.view.Configuration) {
 		k.cells = k.view.Configuration
 		k.view = k.view.WithDispatchers()
@@ -188,6 +221,33 @@
 	return k.view.Configuration.Revision > before.Revision
 }
 
+// notify wakes those who wait for a change of the view. The caller holds k.mu.
+func (k *Keeper) notify() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// applyNews takes over the declaration, the endpoints and the control addresses. The caller holds k.mu.
+func (k *Keeper) applyNews(news *News) {
+	if news == nil {
+		return
+	}
+	if d := news.Declaration; d != nil && d.Version > k.view.Declaration.Version {
+		k.view.Declaration = *d
+		k.config.Logger.Info("Took over a declaration", zap.Uint64("version", d.Version))
+	}
+	switch {
+	case news.AllEndpoints:
+		k.view.Endpoints = registration.NewList(news.Version.Endpoints, news.Endpoints)
+	case len(news.EndpointChanges) > 0:
+		k.view.Endpoints = k.view.Endpoints.WithChanges(news.Version.Endpoints, news.EndpointChanges)
+	}
+	k.control = news.Version.Control
+	if len(news.Control) > 0 && k.config.Learn != nil {
+		k.config.Learn(news.Control)
+	}
+}
+
 // applyMembers brings the member list to the version of the reply. Views share the old list, so it is
 // copied. It reports whether there were changes. The caller holds k.mu.
 func (k *Keeper) applyMembers(reply HeartbeatReply) bool {
@@ -302,13 +362,19 @@
 	for ctx.Err() == nil {
 		request := k.request()
 		call, cancel := context.WithTimeout(ctx, WatchTime+heartbeatTimeout)
+		k.mu.Lock()
+		k.endWatch = cancel
+		k.mu.Unlock()
 		reply, err := k.config.Leader.Watch(call, WatchRequest{
 			Revision:          request.Revision,
 			MembershipVersion: request.MembershipVersion,
 			QuarantineVersion: request.QuarantineVersion,
+			Known:             request.Known,
 		})
 		cancel()
 		switch {
+		case errors.Is(err, context.Canceled):
+			task.Pause(ctx, watchPause)
 		case err != nil:
 			task.Pause(ctx, HeartbeatInterval)
 		case reply.Changed:
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
+	"github.com/dandelionpier/dandelionpier/internal/declaration"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/registration"
 )
 
 const (
@@ -41,6 +43,8 @@
 	Platform string `json:"platform"`
 	Peer     string `json:"peer"`
 	Draining bool   `json:"draining"`
+	// Capacity is the processor time of the instance in thousandths of a core; 0 when it is not told.
+	Capacity int `json:"capacity,omitempty"`
 	// Incarnation changes at each start of the process.
 	Incarnation string `json:"incarnation"`
 }
@@ -60,10 +64,36 @@
 	MembershipVersion uint64
 	// QuarantineVersion is the sum of the quarantined fingerprints that the entry knows.
 	QuarantineVersion uint64
+	// Known is what the entry holds of the lists that are replicated beside the configuration.
+	Known Known
 	// Leave ends the session.
 	Leave bool
 }
 
+// Known names the versions of what an entry holds.
+type Known struct {
+	// Declaration is the version of the declared document, 0 for none.
+	Declaration uint64
+	// Endpoints is the version of the list of registered endpoints.
+	Endpoints uint64
+	// Control is the version of the addresses of the control instances.
+	Control uint64
+}
+
+// News is what the leader has beyond what an entry holds.
+type News struct {
+	// Version is what the entry holds after it has taken over the rest.
+	Version Known
+	// Declaration is set when it is newer.
+	Declaration *declaration.Document
+	// EndpointChanges lead to Version.Endpoints, or Endpoints replace the list when AllEndpoints is set.
+	EndpointChanges []registration.Change
+	AllEndpoints    bool
+	Endpoints       []registration.Record
+	// Control are the peer addresses of the control instances, set when they differ.
+	Control []string
+}
+
 // MaxChunkBytes bounds a SnapshotReply. net/rpc keeps a buffer of the largest reply for each
 // connection, so a whole configuration of 6,500 workspaces in one reply would cost the leader
 // 2 MB for each session.
@@ -94,6 +124,7 @@
 	Revision          uint64
 	MembershipVersion uint64
 	QuarantineVersion uint64
+	Known             Known
 }
 
 // WatchReply answers a WatchRequest. It grants no lease.
@@ -128,4 +159,6 @@
 	// Quarantined are the fingerprints of requests that crash endpoints, set when QuarantineChanged.
 	Quarantined       []uint64
 	QuarantineChanged bool
+	// News is nil when the entry holds the newest of everything that Known names.
+	News *News
 }
