Call a silent engine before its stream is given up

Logs show engines that were reading long prompts, alive. Ruled out: a longer patience alone; callers leave after two seconds. Change: silence makes the entry open a connection to the engine; only an engine that does not accept it ends the attempt.

--- a/entryd/internal/cli/serve.go
+++ b/entryd/internal/cli/serve.go
@@ -18,7 +18,6 @@
 	"github.com/dandelionpier/dandelionpier/entryd/internal/cell"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/completion"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/options"
-	"github.com/dandelionpier/dandelionpier/internal/retry"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/service"
 	"github.com/dandelionpier/dandelionpier/internal/burn"
 	"github.com/dandelionpier/dandelionpier/internal/certificate"
@@ -29,6 +28,7 @@
 	"github.com/dandelionpier/dandelionpier/internal/metrics"
 	"github.com/dandelionpier/dandelionpier/internal/peer"
 	"github.com/dandelionpier/dandelionpier/internal/quota"
+	"github.com/dandelionpier/dandelionpier/internal/retry"
 	"github.com/dandelionpier/dandelionpier/internal/session"
 )
 
--- a/entryd/internal/completion/server.go
+++ b/entryd/internal/completion/server.go
@@ -15,13 +15,13 @@
 
 	"github.com/dandelionpier/dandelionpier/entryd/internal/cell"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/exchange"
-	"github.com/dandelionpier/dandelionpier/internal/retry"
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/ledger"
 	"github.com/dandelionpier/dandelionpier/internal/refusal"
+	"github.com/dandelionpier/dandelionpier/internal/retry"
 	"github.com/dandelionpier/dandelionpier/internal/session"
 )
 
--- a/entryd/internal/service/service.go
+++ b/entryd/internal/service/service.go
@@ -20,7 +20,6 @@
 	"github.com/dandelionpier/dandelionpier/entryd/internal/cell"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/completion"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/exchange"
-	"github.com/dandelionpier/dandelionpier/internal/retry"
 	"github.com/dandelionpier/dandelionpier/entryd/internal/stream"
 	"github.com/dandelionpier/dandelionpier/internal/claim"
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
@@ -28,6 +27,7 @@
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/refusal"
+	"github.com/dandelionpier/dandelionpier/internal/retry"
 	"github.com/dandelionpier/dandelionpier/internal/session"
 )
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -13,7 +13,6 @@
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/placement"
-	"github.com/dandelionpier/dandelionpier/internal/routing"
 )
 
 // delivery is the caller's side of a stream: what it has got so far.
@@ -67,7 +66,7 @@
 func (g *Gateway) stream(parent context.Context, x *exchange, p *pass, d *delivery) (endpoint string, status int, err error) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
-	watch := newWatchdog(cancel, g.firstPatience(x, p))
+	watch := newWatchdog(p.hop.Address, cancel)
 	defer watch.stop()
 	var pause time.Duration
 	a, err := g.try(ctx, x, p)
@@ -77,7 +76,7 @@
 		_ = a.Body.Close()
 	}
 	if err != nil && parent.Err() == nil && watch.fired() {
-		err = fault.New("wait for event", Broken, "%s was silent for %v", p.hop.Endpoint, watch.length)
+		err = fault.New("wait for event", Broken, "%s was silent and does not accept connections", p.hop.Endpoint)
 	}
 	g.finish(parent, x, p, a, err, pause)
 	return p.hop.Endpoint, status, err
@@ -104,7 +103,7 @@
 			first = last
 			g.noteFirst(x, p)
 		}
-		watch.reset(eventPatience(x.route))
+		watch.heard()
 		if err := d.event(a, e); err != nil {
 			return meanPause(first, last, count), err
 		}
@@ -184,67 +183,3 @@
 	d.begin(a)
 	return nil
 }
-
-const (
-	// leastPatience and mostPatience bound the silence after which a stream goes on elsewhere. Callers give a
-	// stream up after two seconds at the earliest.
-	leastPatience = time.Second
-	mostPatience  = 2500 * time.Millisecond
-	// pausePatience is the multiple of the longest pause that meets the objective.
-	pausePatience = 4
-	// firstPatienceFactor multiplies the expected time to the first event.
-	firstPatienceFactor = 3
-)
-
-// eventPatience is how long a stream may be silent between two events.
-func eventPatience(route routing.Route) time.Duration {
-	if !route.Repeat.Repeatable() {
-		return route.Timeout
-	}
-	return min(mostPatience, max(leastPatience, pausePatience*route.MaxPause))
-}
-
-// firstPatience is how long an engine has for the first event. A request that may run once is not given up.
-func (g *Gateway) firstPatience(x *exchange, p *pass) time.Duration {
-	if !x.route.Repeat.Repeatable() {
-		return x.route.Timeout
-	}
-	return firstPatienceFactor*p.grant.First + max(leastPatience, x.route.Objective/2)
-}
-
-// watchdog cancels an attempt whose endpoint is silent.
-type watchdog struct {
-	timer  *time.Timer
-	length time.Duration
-	silent chan struct{}
-}
-
-func newWatchdog(cancel context.CancelFunc, length time.Duration) *watchdog {
-	w := &watchdog{length: length, silent: make(chan struct{})}
-	w.timer = time.AfterFunc(length, func() {
-		close(w.silent)
-		cancel()
-	})
-	return w
-}
-
-// reset starts the wait for the next event.
-func (w *watchdog) reset(length time.Duration) {
-	if w.timer.Stop() {
-		w.length = length
-		w.timer.Reset(length)
-	}
-}
-
-func (w *watchdog) stop() {
-	w.timer.Stop()
-}
-
-func (w *watchdog) fired() bool {
-	select {
-	case <-w.silent:
-		return true
-	default:
-		return false
-	}
-}
--- a/internal/gateway/suspect.go
+++ b/internal/gateway/suspect.go
@@ -1,17 +1,10 @@
 package gateway
 
-import (
-	"net"
-	"time"
-)
+import "time"
 
-const (
-	// deathCheckDelay is the pause before an endpoint whose connection broke is called: a process that ended
-	// refuses connections by then.
-	deathCheckDelay = 50 * time.Millisecond
-	// deathCheckTimeout bounds that call.
-	deathCheckTimeout = 300 * time.Millisecond
-)
+// deathCheckDelay is the pause before an endpoint whose connection broke is called: a process that ended
+// refuses connections by then.
+const deathCheckDelay = 50 * time.Millisecond
 
 // suspect finds out whether the endpoint of a broken request has died, and reports the request if so. A
 // connection that broke while the endpoint lives says nothing about the request.
@@ -20,11 +13,8 @@
 		return
 	}
 	time.AfterFunc(deathCheckDelay, func() {
-		conn, err := net.DialTimeout("tcp", hop.Address, deathCheckTimeout)
-		if err == nil {
-			_ = conn.Close()
-			return
+		if !accepts(hop.Address) {
+			g.config.Crashed(x.fingerprint, hop.Endpoint)
 		}
-		g.config.Crashed(x.fingerprint, hop.Endpoint)
 	})
 }
