Place long prompts in turn, divided over free engines

Ruled out: more engines for each prompt at once. Change: one long prompt after the other, shortest first among those that can be in time; reading on an engine counts as in the order in which engines do it.

--- a/entryd/internal/cli/gateway.go
+++ b/entryd/internal/cli/gateway.go
@@ -211,8 +211,6 @@
 	return err
 }
 
-// drainPoll is the time between two looks at the requests that still run.
-const drainPoll = 50 * time.Millisecond
 
 // drainGateway says at once that the instance leaves, serves the callers that still know it for a while, and
 // waits for the requests in flight.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -3,14 +3,11 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// maxParts bounds the engines that read one prompt.
-	maxParts = 16
 	// lateLoss is the share of a request's worth that is lost when it misses its objective, missedLoss when
 	// it misses its time limit.
 	lateLoss   = 0.75
@@ -18,15 +15,13 @@
 	// safeShare is the share of the objective up to which an expected time costs next to nothing.
 	safeShare = 0.7
 	// helperCost is what each further engine of a request costs, so that no more are taken than help.
-	helperCost = 0.02
+	helperCost = 0.004
 	// packing is the gain of an engine that writes already: streams on few engines leave the others to long
 	// prompts. crossing is the cost of an engine in another data centre.
 	packing  = 0.05
 	crossing = 0.01
 	// failureCost is the cost of an engine that fails all requests.
 	failureCost = 3
-	// fragilePrompt is the length in tokens from which the reading of a prompt disturbs streams.
-	fragilePrompt = 20_000
 	// retryMin and retryMax bound the pause that a rejected caller is asked for.
 	retryMin = 100 * time.Millisecond
 	retryMax = 5 * time.Second
@@ -68,39 +63,39 @@
 	}
 }
 
-// choose returns the engines with the least expected loss over the request and what runs already. It answers
+// choose returns the engine with the least expected loss over a short prompt and what runs already. It answers
 // a load of short prompts with tight pauses beside long prompts whose reading stops a pass for as long as it
-// takes: short ones are packed on engines that write, long ones spread over engines that do not.
+// takes: short ones are packed on engines that write, and keep off those that read.
 func (s *Scheduler) choose(now time.Time, j Job) choice {
-	var usable []*replica
-	for _, r := range s.order {
-		if r.usable(now) && !slices.Contains(j.Exclude, r.record.ID) {
-			usable = append(usable, r)
-		}
-	}
+	usable := s.usable(now, &j)
 	if len(usable) == 0 {
 		return s.rejected(now, "no engine takes work")
 	}
-	best := choice{cost: math.Inf(1)}
-	for _, parts := range []int{1, 2, 3, 4, 6, 8, 12, maxParts} {
-		if parts > len(usable) || parts > 1 && j.Prompt < fragilePrompt {
-			break
-		}
-		c, ok := s.spread(now, &j, usable, parts)
-		if ok && c.cost < best.cost {
-			best = c
-		}
-	}
+	best, ok := s.spread(now, &j, usable, 1)
 	switch {
-	case best.replicas == nil:
-		return s.rejected(now, "no engines have slots and memory for the request")
+	case !ok:
+		return s.rejected(now, "no engine has a slot and memory for the request")
 	case best.first > j.Left:
-		return s.rejected(now, fmt.Sprintf("the expected time of %v exceeds the time left of %v",
-			best.first.Round(time.Millisecond), j.Left.Round(time.Millisecond)))
+		return s.rejected(now, tooLate(best.first, j.Left))
 	}
 	return best
 }
 
+func tooLate(first, left time.Duration) string {
+	return fmt.Sprintf("the expected time of %v exceeds the time left of %v", first.Round(time.Millisecond), left.Round(time.Millisecond))
+}
+
+// usable returns the engines that a job may use.
+func (s *Scheduler) usable(now time.Time, j *Job) []*replica {
+	var usable []*replica
+	for _, r := range s.order {
+		if r.usable(now) && !slices.Contains(j.Exclude, r.record.ID) {
+			usable = append(usable, r)
+		}
+	}
+	return usable
+}
+
 // candidate is a replica with what a share of the request would cost there.
 type candidate struct {
 	replica *replica
@@ -141,10 +136,10 @@
 		c.bias += crossing
 	}
 	writers, _ := r.writers()
-	if j.Prompt < fragilePrompt {
-		c.bias -= packing * float64(writers) / float64(s.profile.Slots)
-	} else {
+	if s.long(j) {
 		c.bias += packing * float64(writers)
+	} else {
+		c.bias -= packing * float64(writers) / float64(s.profile.Slots)
 	}
 	c.cost = c.harm + c.bias + weight(j)*lateness(j, c.ready+s.firstPass(r))
 	return c
@@ -174,7 +169,9 @@
 		if t.job.spoiled || !t.head {
 			continue
 		}
-		if !t.reading && t.job.MaxPause > 0 && pass > t.job.MaxPause*9/10 {
+		delayed := t.reading && t.end.Add(read).After(t.job.due)
+		paused := !t.reading && t.job.MaxPause > 0 && pass > t.job.MaxPause*9/10
+		if delayed || paused {
 			sum += weight(&t.job.Job) * lateLoss
 		}
 	}
--- /dev/null
+++ b/internal/placement/long.go
@@ -0,0 +1,184 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// longRead is the reading time from which a prompt disturbs the streams beside it, and is divided.
+	longRead = 60 * time.Millisecond
+	// maxParts bounds the engines that read one prompt, the one that answers included.
+	maxParts = 16
+	// leastPart is the least part of a prompt, in tokens: each step of an engine has a cost of its own.
+	leastPart = 8_000
+	// freeWithin is the rest of reading with which an engine counts as free.
+	freeWithin = 10 * time.Millisecond
+	// waitMin and waitMax bound the pause between two questions of a job that waits.
+	waitMin = 8 * time.Millisecond
+	waitMax = 60 * time.Millisecond
+	// forgetWaiter is the silence after which a waiting job is forgotten.
+	forgetWaiter = 4 * waitMax
+	// waitGain is the least loss that waiting must save.
+	waitGain = 0.05
+	// tightPause is the longest pause of streams that need engines of their own.
+	tightPause = 300 * time.Millisecond
+)
+
+// waiter is a long prompt that waits for engines.
+type waiter struct {
+	job   Job
+	since time.Time
+	asked time.Time
+	read  time.Duration
+}
+
+// waited is the time since the arrival of the request.
+func (w *waiter) waited(now time.Time) time.Duration {
+	return w.job.Waited + now.Sub(w.asked)
+}
+
+// long reports whether the prompt of a job is divided.
+func (s *Scheduler) long(j *Job) bool {
+	return s.profile.read(j.Prompt, 1) > longRead
+}
+
+// reserveLong places long prompts one after the other, each divided over the engines that are free. It
+// answers a burst of long prompts: engines read the part that came last first, so prompts that share engines
+// all end late, while in turn most end in time. The shortest goes first among those that can be in time.
+func (s *Scheduler) reserveLong(now time.Time, j Job) ReserveReply {
+	w := s.enqueue(now, j)
+	usable := s.usable(now, &j)
+	reply := s.tryLong(now, w, usable)
+	if reply.Status != Wait {
+		delete(s.waiting, j.ID)
+	}
+	return reply
+}
+
+func (s *Scheduler) enqueue(now time.Time, j Job) *waiter {
+	for id, w := range s.waiting {
+		if now.Sub(w.asked) > forgetWaiter {
+			delete(s.waiting, id)
+		}
+	}
+	w := s.waiting[j.ID]
+	if w == nil {
+		w = &waiter{since: now, read: s.profile.read(j.Prompt, 1)}
+		s.waiting[j.ID] = w
+	}
+	w.job, w.asked = j, now
+	return w
+}
+
+func (s *Scheduler) tryLong(now time.Time, w *waiter, usable []*replica) ReserveReply {
+	j := &w.job
+	if len(usable) == 0 {
+		return *s.rejected(now, "no engine takes work").reply
+	}
+	ideal, latest := s.ideal(now, j, usable)
+	if latest+ideal > j.Left && ideal > j.Left {
+		return *s.rejected(now, tooLate(ideal, j.Left)).reply
+	}
+	if first := s.firstWaiter(now, usable); first != w {
+		return s.wait(now, usable)
+	}
+	best, ok := s.divide(now, j, s.free(now, usable))
+	if !ok || best.cost > weight(j)*lateness(j, latest+ideal)+waitGain {
+		if latest > 0 {
+			return s.wait(now, usable)
+		}
+		if !ok {
+			return *s.rejected(now, "no engines have slots and memory for the request").reply
+		}
+	}
+	return ReserveReply{Status: Granted, Grant: s.place(now, *j, best)}
+}
+
+// ideal returns the time to the first event with all engines that read long prompts, and the time until they
+// are all free.
+func (s *Scheduler) ideal(now time.Time, j *Job, usable []*replica) (first, latest time.Duration) {
+	readers := 0
+	for _, r := range usable {
+		if r.tight() == 0 {
+			readers++
+			latest = max(latest, r.backlog(now))
+		}
+	}
+	parts := max(1, min(readers, maxParts, j.Prompt/leastPart))
+	return s.profile.read(j.Prompt, parts) + s.profile.pass(1, j.Prompt/parts), latest
+}
+
+// tight counts the streams of an engine that a long reading would delay beyond their objective.
+func (r *replica) tight() int {
+	count := 0
+	for _, t := range r.shares {
+		if t.head && !t.job.spoiled && t.job.MaxPause > 0 && t.job.MaxPause <= tightPause {
+			count++
+		}
+	}
+	return count
+}
+
+// firstWaiter returns the job that is next: those that can be in time first, of these the shortest, and the
+// others by their arrival.
+func (s *Scheduler) firstWaiter(now time.Time, usable []*replica) *waiter {
+	var first *waiter
+	var inTime bool
+	for _, id := range sortedIDs(s.waiting) {
+		w := s.waiting[id]
+		ideal, _ := s.ideal(now, &w.job, usable)
+		feasible := w.waited(now)+ideal <= w.job.Objective
+		better := first == nil || feasible && !inTime ||
+			feasible == inTime && (feasible && w.read < first.read || !feasible && w.since.Before(first.since))
+		if better {
+			first, inTime = w, feasible
+		}
+	}
+	return first
+}
+
+func sortedIDs(waiting map[string]*waiter) []string {
+	ids := make([]string, 0, len(waiting))
+	for id := range waiting {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// free returns the engines that have read what was placed there.
+func (s *Scheduler) free(now time.Time, usable []*replica) []*replica {
+	var free []*replica
+	for _, r := range usable {
+		if r.backlog(now) <= freeWithin {
+			free = append(free, r)
+		}
+	}
+	return free
+}
+
+// divide returns the best number of engines for a prompt and which ones.
+func (s *Scheduler) divide(now time.Time, j *Job, free []*replica) (choice, bool) {
+	best := choice{cost: math.Inf(1)}
+	most := min(len(free), maxParts, max(1, j.Prompt/leastPart))
+	for parts := 1; parts <= most; parts++ {
+		c, ok := s.spread(now, j, free, parts)
+		if ok && c.cost < best.cost {
+			best = c
+		}
+	}
+	return best, best.replicas != nil
+}
+
+// wait tells a job to ask again when the next engine is expected to be free.
+func (s *Scheduler) wait(now time.Time, usable []*replica) ReserveReply {
+	next := waitMax
+	for _, r := range usable {
+		if b := r.backlog(now); b > 0 {
+			next = min(next, b)
+		}
+	}
+	return ReserveReply{Status: Wait, After: min(waitMax, max(waitMin, next))}
+}
--- a/internal/placement/profile.go
+++ b/internal/placement/profile.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/dandelionpier/dandelionpier/internal/routing"
@@ -25,16 +26,20 @@
 	return profile{e}
 }
 
-// read returns the time in which one engine reads its share of a prompt that is read in even parts.
+// read returns the time in which one engine reads its part of a prompt that is read in even parts.
 func (p profile) read(tokens, parts int) time.Duration {
-	t := float64(tokens)
+	t, n := float64(tokens), float64(max(1, parts))
 	var total time.Duration
 	if p.ReadRate > 0 {
-		total += time.Duration(t / p.ReadRate * float64(time.Second))
+		total += time.Duration(t / n / p.ReadRate * float64(time.Second))
 	}
 	megaPairs := t * t / 2 / 1e6
-	total += time.Duration(megaPairs * float64(p.ReadPerMegaPair))
-	return total / time.Duration(max(1, parts))
+	total += time.Duration(megaPairs / n * float64(p.ReadPerMegaPair))
+	if p.Chunk > 0 {
+		steps := math.Ceil(t / n / float64(p.Chunk))
+		total += time.Duration(steps * float64(p.Step))
+	}
+	return total
 }
 
 // pass returns the time of a pass that writes one event for each of some requests, without reading.
--- a/internal/placement/replica.go
+++ b/internal/placement/replica.go
@@ -48,6 +48,8 @@
 	context int
 	head    bool
 	reading bool
+	// divided says that other engines read parts of the same prompt.
+	divided bool
 }
 
 // job is a placed job.
@@ -98,10 +100,19 @@
 	return time.Duration(float64(d) * r.pace)
 }
 
+// add places a share. Engines read the parts of divided prompts ahead of everything else.
 func (r *replica) add(now time.Time, t *share) {
+	t.reading = t.read > 0
 	t.end = now.Add(r.backlog(now) + t.read)
 	r.reads = t.end
-	t.reading = t.read > 0
+	if t.divided {
+		t.end = now.Add(t.read)
+		for _, o := range r.shares {
+			if o.reading {
+				o.end = o.end.Add(t.read)
+			}
+		}
+	}
 	r.shares = append(r.shares, t)
 	r.memory += t.memory
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -17,11 +17,13 @@
 	// order has the replicas by id, so that decisions do not depend on the order of maps.
 	order []*replica
 	jobs  map[string]*job
+	// waiting are long prompts that wait for engines to be free.
+	waiting map[string]*waiter
 }
 
 // NewScheduler returns a scheduler without engines.
 func NewScheduler(engine routing.Engine) *Scheduler {
-	return &Scheduler{profile: newProfile(engine), replicas: make(map[string]*replica), jobs: make(map[string]*job)}
+	return &Scheduler{profile: newProfile(engine), replicas: make(map[string]*replica), jobs: make(map[string]*job), waiting: make(map[string]*waiter)}
 }
 
 // UseEngine replaces the declared times of the engines.
@@ -72,6 +74,9 @@
 	if old := s.jobs[j.ID]; old != nil {
 		s.end(now, old)
 	}
+	if s.long(&j) {
+		return s.reserveLong(now, j)
+	}
 	best := s.choose(now, j)
 	if best.reply != nil {
 		return *best.reply
@@ -90,7 +95,7 @@
 	parts := len(c.replicas)
 	for i, r := range c.replicas {
 		t := &share{
-			job: placed, head: i == 0, memory: c.memory[i], context: j.Prompt/parts + j.Output/2,
+			job: placed, head: i == 0, divided: parts > 1, memory: c.memory[i], context: j.Prompt/parts + j.Output/2,
 			read: r.scaled(s.profile.read(j.Prompt, parts)),
 		}
 		r.add(now, t)
@@ -134,6 +139,7 @@
 		s.adopt(now, e)
 		return
 	}
+	delete(s.waiting, e.Job.ID)
 	j := s.jobs[e.Job.ID]
 	if j == nil {
 		s.judge(now, e)
