Tell dispatchers of all running jobs when they are used again

Ruled out: engines that were full (14 replicas of 16 slots with about 120 streams). Change: a report names all running jobs of its entry when the dispatcher is new to it and each 2 s.

--- a/entryd/internal/options/gateway.go
+++ b/entryd/internal/options/gateway.go
@@ -48,7 +48,7 @@
 		RetrySlack:      100,
 		RetryWindow:     10 * time.Second,
 		StopAccept:      3 * time.Second,
-		StopLimit:       7200 * time.Millisecond,
+		StopLimit:       6500 * time.Millisecond,
 		LogLevel:        "info",
 	}
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -129,7 +129,7 @@
 }
 
 func (s *Scheduler) candidate(now time.Time, j *Job, r *replica, parts int) candidate {
-	read := r.scaled(s.profile.read(j.Prompt, parts))
+	read := s.occupied(r, j.Prompt, parts)
 	c := candidate{replica: r, ready: r.backlog(now) + read, harm: s.harm(now, r, read)}
 	c.bias = failureCost * r.failures * r.failures
 	if r.record.DataCentre != j.DataCentre {
@@ -145,6 +145,16 @@
 	return c
 }
 
+// occupied is the time for which a part of a prompt keeps a replica from reading the next one: the reading,
+// and the pass in which streams are written beside it.
+func (s *Scheduler) occupied(r *replica, prompt, parts int) time.Duration {
+	read := s.profile.read(prompt, parts)
+	if count, context := r.writers(); count > 0 && read > longRead/2 {
+		read += s.profile.pass(count, context)
+	}
+	return r.scaled(read)
+}
+
 // firstPass is the time from the end of reading to the first event, and the rest of the pass before it.
 func (s *Scheduler) firstPass(r *replica) time.Duration {
 	count, context := r.writers()
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,7 +64,9 @@
 	silence map[string]silence
 	// current is the dispatcher of each service that answered last, with its life.
 	current map[string]seat
-	wake    chan struct{}
+	// fresh are dispatchers that have not been told yet of all jobs that run.
+	fresh map[Dispatcher]bool
+	wake  chan struct{}
 }
 
 type running struct {
@@ -86,7 +90,7 @@
 func NewClient(config ClientConfig) *Client {
 	return &Client{
 		config: config, own: newBoard(config.Fleet), running: make(map[string]*running),
-		silence: make(map[string]silence), current: make(map[string]seat), wake: make(chan struct{}, 1),
+		silence: make(map[string]silence), current: make(map[string]seat), fresh: make(map[Dispatcher]bool), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -134,7 +138,7 @@
 		return reply
 	}
 	reply := ReserveReply{Status: Rejected, After: retryMin, Reason: "the service has no engines"}
-	c.own.with(job.Service, func(now time.Time, s *Scheduler) { reply = s.Reserve(now, job) })
+	c.own.with(job.Service, func(now time.Time, s *Scheduler) { reply = s.Reserve(now, c.config.Instance, job) })
 	if reply.Status == Granted {
 		c.add(Event{Type: Adopted, Job: job, Grant: reply.Grant, Reading: true})
 	}
@@ -181,6 +185,7 @@
 		return
 	}
 	c.current[service] = seat{d, life}
+	c.fresh[d] = true
 	c.config.Logger.Info("Using a dispatcher", zap.String("service", service), zap.String("dispatcher", d.Instance))
 	now := time.Now()
 	for _, r := range c.running {
@@ -195,7 +200,7 @@
 
 func (c *Client) start(job Job, grant Grant) {
 	c.own.with(job.Service, func(now time.Time, s *Scheduler) {
-		s.Report(now, Event{Type: Adopted, Job: job, Grant: grant, Reading: true})
+		s.Report(now, c.config.Instance, Event{Type: Adopted, Job: job, Grant: grant, Reading: true})
 	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -204,7 +209,7 @@
 
 // Report says what happened to a job.
 func (c *Client) Report(e Event) {
-	c.own.with(e.Job.Service, func(now time.Time, s *Scheduler) { s.Report(now, e) })
+	c.own.with(e.Job.Service, func(now time.Time, s *Scheduler) { s.Report(now, c.config.Instance, e) })
 	c.add(e)
 }
 
@@ -236,38 +241,62 @@
 	}
 }
 
+// wholeInterval is the time between two reports of all jobs that run.
+const wholeInterval = 2 * time.Second
+
 // Run reports events until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
+	ticker := time.NewTicker(wholeInterval)
+	defer ticker.Stop()
 	for {
+		whole := false
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-ticker.C:
+			whole = true
 		case <-c.wake:
 		}
 		task.Pause(ctx, reportDelay)
-		c.flush(ctx)
+		c.flush(ctx, whole)
+	}
+}
+
+// flush reports the events that wait, and all jobs that run to dispatchers that are new or where whole says so.
+func (c *Client) flush(ctx context.Context, whole bool) {
+	for d, request := range c.batches(whole) {
+		if err := c.report(ctx, d, request); err != nil {
+			c.config.Logger.Info("Could not report to a dispatcher", zap.String("dispatcher", d.Instance),
+				zap.Int("events", len(request.Events)), zap.Error(err))
+			c.note(d.Instance, false)
+			c.keep(request.Events)
+		}
 	}
 }
 
-func (c *Client) flush(ctx context.Context) {
+// batches takes the events that wait, by the dispatcher of their service.
+func (c *Client) batches(whole bool) map[Dispatcher]ReportRequest {
 	c.mu.Lock()
-	events := c.pending
-	c.pending = nil
-	batches := make(map[Dispatcher][]Event)
-	for _, e := range events {
+	defer c.mu.Unlock()
+	batches := make(map[Dispatcher]ReportRequest)
+	for _, e := range c.pending {
 		if s, ok := c.current[e.Job.Service]; ok {
-			batches[s.dispatcher] = append(batches[s.dispatcher], e)
+			request := batches[s.dispatcher]
+			request.Events = append(request.Events, e)
+			batches[s.dispatcher] = request
 		}
 	}
-	c.mu.Unlock()
-	for d, batch := range batches {
-		if err := c.report(ctx, d, batch); err != nil {
-			c.config.Logger.Info("Could not report to a dispatcher", zap.String("dispatcher", d.Instance),
-				zap.Int("events", len(batch)), zap.Error(err))
-			c.note(d.Instance, false)
-			c.keep(batch)
+	c.pending = nil
+	for _, s := range c.current {
+		request, ok := batches[s.dispatcher]
+		if !whole && !(ok && c.fresh[s.dispatcher]) {
+			continue
 		}
+		delete(c.fresh, s.dispatcher)
+		request.Whole, request.Running = true, slices.Collect(maps.Keys(c.running))
+		batches[s.dispatcher] = request
 	}
+	return batches
 }
 
 // keep puts events back that were not reported; they go with the next ones.
@@ -279,9 +308,9 @@
 	}
 }
 
-func (c *Client) report(ctx context.Context, d Dispatcher, batch []Event) error {
+func (c *Client) report(ctx context.Context, d Dispatcher, request ReportRequest) error {
 	var reply ReportReply
-	request := ReportRequest{Entry: c.config.Instance, Events: batch}
+	request.Entry = c.config.Instance
 	if d.Instance == c.config.Instance {
 		return c.config.Local.Report(request, &reply)
 	}
--- a/internal/placement/replica.go
+++ b/internal/placement/replica.go
@@ -55,6 +55,8 @@
 // job is a placed job.
 type job struct {
 	Job
+	// entry is the process that has the job.
+	entry    string
 	replicas []*replica
 	granted  time.Time
 	// due is when the first event is due by the objective, expires when nothing can run any more.
@@ -91,9 +93,24 @@
 	return count
 }
 
+const (
+	// overdueGrace is how long after the expected end of reading the first event may come before the engine
+	// counts as still reading; overdueLimit is when that is not believed any more.
+	overdueGrace = 120 * time.Millisecond
+	overdueLimit = time.Second
+	// overdueRest is the time that reading which should have ended is expected to go on.
+	overdueRest = 40 * time.Millisecond
+)
+
 // backlog is the time for which reading that is placed here goes on.
 func (r *replica) backlog(now time.Time) time.Duration {
-	return max(0, r.reads.Sub(now))
+	rest := max(0, r.reads.Sub(now))
+	for _, t := range r.shares {
+		if late := now.Sub(t.end); t.reading && late > overdueGrace && late < overdueLimit {
+			rest = max(rest, overdueRest)
+		}
+	}
+	return rest
 }
 
 func (r *replica) scaled(d time.Duration) time.Duration {
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -69,11 +69,19 @@
 
 // Reserve places a job, or says when to ask again, or that it cannot be served in its time. A job that is
 // placed already keeps its grant.
-func (s *Scheduler) Reserve(now time.Time, j Job) ReserveReply {
+func (s *Scheduler) Reserve(now time.Time, entry string, j Job) ReserveReply {
 	s.expire(now)
 	if old := s.jobs[j.ID]; old != nil {
 		s.end(now, old)
 	}
+	reply := s.reserve(now, j)
+	if placed := s.jobs[j.ID]; placed != nil {
+		placed.entry = entry
+	}
+	return reply
+}
+
+func (s *Scheduler) reserve(now time.Time, j Job) ReserveReply {
 	if s.long(&j) {
 		return s.reserveLong(now, j)
 	}
@@ -96,7 +104,7 @@
 	for i, r := range c.replicas {
 		t := &share{
 			job: placed, head: i == 0, divided: parts > 1, memory: c.memory[i], context: j.Prompt/parts + j.Output/2,
-			read: r.scaled(s.profile.read(j.Prompt, parts)),
+			read: s.occupied(r, j.Prompt, parts),
 		}
 		r.add(now, t)
 		grant.Members = append(grant.Members, Member{Endpoint: r.record.ID, Address: r.record.Address, Hold: c.hold[i]})
@@ -133,10 +141,13 @@
 }
 
 // Report takes what an entry says of a job.
-func (s *Scheduler) Report(now time.Time, e Event) {
+func (s *Scheduler) Report(now time.Time, entry string, e Event) {
 	s.expire(now)
 	if e.Type == Adopted {
 		s.adopt(now, e)
+		if placed := s.jobs[e.Job.ID]; placed != nil {
+			placed.entry = entry
+		}
 		return
 	}
 	delete(s.waiting, e.Job.ID)
@@ -255,6 +266,20 @@
 	}
 }
 
+// keepGrace is the age of a job below which it is kept although its entry does not name it: the grant may
+// still be on its way.
+const keepGrace = 200 * time.Millisecond
+
+// Keep ends the jobs of an entry that are not among those that run there. A dispatcher that was passed over
+// for a while has not heard of their ends.
+func (s *Scheduler) Keep(now time.Time, entry string, running []string) {
+	for _, j := range s.jobs {
+		if j.entry == entry && now.Sub(j.granted) > keepGrace && !slices.Contains(running, j.ID) {
+			s.end(now, j)
+		}
+	}
+}
+
 // Running returns the number of jobs.
 func (s *Scheduler) Running() int {
 	return len(s.jobs)
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -62,6 +62,16 @@
 	return true
 }
 
+// all runs f on all schedulers.
+func (b *board) all(f func(now time.Time, s *Scheduler)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	for _, d := range b.desks {
+		f(now, d.scheduler)
+	}
+}
+
 // Service is the dispatcher of services, over net/rpc.
 type Service struct {
 	life   uint64
@@ -77,7 +87,7 @@
 // Reserve places a job.
 func (s *Service) Reserve(request ReserveRequest, reply *ReserveReply) error {
 	ok := s.board.with(request.Job.Service, func(now time.Time, scheduler *Scheduler) {
-		*reply = scheduler.Reserve(now, request.Job)
+		*reply = scheduler.Reserve(now, request.Entry, request.Job)
 	})
 	if !ok {
 		*reply = ReserveReply{Status: Rejected, After: retryMin, Reason: "this instance knows no such service"}
@@ -89,7 +99,10 @@
 // Report takes events of jobs.
 func (s *Service) Report(request ReportRequest, reply *ReportReply) error {
 	for _, e := range request.Events {
-		s.board.with(e.Job.Service, func(now time.Time, scheduler *Scheduler) { scheduler.Report(now, e) })
+		s.board.with(e.Job.Service, func(now time.Time, scheduler *Scheduler) { scheduler.Report(now, request.Entry, e) })
+	}
+	if request.Whole {
+		s.board.all(func(now time.Time, scheduler *Scheduler) { scheduler.Keep(now, request.Entry, request.Running) })
 	}
 	reply.Life = s.life
 	return nil
--- a/internal/placement/wire.go
+++ b/internal/placement/wire.go
@@ -136,6 +136,9 @@
 type ReportRequest struct {
 	Entry  string
 	Events []Event
+	// Running, if Whole is set, are the ids of all jobs of the entry that run. Others of the entry have ended.
+	Whole   bool
+	Running []string
 }
 
 // ReportReply answers a ReportRequest.
