--- a/entryd/internal/cli/gateway.go
+++ b/entryd/internal/cli/gateway.go
@@ -81,7 +81,7 @@
 	})
 	e.gateway = gateway.New(gateway.Config{
 		DataCentre: o.DataCentre, Fleet: e.fleet, Callers: platform.Callers{}, Endpoints: platform.Endpoints{},
-		Placer: e.placer, Crashed: e.reportCrash, Metrics: e.metrics, Logger: e.logger,
+		Placer: e.placer, Memory: platform.NewMemory(), Crashed: e.reportCrash, Metrics: e.metrics, Logger: e.logger,
 		Retries: gateway.RetryConfig{Ratio: o.RetryRatio, Slack: o.RetrySlack, Window: o.RetryWindow},
 	})
 	metrics.RegisterProcess(e.metrics)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,6 +130,7 @@
 	Callers    Callers
 	Endpoints  Endpoints
 	Placer     Placer
+	Memory     Memory
 	// Crashed is told of requests whose endpoints died.
 	Crashed Reporter
 	Retries RetryConfig
--- a/internal/gateway/pass.go
+++ b/internal/gateway/pass.go
@@ -18,6 +18,8 @@
 	// job is set for requests to model engines.
 	job   *placement.Job
 	grant placement.Grant
+	// holds is nil where no memory is reserved beforehand.
+	holds *holds
 }
 
 // place finds an endpoint for the next attempt. It returns a refusal when there is none.
@@ -59,7 +61,11 @@
 	head := reply.Grant.Members[0]
 	p.hop.Endpoint, p.hop.Address, p.hop.Urgency = head.Endpoint, head.Address, reply.Grant.Urgency
 	for _, m := range reply.Grant.Members[1:] {
-		p.hop.Helpers = append(p.hop.Helpers, Helper{Address: m.Address})
+		helper := Helper{Address: m.Address}
+		if m.Hold > 0 {
+			helper.Hold = p.job.ID
+		}
+		p.hop.Helpers = append(p.hop.Helpers, helper)
 	}
 	return p, nil
 }
@@ -78,7 +84,12 @@
 // try sends the request to the endpoint of a pass and reads the header of the answer. finish must follow.
 func (g *Gateway) try(ctx context.Context, x *exchange, p *pass) (*answer, error) {
 	p.started = time.Now()
-	p.hop.Left = x.left(p.started)
+	if p.job != nil {
+		if blamed, err := g.hold(ctx, x, p); err != nil {
+			return &answer{reply: Reply{Fault: blamed}}, fault.Wrap(err, "reserve memory", NotRun, blamed)
+		}
+	}
+	p.hop.Left = x.left(time.Now())
 	a, err := g.send(ctx, p.hop)
 	if !fault.Is(err, NotRun) && !fault.Is(err, Unreached) {
 		x.sent++
@@ -90,6 +101,10 @@
 
 // finish gives back what a pass has taken and notes how the endpoint did. a is the answer, if its header came.
 func (g *Gateway) finish(ctx context.Context, x *exchange, p *pass, a *answer, err error, pause time.Duration) {
+	if p.holds != nil {
+		// Nothing waits for the release.
+		go p.holds.end()
+	}
 	kind := kindOf(err)
 	left := ctx.Err() != nil || fault.Is(err, Gone)
 	blamed := p.hop.Endpoint
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -34,8 +34,10 @@
 	memory []int
 	hold   []int
 	first  time.Duration
-	cost   float64
-	reply  *ReserveReply
+	// harm is the part of cost that other streams bear.
+	harm  float64
+	cost  float64
+	reply *ReserveReply
 }
 
 // weight is what a request is worth in comparison to others: long prompts have waited for more.
@@ -123,9 +125,14 @@
 	return s.assemble(j, candidates[:parts])
 }
 
+// need is the memory of a job in tokens. Estimates of the answer are often too low.
+func need(j *Job) int {
+	return j.Prompt + min(j.Bound, j.Output+j.Output/2)
+}
+
 // fits reports whether a replica has a slot and memory for a request that it answers.
 func (s *Scheduler) fits(r *replica, j *Job) bool {
-	return r.heads() < s.profile.Slots && (s.profile.Memory == 0 || r.memory+j.Prompt+j.Output <= s.profile.Memory)
+	return r.heads() < s.profile.Slots && (s.profile.Memory == 0 || r.memory+need(j) <= s.profile.Memory)
 }
 
 func (s *Scheduler) candidate(now time.Time, j *Job, r *replica, parts int) candidate {
@@ -188,13 +195,21 @@
 	return sum
 }
 
-// assemble makes a choice of candidates: the cheapest one with a slot and memory answers.
+// assemble makes a choice of candidates: the cheapest one with a slot and memory answers. A prompt that no
+// engine can hold is stored at several of them.
 func (s *Scheduler) assemble(j *Job, candidates []candidate) (choice, bool) {
 	head := slices.IndexFunc(candidates, func(c candidate) bool { return s.fits(c.replica, j) })
 	if head < 0 {
-		return choice{}, false
+		return s.assembleHolds(j, candidates)
 	}
 	candidates[0], candidates[head] = candidates[head], candidates[0]
+	c := s.combine(j, candidates)
+	c.memory[0] = need(j)
+	return c, true
+}
+
+// combine is the choice of all candidates, of which the first one answers, without its memory.
+func (s *Scheduler) combine(j *Job, candidates []candidate) choice {
 	parts := len(candidates)
 	c := choice{
 		replicas: make([]*replica, parts), memory: make([]int, parts), hold: make([]int, parts),
@@ -203,13 +218,41 @@
 	var ready time.Duration
 	for i, candidate := range candidates {
 		c.replicas[i] = candidate.replica
-		c.cost += candidate.harm
+		c.harm += candidate.harm
 		ready = max(ready, candidate.ready)
 	}
-	c.memory[0] = j.Prompt + j.Output
 	c.first = ready + s.firstPass(c.replicas[0])
-	c.cost += weight(j) * lateness(j, c.first)
-	return c, true
+	c.cost += c.harm + weight(j)*lateness(j, c.first)
+	return c
+}
+
+// memoryMargin is the share of an engine's memory that reservations leave, because reports of it are late.
+const memoryMargin = 0.04
+
+// assembleHolds divides the memory of a prompt: the engine that answers takes what it has free, the rest is
+// reserved at the others, at as few as possible.
+func (s *Scheduler) assembleHolds(j *Job, candidates []candidate) (choice, bool) {
+	if need(j) <= s.profile.Memory || s.profile.Memory == 0 {
+		return choice{}, false
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.replica.memory, b.replica.memory) })
+	head := slices.IndexFunc(candidates, func(c candidate) bool { return c.replica.heads() < s.profile.Slots })
+	if head < 0 {
+		return choice{}, false
+	}
+	candidates[0], candidates[head] = candidates[head], candidates[0]
+	c := s.combine(j, candidates)
+	rest := need(j)
+	for i, r := range c.replicas {
+		free := int(float64(s.profile.Memory)*(1-memoryMargin)) - r.memory
+		take := max(0, min(rest, free))
+		c.memory[i] = take
+		if i > 0 {
+			c.hold[i] = take
+		}
+		rest -= take
+	}
+	return c, rest == 0
 }
 
 // rejected returns the reply for a job that cannot be served, with the time at which an engine is expected
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -22,6 +22,8 @@
 	forgetWaiter = 4 * waitMax
 	// waitGain is the least loss that waiting must save.
 	waitGain = 0.05
+	// tightObjective is the longest objective of requests that do not wait for others to be read.
+	tightObjective = 500 * time.Millisecond
 	// tightPause is the longest pause of streams that need engines of their own.
 	tightPause = 300 * time.Millisecond
 )
@@ -39,9 +41,14 @@
 	return w.job.Waited + now.Sub(w.asked)
 }
 
-// long reports whether the prompt of a job is divided.
+// long reports whether the prompt of a job is divided. One whose objective is tight is not, as long as one
+// engine reads it in half of that time.
 func (s *Scheduler) long(j *Job) bool {
-	return s.profile.read(j.Prompt, 1) > longRead
+	read := s.profile.read(j.Prompt, 1)
+	if j.Objective > 0 && j.Objective <= tightObjective {
+		return read > j.Objective/2
+	}
+	return read > longRead
 }
 
 // reserveLong places long prompts one after the other, each divided over the engines that are free. It
@@ -85,6 +92,12 @@
 		return s.wait(now, usable)
 	}
 	best, ok := s.divide(now, j, s.free(now, usable))
+	if ok && s.costly(j, best) {
+		if ideal+lastChance/2 > j.Left {
+			return *s.rejected(now, "all engines write streams that the request would delay").reply
+		}
+		return s.wait(now, usable)
+	}
 	if !ok || best.cost > weight(j)*lateness(j, latest+ideal)+waitGain {
 		if latest > 0 {
 			return s.wait(now, usable)
@@ -96,6 +109,13 @@
 	return ReserveReply{Status: Granted, Grant: s.place(now, *j, best)}
 }
 
+// costly reports whether a choice takes more from the streams beside it, and from those that come while it
+// reads, than the request is worth.
+func (s *Scheduler) costly(j *Job, c choice) bool {
+	read := s.profile.read(j.Prompt, len(c.replicas))
+	return c.harm*(1+read.Seconds()) >= weight(j)*(1-min(1, lateness(j, c.first)))
+}
+
 // ideal returns the time to the first event with all engines that read long prompts, and the time until they
 // are all free.
 func (s *Scheduler) ideal(now time.Time, j *Job, usable []*replica) (first, latest time.Duration) {
@@ -121,24 +141,42 @@
 	return count
 }
 
-// firstWaiter returns the job that is next: those that can be in time first, of these the shortest, and the
-// others by their arrival.
+// firstWaiter returns the job that gains most for each second of reading.
 func (s *Scheduler) firstWaiter(now time.Time, usable []*replica) *waiter {
 	var first *waiter
-	var inTime bool
+	best := -1.0
 	for _, id := range sortedIDs(s.waiting) {
 		w := s.waiting[id]
-		ideal, _ := s.ideal(now, &w.job, usable)
-		feasible := w.waited(now)+ideal <= w.job.Objective
-		better := first == nil || feasible && !inTime ||
-			feasible == inTime && (feasible && w.read < first.read || !feasible && w.since.Before(first.since))
-		if better {
-			first, inTime = w, feasible
+		if gain := s.gain(now, w, usable); gain > best {
+			first, best = w, gain
 		}
 	}
 	return first
 }
 
+const (
+	// lastChance is the time before the latest start of a job from which it goes first, and chanceGain how
+	// much it gains by that.
+	lastChance = 1500 * time.Millisecond
+	chanceGain = 4
+	// readFloor is added to reading times that are compared.
+	readFloor = 20 * time.Millisecond
+)
+
+// gain is the worth of a job for each second of reading: less when its objective cannot be met any more, more
+// when it is served soon or never.
+func (s *Scheduler) gain(now time.Time, w *waiter, usable []*replica) float64 {
+	ideal, _ := s.ideal(now, &w.job, usable)
+	worth := weight(&w.job)
+	if w.waited(now)+ideal > w.job.Objective {
+		worth *= 1 - lateLoss
+		if left := w.job.Left - now.Sub(w.asked) - ideal; left < lastChance {
+			worth *= chanceGain
+		}
+	}
+	return worth / (w.read + readFloor).Seconds()
+}
+
 func sortedIDs(waiting map[string]*waiter) []string {
 	ids := make([]string, 0, len(waiting))
 	for id := range waiting {
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -179,7 +179,7 @@
 		c.memory = append(c.memory, m.Hold)
 		c.hold = append(c.hold, m.Hold)
 		if i == 0 && m.Hold == 0 {
-			c.memory[0] = e.Job.Prompt + e.Job.Output
+			c.memory[0] = need(&e.Job)
 		}
 	}
 	if len(c.replicas) == 0 {
