--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -18,8 +18,9 @@
 	helperCost = 0.004
 	// packing is the gain of an engine that writes already: streams on few engines leave the others to long
 	// prompts. crossing is the cost of an engine in another data centre.
-	packing  = 0.05
-	crossing = 0.01
+	packing   = 0.4
+	spreading = 0.05
+	crossing  = 0.01
 	// failureCost is the cost of an engine that fails all requests.
 	failureCost = 3
 	// retryMin and retryMax bound the pause that a rejected caller is asked for.
@@ -144,9 +145,9 @@
 	}
 	writers, _ := r.writers()
 	if s.long(j) {
-		c.bias += packing * float64(writers)
+		c.bias += spreading * float64(writers)
 	} else {
-		c.bias -= packing * float64(writers) / float64(s.profile.Slots)
+		c.bias -= packing * float64(r.heads()) / float64(s.profile.Slots)
 	}
 	c.cost = c.harm + c.bias + weight(j)*lateness(j, c.ready+s.firstPass(r))
 	return c
