End an entry within its time to stop

Change: all servers close with the entry. Callers of long prompts that would only do harm are asked to return after a third of their time.

--- a/entryd/internal/cli/gateway.go
+++ b/entryd/internal/cli/gateway.go
@@ -186,13 +186,7 @@
 			return err
 		}
 		l.server = &http.Server{Handler: l.handler, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeader, ErrorLog: errorLog}
-		ends = append(ends, task.Start(ctx, func(context.Context) error {
-			if err := l.server.Serve(accept); !errors.Is(err, http.ErrServerClosed) {
-				return err
-			}
-			<-ctx.Done()
-			return nil
-		}))
+		ends = append(ends, task.Start(ctx, func(ctx context.Context) error { return l.serve(ctx, accept) }))
 	}
 	ends = append(ends, task.Start(ctx, func(ctx context.Context) error {
 		select {
@@ -204,14 +198,22 @@
 	}))
 	e.logger.Info("Started", zap.Any("member", e.member()), zap.Strings("seeds", e.options.Seeds))
 	err = task.First(ctx, cancel, ends...)
-	for _, l := range list {
-		_ = l.server.Close()
-	}
 	e.logger.Info("Stopped", zap.Error(err))
 	return err
 }
 
 
+// serve serves until ctx ends. A server that was shut down before is served out.
+func (l *listener) serve(ctx context.Context, accept net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.server.Close() })
+	defer stop()
+	if err := l.server.Serve(accept); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
 // drainGateway says at once that the instance leaves, serves the callers that still know it for a while, and
 // waits for the requests in flight.
 func (e *gatewayEntry) drainGateway(list []*listener) {
@@ -219,7 +221,7 @@
 	e.draining.Store(true)
 	e.keeper.Drain()
 	started := time.Now()
-	time.Sleep(e.options.StopAccept)
+	task.Pause(context.Background(), e.options.StopAccept)
 	e.gateway.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(e.options.StopLimit))
 	defer cancel()
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -93,10 +93,7 @@
 	}
 	best, ok := s.divide(now, j, s.free(now, usable))
 	if ok && s.costly(j, best) {
-		if ideal+lastChance/2 > j.Left {
-			return *s.rejected(now, "all engines write streams that the request would delay").reply
-		}
-		return s.wait(now, usable)
+		return s.postpone(now, j, ideal, usable)
 	}
 	if !ok || best.cost > weight(j)*lateness(j, latest+ideal)+waitGain {
 		if latest > 0 {
@@ -109,6 +106,24 @@
 	return ReserveReply{Status: Granted, Grant: s.place(now, *j, best)}
 }
 
+// postpone lets a job wait that would cost more than it is worth, as long as it can be in time. After that its
+// caller is asked to return when the load may have changed, which leaves it as much time as waiting here.
+func (s *Scheduler) postpone(now time.Time, j *Job, ideal time.Duration, usable []*replica) ReserveReply {
+	const reason = "all engines write streams that the request would delay"
+	after := j.Left / returnShare
+	switch {
+	case j.Waited+ideal <= j.Objective:
+		return s.wait(now, usable)
+	case after+ideal+lastChance < j.Left || ideal+lastChance/2 > j.Left:
+		return ReserveReply{Status: Rejected, After: max(retryMin, after), Reason: reason}
+	default:
+		return s.wait(now, usable)
+	}
+}
+
+// returnShare is the part of the time left, as a divisor, after which a postponed caller should return.
+const returnShare = 3
+
 // costly reports whether a choice takes more from the streams beside it, and from those that come while it
 // reads, than the request is worth.
 func (s *Scheduler) costly(j *Job, c choice) bool {
