--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,8 @@
 	@for p in entryd controld pierctl standin; do \
 		{ printf '# Settings of %s\n\nWritten by `%s settings-reference` (make pages); a test compares the two.\n\n' $$p $$p; \
 		bin/$$p settings-reference; } > docs/settings-$$p.md || exit 1; done
+	@{ printf '# Settings of entryd gateway\n\nWritten by `entryd gateway-reference` (make pages); a test compares the two.\n\n'; \
+		bin/entryd gateway-reference; } > docs/settings-gateway.md
 
 demo: build
 	scripts/demo
--- a/entryd/internal/cli/cli.go
+++ b/entryd/internal/cli/cli.go
@@ -32,6 +32,7 @@
 
 func command(out, errOut io.Writer, connect Connector) *cli.Command {
 	file := &cli.StringFlag{Name: "settings", Usage: "settings file (YAML)", Required: true}
+	forGateway := &cli.BoolFlag{Name: "gateway", Usage: "the file is for the command gateway"}
 	return &cli.Command{
 		Name:  "entryd",
 		Usage: "entry instance of dandelionpier: callers' API, dispatchers of cells, streaming",
@@ -57,16 +58,29 @@
 				}
 				return serveGateway(ctx, c.String("settings"), o)
 			}},
-			{Name: "check-settings", Usage: "check a settings file", Flags: []cli.Flag{file}, Action: func(_ context.Context, c *cli.Command) error {
-				if _, err := options.Load(c.String("settings")); err != nil {
+			{Name: "check-settings", Usage: "check a settings file", Flags: []cli.Flag{file, forGateway}, Action: func(_ context.Context, c *cli.Command) error {
+				if err := check(c.String("settings"), c.Bool("gateway")); err != nil {
 					return err
 				}
 				_, err := fmt.Fprintln(out, "The settings are valid.")
 				return err
 			}},
 			program.ReferenceCommand(options.Reference),
+			{Name: "gateway-reference", Usage: "print all options of the gateway's settings as a Markdown table", Action: func(context.Context, *cli.Command) error {
+				_, err := io.WriteString(out, options.GatewayReference())
+				return err
+			}},
 			program.ManualCommand(func() *cli.Command { return command(out, errOut, connect) }, 8),
 			program.VersionCommand(),
 		},
 	}
 }
+
+func check(path string, gateway bool) error {
+	if gateway {
+		_, err := options.LoadGateway(path)
+		return err
+	}
+	_, err := options.Load(path)
+	return err
+}
--- a/entryd/internal/cli/drain_test.go
+++ b/entryd/internal/cli/drain_test.go
@@ -194,5 +194,6 @@
 // Guards against a manual page or settings reference that is not that of the program.
 func TestPages(t *testing.T) {
 	pagetest.Reference(t, "settings-entryd.md", options.Reference())
+	pagetest.Reference(t, "settings-gateway.md", options.GatewayReference())
 	pagetest.Equal(t, "man/entryd.8", program.Manual(command(io.Discard, io.Discard, nil), 8))
 }
--- a/entryd/internal/cli/failure_test.go
+++ b/entryd/internal/cli/failure_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
+	"github.com/dandelionpier/dandelionpier/internal/porttest"
 	"github.com/dandelionpier/dandelionpier/internal/refusal"
 )
 
@@ -169,7 +170,7 @@
 
 // Guards against a wrong outcome of a request that failed before its first byte.
 func TestOutcomes(t *testing.T) {
-	nobody := "http://" + unused(t)
+	nobody := "http://" + porttest.Refusing(t)
 	cut := engine(t, func(http.ResponseWriter, *http.Request, events) { panic(http.ErrAbortHandler) })
 	rejecting := engine(t, func(w http.ResponseWriter, _ *http.Request, _ events) {
 		w.WriteHeader(400)
--- a/entryd/internal/cli/gateway.go
+++ b/entryd/internal/cli/gateway.go
@@ -202,7 +202,6 @@
 	return err
 }
 
-
 // serve serves until ctx ends. A server that was shut down before is served out.
 func (l *listener) serve(ctx context.Context, accept net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = l.server.Close() })
--- a/entryd/internal/cli/service_test.go
+++ b/entryd/internal/cli/service_test.go
@@ -2,18 +2,17 @@
 
 import (
 	"bytes"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/dandelionpier/dandelionpier/internal/claim"
+	"github.com/dandelionpier/dandelionpier/internal/porttest"
 	"github.com/dandelionpier/dandelionpier/internal/refusal"
 )
 
@@ -102,7 +101,7 @@
 		prepare func(s *site)
 		want    refusal.Outcome
 	}{
-		"connection refused": {func(s *site) { s.dispatcher.endpoints[0].Address = unused(t) }, refusal.DidNotRun},
+		"connection refused": {func(s *site) { s.dispatcher.endpoints[0].Address = porttest.Refusing(t) }, refusal.DidNotRun},
 		"no endpoint":        {func(s *site) { s.dispatcher.endpoints = nil }, refusal.DidNotRun},
 		"lease expires":      {func(s *site) { s.keeper.checks = 4 }, refusal.DidNotRun},
 		// Without the claim, the entry cannot rule out that an earlier request with the key ran.
@@ -120,20 +119,6 @@
 	}
 }
 
-// unused returns an address that refuses connections. Its port stays bound, without a listener: one that was
-// only free a moment ago went to the next listener of a test once.
-func unused(t testing.TB) string {
-	t.Helper()
-	is := is.New(t)
-	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	is.NoErr(err)
-	t.Cleanup(func() { _ = syscall.Close(socket) })
-	is.NoErr(syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
-	name, err := syscall.Getsockname(socket)
-	is.NoErr(err)
-	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
-}
-
 // Guards against wrong answers to a key that was used before.
 func TestClaimAnswers(t *testing.T) {
 	url := engine(t, func(w http.ResponseWriter, _ *http.Request, _ events) { _, _ = io.WriteString(w, "booked") })
