--- a/entryd/internal/cli/gateway.go
+++ b/entryd/internal/cli/gateway.go
@@ -216,13 +216,13 @@
 // drainGateway says at once that the instance leaves, serves the callers that still know it for a while, and
 // waits for the requests in flight.
 func (e *gatewayEntry) drainGateway(list []*listener) {
-	e.logger.Info("Draining", zap.Duration("stop-accept", e.options.StopAccept), zap.Duration("stop-limit", e.options.StopLimit))
+	e.logger.Info("Draining", zap.Duration("stop-accept", e.options.StopAccept), zap.Duration("stop-limit", e.options.StopLimit()))
 	e.draining.Store(true)
 	e.keeper.Drain()
 	started := time.Now()
 	task.Pause(context.Background(), e.options.StopAccept)
 	e.gateway.Stop()
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(e.options.StopLimit))
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(e.options.StopLimit()))
 	defer cancel()
 	if err := list[0].server.Shutdown(ctx); err != nil {
 		e.logger.Warn("Requests were still running at the end of the time to stop", zap.Error(err))
--- a/entryd/internal/options/gateway.go
+++ b/entryd/internal/options/gateway.go
@@ -31,7 +31,7 @@
 	RetryWindow time.Duration `yaml:"retry-window" validate:"gt=0" description:"Time over which retries are counted."`
 
 	StopAccept time.Duration `yaml:"stop-accept" validate:"min=0s" description:"Time after SIGTERM for which new requests are served."`
-	StopLimit  time.Duration `yaml:"stop-limit" validate:"gt=0s" description:"Time after SIGTERM at which the process ends, with requests in flight if need be."`
+	Grace      time.Duration `yaml:"grace" validate:"gt=0s" description:"Time between SIGTERM and SIGKILL. Requests that still run after eleven twelfths of it are cut."`
 
 	LogLevel string `yaml:"log-level" validate:"oneof=debug info warn error" description:"Least level of log lines."`
 }
@@ -48,11 +48,16 @@
 		RetrySlack:      100,
 		RetryWindow:     10 * time.Second,
 		StopAccept:      3 * time.Second,
-		StopLimit:       6500 * time.Millisecond,
+		Grace:           8 * time.Second,
 		LogLevel:        "info",
 	}
 }
 
+// StopLimit is the time after SIGTERM at which the process ends, with requests in flight if need be.
+func (g *Gateway) StopLimit() time.Duration {
+	return g.Grace * 11 / 12
+}
+
 // LoadGateway reads the settings file at path. Errors name file, line and column where there is one.
 func LoadGateway(path string) (*Gateway, error) {
 	g := DefaultGateway()
