Ask late long prompts to return while others go first; write logs in batches to standard output

Logs went to standard error, a write for each line, and a reader that stopped would have stopped the process. Ruled out: refusing them at their arrival; most can still be served when the burst is over. Change: a prompt that is late already is asked to return after a third of its time when more than a second of reading goes first.

--- a/entryd/internal/cli/gateway.go
+++ b/entryd/internal/cli/gateway.go
@@ -85,6 +85,7 @@
 		Retries: gateway.RetryConfig{Ratio: o.RetryRatio, Slack: o.RetrySlack, Window: o.RetryWindow},
 	})
 	metrics.RegisterProcess(e.metrics)
+	e.metrics.GaugeFunc("log_lines_dropped_total", logging.Dropped)
 	e.metrics.GaugeFunc("peer_bytes_total", func() int64 { return e.pool.Traffic() + e.peers.Traffic() })
 	return e.peers.Register(placement.ServiceName, dispatcher)
 }
--- a/entryd/internal/cli/serve.go
+++ b/entryd/internal/cli/serve.go
@@ -254,6 +254,7 @@
 	metrics.RegisterProcess(e.metrics)
 	e.certificates.Register(e.metrics)
 	e.endpoints.Register(e.metrics)
+	e.metrics.GaugeFunc("log_lines_dropped_total", logging.Dropped)
 	e.metrics.GaugeFunc("peer_bytes_total", func() int64 { return pool.Traffic() + e.peers.Traffic() })
 }
 
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -2,6 +2,10 @@
 package logging
 
 import (
+	"io"
+	"os"
+	"sync/atomic"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -24,22 +28,29 @@
 	Instance string
 }
 
-// New returns a logger that writes JSON lines to standard error. An unknown level is an error.
+// dropped counts the lines of this process that were not written.
+var dropped atomic.Int64
+
+// Dropped returns the number of lines of this process that were dropped because nobody read the others.
+func Dropped() int64 {
+	return dropped.Load()
+}
+
+// New returns a logger that writes JSON lines to standard output and never blocks. An unknown level is an
+// error.
 func New(config Config) (*zap.Logger, error) {
+	return newLogger(config, os.Stdout)
+}
+
+func newLogger(config Config, out io.Writer) (*zap.Logger, error) {
 	level, err := zapcore.ParseLevel(config.Level)
 	if err != nil {
 		return nil, err
 	}
-	c := zap.NewProductionConfig()
-	c.Level = zap.NewAtomicLevelAt(level)
-	c.Sampling = nil
-	c.DisableStacktrace = true
-	c.EncoderConfig.TimeKey = "time"
-	c.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	c.OutputPaths = []string{"stderr"}
-	logger, err := c.Build()
-	if err != nil {
-		return nil, err
-	}
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.TimeKey = "time"
+	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), newQueue(out, &dropped), level)
+	logger := zap.New(core, zap.AddCaller())
 	return logger.With(zap.String("program", config.Program), zap.String(Instance, config.Instance)), nil
 }
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -89,6 +89,9 @@
 		return *s.rejected(now, tooLate(ideal, j.Left)).reply
 	}
 	if first := s.firstWaiter(now, usable); first != w {
+		if j.Waited+ideal > j.Objective && latest+s.ahead(now, w, usable) > hopelessWait {
+			return ReserveReply{Status: Rejected, After: max(retryMin, j.Left/returnShare), Reason: "too many long prompts that can be in time go first"}
+		}
 		return s.wait(now, usable)
 	}
 	best, ok := s.divide(now, j, s.free(now, usable))
@@ -121,6 +124,27 @@
 	}
 }
 
+// hopelessWait is the reading ahead of a job that is late already from which it is not kept waiting.
+const hopelessWait = time.Second
+
+// ahead is the time in which the engines read the waiting jobs that gain more.
+func (s *Scheduler) ahead(now time.Time, w *waiter, usable []*replica) time.Duration {
+	readers := 0
+	for _, r := range usable {
+		if r.tight() == 0 {
+			readers++
+		}
+	}
+	own := s.gain(now, w, usable)
+	var sum time.Duration
+	for _, o := range s.waiting {
+		if o != w && s.gain(now, o, usable) > own {
+			sum += o.read
+		}
+	}
+	return sum / time.Duration(max(1, readers))
+}
+
 // returnShare is the part of the time left, as a divisor, after which a postponed caller should return.
 const returnShare = 3
 
