Let the next dispatcher stand by

The dispatcher that took over at 23 s knew of no running streams and divided long prompts over engines that wrote: 203 of 267 short prompts were late from 24 to 26 s. Ruled out: slow engines (times to the first event as expected), entries (late streams on all of them). Change: entries report placements and ends to the dispatcher that stands by as well; the line of an answered stream has its longest pause. Test: TestDispatchersTakeOver, which also holds what a dispatcher forgets while it is passed over.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -61,6 +61,8 @@
 	// tried are the ids of endpoints that failed the request, sent counts those that may have run it.
 	tried []string
 	sent  int
+	// pause is the longest time between two events of a stream.
+	pause time.Duration
 	log   *zap.Logger
 }
 
@@ -226,7 +228,7 @@
 	g.config.Metrics.Histogram("gateway_latency_microseconds", "route", x.route.Name).Update(took.Microseconds())
 	x.log.Info("Answered a request", zap.Int("status", status), zap.String("route", x.route.Name),
 		zap.String("service", x.service), zap.String(logging.Endpoint, endpoint), zap.Int("sent", x.sent),
-		zap.Strings("tried", x.tried), zap.Duration("after", took))
+		zap.Strings("tried", x.tried), zap.Duration("after", took), zap.Duration("longest-pause", x.pause))
 }
 
 // attemptID returns an id that no other attempt of the deployment has.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,6 +23,9 @@
 	// last is the id of the last event that the caller has.
 	last   string
 	events int
+	// at is when the last event was passed on, pause the longest time between two of them.
+	at    time.Time
+	pause time.Duration
 }
 
 // serveStream passes the events of a stream on as they come. A stream that breaks off goes on at another
@@ -38,6 +41,7 @@
 		}
 		endpoint, status, err := g.stream(ctx, x, p, d)
 		if err == nil {
+			x.pause = d.pause
 			g.finished(x, endpoint, status)
 			return
 		}
@@ -168,6 +172,7 @@
 		}
 	}
 	d.begin(a)
+	d.tick(time.Now())
 	if _, err := d.writer.Write(e.raw); err != nil {
 		return fault.Wrap(err, op, Gone, "write")
 	}
@@ -178,6 +183,14 @@
 	return fault.Wrap(d.flusher.Flush(), op, Gone, "flush")
 }
 
+// tick notes the time of an event.
+func (d *delivery) tick(now time.Time) {
+	if d.events > 0 {
+		d.pause = max(d.pause, now.Sub(d.at))
+	}
+	d.at = now
+}
+
 // end completes a stream. One without any event is passed on as it is.
 func (d *delivery) end(a *answer) error {
 	d.begin(a)
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -60,7 +60,7 @@
 
 	mu      sync.Mutex
 	running map[string]*running
-	pending []Event
+	pending []outgoing
 	silence map[string]silence
 	// current is the dispatcher of each service that answered last, with its life.
 	current map[string]seat
@@ -69,6 +69,13 @@
 	wake  chan struct{}
 }
 
+// outgoing is an event on its way to the dispatchers.
+type outgoing struct {
+	Event
+	// knows is the instance that knows of it already; empty for none.
+	knows string
+}
+
 type running struct {
 	job     Job
 	grant   Grant
@@ -102,7 +109,7 @@
 		j := job
 		j.Waited += time.Since(started)
 		j.Left -= time.Since(started)
-		reply := c.ask(ctx, j)
+		reply, by := c.ask(ctx, j)
 		if ctx.Err() != nil {
 			c.Report(Event{Type: Left, Job: job})
 			return reply, ctx.Err()
@@ -112,21 +119,22 @@
 			continue
 		}
 		if reply.Status == Granted {
-			c.start(j, reply.Grant)
+			c.start(j, reply.Grant, by)
 		}
 		return reply, nil
 	}
 }
 
-// ask asks the dispatchers in turn, and decides here when none answers.
-func (c *Client) ask(ctx context.Context, job Job) ReserveReply {
+// ask asks the dispatchers in turn, and decides here when none answers. It returns the instance that decided,
+// empty for this one on its own.
+func (c *Client) ask(ctx context.Context, job Job) (reply ReserveReply, by string) {
 	for _, d := range c.config.Dispatchers(job.Service) {
 		if c.silent(d.Instance) {
 			continue
 		}
 		reply, err := c.reserve(ctx, d, job)
 		if ctx.Err() != nil {
-			return reply
+			return reply, d.Instance
 		}
 		c.note(d.Instance, err == nil)
 		if err != nil {
@@ -135,14 +143,11 @@
 			continue
 		}
 		c.follow(job.Service, d, reply.Life)
-		return reply
+		return reply, d.Instance
 	}
-	reply := ReserveReply{Status: Rejected, After: retryMin, Reason: "the service has no engines"}
+	reply = ReserveReply{Status: Rejected, After: retryMin, Reason: "the service has no engines"}
 	c.own.with(job.Service, func(now time.Time, s *Scheduler) { reply = s.Reserve(now, c.config.Instance, job) })
-	if reply.Status == Granted {
-		c.add(Event{Type: Adopted, Job: job, Grant: reply.Grant, Reading: true})
-	}
-	return reply
+	return reply, ""
 }
 
 func (c *Client) reserve(ctx context.Context, d Dispatcher, job Job) (ReserveReply, error) {
@@ -194,16 +199,18 @@
 		}
 		j := r.job
 		j.Left = r.until.Sub(now)
-		c.push(Event{Type: Adopted, Job: j, Grant: r.grant, Reading: r.reading})
+		c.push(outgoing{Event: Event{Type: Adopted, Job: j, Grant: r.grant, Reading: r.reading}})
 	}
 }
 
-func (c *Client) start(job Job, grant Grant) {
-	c.own.with(job.Service, func(now time.Time, s *Scheduler) {
-		s.Report(now, c.config.Instance, Event{Type: Adopted, Job: job, Grant: grant, Reading: true})
-	})
+// start notes a job that an instance has placed. The dispatcher that stands by hears of it at once, so that it
+// knows what runs when the other one is lost.
+func (c *Client) start(job Job, grant Grant, by string) {
+	adopted := Event{Type: Adopted, Job: job, Grant: grant, Reading: true}
+	c.own.with(job.Service, func(now time.Time, s *Scheduler) { s.Report(now, c.config.Instance, adopted) })
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.push(outgoing{Event: adopted, knows: by})
 	c.running[job.ID] = &running{job: job, grant: grant, until: time.Now().Add(job.Left), reading: true}
 }
 
@@ -216,20 +223,16 @@
 func (c *Client) add(e Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch e.Type {
-	case Adopted:
-	case FirstEvent:
-		if r := c.running[e.Job.ID]; r != nil {
-			r.reading = false
-		}
-	default:
+	if e.Type != FirstEvent {
 		delete(c.running, e.Job.ID)
+	} else if r := c.running[e.Job.ID]; r != nil {
+		r.reading = false
 	}
-	c.push(e)
+	c.push(outgoing{Event: e})
 }
 
 // push queues an event. The caller holds c.mu.
-func (c *Client) push(e Event) {
+func (c *Client) push(e outgoing) {
 	if len(c.pending) >= maxPending {
 		// The dispatcher lets go of what it is not told of at the end of its time limit.
 		c.pending = c.pending[1:]
@@ -262,50 +265,91 @@
 	}
 }
 
+// batch is what one dispatcher is told.
+type batch struct {
+	request ReportRequest
+	// inUse says that a service uses the dispatcher now; the others stand by.
+	inUse bool
+}
+
 // flush reports the events that wait, and all jobs that run to dispatchers that are new or where whole says so.
 func (c *Client) flush(ctx context.Context, whole bool) {
-	for d, request := range c.batches(whole) {
-		if err := c.report(ctx, d, request); err != nil {
-			c.config.Logger.Info("Could not report to a dispatcher", zap.String("dispatcher", d.Instance),
-				zap.Int("events", len(request.Events)), zap.Error(err))
-			c.note(d.Instance, false)
-			c.keep(request.Events)
+	for d, b := range c.batches(whole) {
+		err := c.report(ctx, d, b.request)
+		if err == nil {
+			continue
+		}
+		c.config.Logger.Info("Could not report to a dispatcher", zap.String("dispatcher", d.Instance), zap.Bool("in-use", b.inUse),
+			zap.Int("events", len(b.request.Events)), zap.Error(err))
+		c.note(d.Instance, false)
+		if b.inUse {
+			c.keep(b.request.Events)
 		}
 	}
 }
 
-// batches takes the events that wait, by the dispatcher of their service.
-func (c *Client) batches(whole bool) map[Dispatcher]ReportRequest {
+// batches takes the events that wait, for the dispatchers of their services.
+func (c *Client) batches(whole bool) map[Dispatcher]*batch {
+	standby := make(map[string]Dispatcher)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	batches := make(map[Dispatcher]ReportRequest)
+	for service, s := range c.current {
+		for _, d := range c.config.Dispatchers(service) {
+			if d != s.dispatcher && !time.Now().Before(c.silence[d.Instance].until) {
+				standby[service] = d
+				break
+			}
+		}
+	}
+	batches := make(map[Dispatcher]*batch)
 	for _, e := range c.pending {
-		if s, ok := c.current[e.Job.Service]; ok {
-			request := batches[s.dispatcher]
-			request.Events = append(request.Events, e)
-			batches[s.dispatcher] = request
+		service := e.Job.Service
+		if s, ok := c.current[service]; ok && s.dispatcher.Instance != e.knows {
+			addTo(batches, s.dispatcher, e.Event).inUse = true
+		}
+		if d, ok := standby[service]; ok && d.Instance != e.knows {
+			addTo(batches, d, e.Event)
 		}
 	}
 	c.pending = nil
-	for _, s := range c.current {
-		request, ok := batches[s.dispatcher]
-		if !whole && !(ok && c.fresh[s.dispatcher]) {
-			continue
+	ids := slices.Collect(maps.Keys(c.running))
+	for service, s := range c.current {
+		if whole || batches[s.dispatcher] != nil && c.fresh[s.dispatcher] {
+			delete(c.fresh, s.dispatcher)
+			b := addTo(batches, s.dispatcher)
+			b.inUse, b.request.Whole, b.request.Running = true, true, ids
+		}
+		if d, ok := standby[service]; ok && whole {
+			b := addTo(batches, d)
+			b.request.Whole, b.request.Running = true, ids
 		}
-		delete(c.fresh, s.dispatcher)
-		request.Whole, request.Running = true, slices.Collect(maps.Keys(c.running))
-		batches[s.dispatcher] = request
 	}
 	return batches
 }
 
+// addTo adds events to the batch of a dispatcher.
+func addTo(batches map[Dispatcher]*batch, d Dispatcher, events ...Event) *batch {
+	b := batches[d]
+	if b == nil {
+		b = &batch{}
+		batches[d] = b
+	}
+	b.request.Events = append(b.request.Events, events...)
+	return b
+}
+
 // keep puts events back that were not reported; they go with the next ones.
-func (c *Client) keep(batch []Event) {
+func (c *Client) keep(events []Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(batch)+len(c.pending) <= maxPending {
-		c.pending = append(batch, c.pending...)
+	if len(events)+len(c.pending) > maxPending {
+		return
+	}
+	again := make([]outgoing, 0, len(events)+len(c.pending))
+	for _, e := range events {
+		again = append(again, outgoing{Event: e})
 	}
+	c.pending = append(again, c.pending...)
 }
 
 func (c *Client) report(ctx context.Context, d Dispatcher, request ReportRequest) error {
--- /dev/null
+++ b/internal/placement/client_test.go
@@ -0,0 +1,135 @@
+package placement
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/dandelionpier/dandelionpier/internal/registration"
+	"github.com/dandelionpier/dandelionpier/internal/routing"
+)
+
+// fakeFleet has one service with engines.
+type fakeFleet struct{ records []registration.Record }
+
+func (f fakeFleet) Engine(string) (routing.Engine, bool) { return testEngine(), true }
+
+func (f fakeFleet) Endpoints(string) ([]registration.Record, uint64) { return f.records, 1 }
+
+// network reaches dispatchers by address; those that are down do not answer.
+type network struct {
+	services map[string]*Service
+	mu       sync.Mutex
+	down     map[string]bool
+}
+
+func (n *network) set(address string, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[address] = down
+}
+
+func (n *network) isDown(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.down[address]
+}
+
+var errDown = errors.New("no answer")
+
+func (n *network) Call(ctx context.Context, address, _ string, args, reply any) error {
+	if n.isDown(address) {
+		<-ctx.Done()
+		return errDown
+	}
+	if request, ok := args.(ReserveRequest); ok {
+		return n.services[address].Reserve(request, reply.(*ReserveReply))
+	}
+	return n.services[address].Report(args.(ReportRequest), reply.(*ReportReply))
+}
+
+func startClient(t *testing.T, instance string, n *network, fleet Fleet) *Client {
+	c := NewClient(ClientConfig{
+		Instance: instance, Local: NewService(fleet, zap.NewNop()), Fleet: fleet, Caller: n, Logger: zap.NewNop(),
+		Dispatchers: func(string) []Dispatcher { return []Dispatcher{{"a", "a"}, {"b", "b"}} },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	end := make(chan error, 1)
+	go func() { end <- c.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-end
+	})
+	return c
+}
+
+func jobsAt(s *Service) int {
+	count := 0
+	s.board.all(func(_ time.Time, s *Scheduler) { count += s.Running() })
+	return count
+}
+
+// Guards against a dispatcher that takes over and places work as if nothing ran, and against one that is used
+// again and still counts what has ended meanwhile.
+func TestDispatchersTakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := fakeFleet{engines(4)}
+		n := &network{services: map[string]*Service{"a": NewService(fleet, zap.NewNop()), "b": NewService(fleet, zap.NewNop())}, down: map[string]bool{}}
+		entries := []*Client{startClient(t, "entry-1", n, fleet), startClient(t, "entry-2", n, fleet)}
+		reserve := func(entry, id int) Job {
+			j := short(fmt.Sprint(entry, "-", id))
+			j.Left = time.Minute
+			reply, err := entries[entry].Reserve(t.Context(), j)
+			is.NoErr(err)
+			is.Equal(reply.Status, Granted)
+			return j
+		}
+		first := []Job{reserve(0, 0), reserve(1, 0)}
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(jobsAt(n.services["a"]), 2)
+		is.Equal(jobsAt(n.services["b"]), 2) // it stands by and knows both
+
+		n.set("a", true)
+		reserve(0, 1)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(jobsAt(n.services["b"]), 3)
+		entries[0].Report(Event{Type: Finished, Job: first[0]})
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(jobsAt(n.services["b"]), 2)
+
+		n.set("a", false)
+		time.Sleep(3 * time.Second)
+		reserve(0, 2)
+		reserve(1, 1)
+		time.Sleep(3 * time.Second)
+		is.Equal(jobsAt(n.services["a"]), 4)
+		is.Equal(jobsAt(n.services["b"]), 4)
+	})
+}
+
+// Guards against requests that wait for dispatchers that are all lost.
+func TestEntryDecidesAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := fakeFleet{engines(4)}
+		n := &network{down: map[string]bool{"a": true, "b": true}}
+		c := startClient(t, "entry", n, fleet)
+		started := time.Now()
+		reply, err := c.Reserve(t.Context(), short("j"))
+		is.NoErr(err)
+		is.Equal(reply.Status, Granted)
+		is.True(time.Since(started) <= 2*dispatchTimeout)
+		started = time.Now()
+		_, err = c.Reserve(t.Context(), short("k"))
+		is.NoErr(err)
+		is.Equal(time.Since(started), time.Duration(0)) // both are passed over for a while
+	})
+}
