End the jobs of entries that are gone

Change: dispatchers hear of each entry once a second and end the jobs of one that is silent for three.

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -245,7 +245,7 @@
 }
 
 // wholeInterval is the time between two reports of all jobs that run.
-const wholeInterval = 2 * time.Second
+const wholeInterval = time.Second
 
 // Run reports events until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -19,11 +19,13 @@
 	jobs  map[string]*job
 	// waiting are long prompts that wait for engines to be free.
 	waiting map[string]*waiter
+	// heard is when each entry was last heard of.
+	heard map[string]time.Time
 }
 
 // NewScheduler returns a scheduler without engines.
 func NewScheduler(engine routing.Engine) *Scheduler {
-	return &Scheduler{profile: newProfile(engine), replicas: make(map[string]*replica), jobs: make(map[string]*job), waiting: make(map[string]*waiter)}
+	return &Scheduler{profile: newProfile(engine), replicas: make(map[string]*replica), jobs: make(map[string]*job), waiting: make(map[string]*waiter), heard: make(map[string]time.Time)}
 }
 
 // UseEngine replaces the declared times of the engines.
@@ -70,6 +72,7 @@
 // Reserve places a job, or says when to ask again, or that it cannot be served in its time. A job that is
 // placed already keeps its grant.
 func (s *Scheduler) Reserve(now time.Time, entry string, j Job) ReserveReply {
+	s.heard[entry] = now
 	s.expire(now)
 	if old := s.jobs[j.ID]; old != nil {
 		s.end(now, old)
@@ -142,6 +145,7 @@
 
 // Report takes what an entry says of a job.
 func (s *Scheduler) Report(now time.Time, entry string, e Event) {
+	s.heard[entry] = now
 	s.expire(now)
 	if e.Type == Adopted {
 		s.adopt(now, e)
@@ -257,10 +261,14 @@
 // expiryGrace is how long a job is kept after its time limit, for an end that is reported late.
 const expiryGrace = 500 * time.Millisecond
 
-// expire ends the jobs of entries that do not report any more.
+// entrySilence is how long an entry is not heard of before its jobs count as ended: an entry that is killed
+// closes its connections, and engines drop what they run for it.
+const entrySilence = 3 * wholeInterval
+
+// expire ends the jobs whose time is over, and those of entries that are gone.
 func (s *Scheduler) expire(now time.Time) {
 	for _, j := range s.jobs {
-		if now.After(j.expires.Add(expiryGrace)) {
+		if now.After(j.expires.Add(expiryGrace)) || now.Sub(s.heard[j.entry]) > entrySilence {
 			s.end(now, j)
 		}
 	}
@@ -273,6 +281,7 @@
 // Keep ends the jobs of an entry that are not among those that run there. A dispatcher that was passed over
 // for a while has not heard of their ends.
 func (s *Scheduler) Keep(now time.Time, entry string, running []string) {
+	s.heard[entry] = now
 	for _, j := range s.jobs {
 		if j.entry == entry && now.Sub(j.granted) > keepGrace && !slices.Contains(running, j.ID) {
 			s.end(now, j)
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -201,7 +201,11 @@
 		"finished": func(s *Scheduler, j Job, now time.Time) { s.Report(now, "entry", Event{Type: Finished, Job: j}) },
 		"left":     func(s *Scheduler, j Job, now time.Time) { s.Report(now, "entry", Event{Type: Left, Job: j}) },
 		"not kept": func(s *Scheduler, _ Job, now time.Time) { s.Keep(now.Add(time.Second), "entry", nil) },
-		"expired":  func(s *Scheduler, j Job, now time.Time) { s.expire(now.Add(j.Left + time.Second)) },
+		"entry is gone": func(s *Scheduler, _ Job, now time.Time) {
+			s.Keep(now.Add(entrySilence+time.Second), "other entry", nil)
+			s.expire(now.Add(entrySilence + time.Second))
+		},
+		"expired": func(s *Scheduler, j Job, now time.Time) { s.expire(now.Add(j.Left + time.Second)) },
 		"engine is gone": func(s *Scheduler, _ Job, now time.Time) {
 			s.Update(now, nil)
 			s.Update(now, engines(4))
