Count an engine as free when the last long prompt has its first event

Cause: engines read the part that came last first. Ruled out: longer expected times; prompts without a successor took what was expected. Change: an engine whose long prompt has no first event yet is not free, for 4 s at most.

--- a/internal/placement/replica.go
+++ b/internal/placement/replica.go
@@ -94,19 +94,19 @@
 }
 
 const (
-	// overdueGrace is how long after the expected end of reading the first event may come before the engine
-	// counts as still reading; overdueLimit is when that is not believed any more.
-	overdueGrace = 120 * time.Millisecond
-	overdueLimit = time.Second
-	// overdueRest is the time that reading which should have ended is expected to go on.
+	// overdueRest is the time that reading which should have ended is expected to go on: an engine that got
+	// another part then would read that one first, and the old one last.
 	overdueRest = 40 * time.Millisecond
+	// overdueLimit is how long after the expected end of reading the first event may come before the engine
+	// counts as free all the same.
+	overdueLimit = 4 * time.Second
 )
 
 // backlog is the time for which reading that is placed here goes on.
 func (r *replica) backlog(now time.Time) time.Duration {
 	rest := max(0, r.reads.Sub(now))
 	for _, t := range r.shares {
-		if late := now.Sub(t.end); t.reading && late > overdueGrace && late < overdueLimit {
+		if late := now.Sub(t.end); t.reading && late > -overdueRest && late < overdueLimit {
 			rest = max(rest, overdueRest)
 		}
 	}
