--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -36,9 +36,11 @@
 	hold   []int
 	first  time.Duration
 	// harm is the part of cost that other streams bear.
-	harm  float64
-	cost  float64
-	reply *ReserveReply
+	harm float64
+	// occupied is the part of cost that other long prompts bear.
+	occupied float64
+	cost     float64
+	reply    *ReserveReply
 }
 
 // weight is what a request is worth in comparison to others: long prompts have waited for more.
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -94,11 +94,11 @@
 		}
 		return s.wait(now, usable)
 	}
-	best, ok := s.divide(now, j, s.free(now, usable))
+	best, ok := s.divide(now, j, s.free(now, usable), s.engineWorth(now, w, usable))
 	if ok && s.costly(j, best) {
 		return s.postpone(now, j, ideal, usable)
 	}
-	if !ok || best.cost > weight(j)*lateness(j, latest+ideal)+waitGain {
+	if !ok || best.harm+weight(j)*lateness(j, best.first) > weight(j)*lateness(j, latest+ideal)+waitGain {
 		if latest > 0 {
 			return s.wait(now, usable)
 		}
@@ -125,7 +125,7 @@
 }
 
 // hopelessWait is the reading ahead of a job that is late already from which it is not kept waiting.
-const hopelessWait = time.Second
+const hopelessWait = 3 * time.Second
 
 // ahead is the time in which the engines read the waiting jobs that gain more.
 func (s *Scheduler) ahead(now time.Time, w *waiter, usable []*replica) time.Duration {
@@ -236,19 +236,43 @@
 	return free
 }
 
-// divide returns the best number of engines for a prompt and which ones.
-func (s *Scheduler) divide(now time.Time, j *Job, free []*replica) (choice, bool) {
+// divide returns the best number of engines for a prompt and which ones. worth is that of a second of one engine
+// to other prompts: more engines end sooner, but each of them waits for passes and for the first event.
+func (s *Scheduler) divide(now time.Time, j *Job, free []*replica, worth float64) (choice, bool) {
 	best := choice{cost: math.Inf(1)}
 	most := min(len(free), maxParts, max(1, j.Prompt/leastPart))
 	for parts := 1; parts <= most; parts++ {
 		c, ok := s.spread(now, j, free, parts)
-		if ok && c.cost < best.cost {
+		if !ok {
+			continue
+		}
+		c.occupied = worth * float64(parts) * c.first.Seconds()
+		c.cost += c.occupied
+		if c.cost < best.cost {
 			best = c
 		}
 	}
 	return best, best.replicas != nil
 }
 
+const (
+	// idleWorth is the worth of a second of an engine while no other long prompt waits.
+	idleWorth = 0.05
+	// waitingShare is the share of what the next prompt gains in a second of reading.
+	waitingShare = 0.15
+)
+
+// engineWorth is the worth of a second of one engine to the prompts that wait behind one.
+func (s *Scheduler) engineWorth(now time.Time, next *waiter, usable []*replica) float64 {
+	worth := idleWorth
+	for _, w := range s.waiting {
+		if w != next {
+			worth = max(worth, waitingShare*s.gain(now, w, usable))
+		}
+	}
+	return worth
+}
+
 // wait tells a job to ask again when the next engine is expected to be free.
 func (s *Scheduler) wait(now time.Time, usable []*replica) ReserveReply {
 	next := waitMax
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -134,7 +134,7 @@
 					continue
 				}
 				grant = reply.Grant
-			} else if best, ok := s.divide(now, &j, s.order); ok {
+			} else if best, ok := s.divide(now, &j, s.order, idleWorth); ok {
 				grant = s.place(now, j, best)
 			}
 			a.done = true
