Start a long prompt on the engines that are free if it is in time there

Ruled out: memory and slots (one or two requests on most engines), the order of the waiting prompts. Change: a prompt waits only where the free engines make it late and all of them would not.

--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -20,8 +20,6 @@
 	waitMax = 60 * time.Millisecond
 	// forgetWaiter is the silence after which a waiting job is forgotten.
 	forgetWaiter = 4 * waitMax
-	// waitGain is the least loss that waiting must save.
-	waitGain = 0.05
 	// tightObjective is the longest objective of requests that do not wait for others to be read.
 	tightObjective = 500 * time.Millisecond
 	// tightPause is the longest pause of streams that need engines of their own.
@@ -92,19 +90,18 @@
 		if j.Waited+ideal > j.Objective && latest+s.ahead(now, w, usable) > hopelessWait {
 			return ReserveReply{Status: Rejected, After: max(retryMin, j.Left/returnShare), Reason: "too many long prompts that can be in time go first"}
 		}
-		return s.wait(now, usable)
+		return s.wait(now, usable, "another long prompt goes first")
 	}
 	best, ok := s.divide(now, j, s.free(now, usable), s.engineWorth(now, w, usable))
 	if ok && s.costly(j, best) {
 		return s.postpone(now, j, ideal, usable)
 	}
-	if !ok || best.harm+weight(j)*lateness(j, best.first) > weight(j)*lateness(j, latest+ideal)+waitGain {
-		if latest > 0 {
-			return s.wait(now, usable)
-		}
-		if !ok {
-			return *s.rejected(now, "no engines have slots and memory for the request").reply
-		}
+	switch {
+	case ok && (lateness(j, best.first) < lateLoss || lateness(j, latest+ideal) >= lateLoss):
+	case latest > 0:
+		return s.wait(now, usable, "more engines are free soon")
+	case !ok:
+		return *s.rejected(now, "no engines have slots and memory for the request").reply
 	}
 	return ReserveReply{Status: Granted, Grant: s.place(now, *j, best)}
 }
@@ -116,11 +113,11 @@
 	after := j.Left / returnShare
 	switch {
 	case j.Waited+ideal <= j.Objective:
-		return s.wait(now, usable)
+		return s.wait(now, usable, reason)
 	case after+ideal+lastChance < j.Left || ideal+lastChance/2 > j.Left:
 		return ReserveReply{Status: Rejected, After: max(retryMin, after), Reason: reason}
 	default:
-		return s.wait(now, usable)
+		return s.wait(now, usable, reason)
 	}
 }
 
@@ -274,12 +271,12 @@
 }
 
 // wait tells a job to ask again when the next engine is expected to be free.
-func (s *Scheduler) wait(now time.Time, usable []*replica) ReserveReply {
+func (s *Scheduler) wait(now time.Time, usable []*replica, reason string) ReserveReply {
 	next := waitMax
 	for _, r := range usable {
 		if b := r.backlog(now); b > 0 {
 			next = min(next, b)
 		}
 	}
-	return ReserveReply{Status: Wait, After: min(waitMax, max(waitMin, next))}
+	return ReserveReply{Status: Wait, After: min(waitMax, max(waitMin, next)), Reason: reason}
 }
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/registration"
 	"github.com/dandelionpier/dandelionpier/internal/routing"
 )
@@ -93,6 +94,9 @@
 		*reply = ReserveReply{Status: Rejected, After: retryMin, Reason: "this instance knows no such service"}
 	}
 	reply.Life = s.life
+	s.logger.Debug("Decided on a job", zap.String(logging.AttemptID, request.Job.ID), zap.Int("prompt", request.Job.Prompt),
+		zap.Duration("waited", request.Job.Waited), zap.String("status", string(reply.Status)), zap.String("reason", reply.Reason),
+		zap.Int("engines", len(reply.Grant.Members)), zap.Duration("expected", reply.Grant.First), zap.Duration("after", reply.After))
 	return nil
 }
 
--- a/internal/placement/wire.go
+++ b/internal/placement/wire.go
@@ -92,7 +92,7 @@
 	Grant  Grant
 	// After is the pause before the next question, or before the caller should return.
 	After time.Duration
-	// Reason explains a rejection.
+	// Reason explains a rejection or why the job waits.
 	Reason string
 }
 
