Use a dispatcher that is back when it knows what runs

Change: the dispatcher in use stays until a better placed one has been told of all running jobs for 2 s. Test: TestDispatchersTakeOver.

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -66,7 +66,9 @@
 	current map[string]seat
 	// fresh are dispatchers that have not been told yet of all jobs that run.
 	fresh map[Dispatcher]bool
-	wake  chan struct{}
+	// synced has the dispatchers that are told of all running jobs, with the time since when.
+	synced map[Dispatcher]time.Time
+	wake   chan struct{}
 }
 
 // outgoing is an event on its way to the dispatchers.
@@ -97,7 +99,7 @@
 func NewClient(config ClientConfig) *Client {
 	return &Client{
 		config: config, own: newBoard(config.Fleet), running: make(map[string]*running),
-		silence: make(map[string]silence), current: make(map[string]seat), fresh: make(map[Dispatcher]bool), wake: make(chan struct{}, 1),
+		silence: make(map[string]silence), current: make(map[string]seat), fresh: make(map[Dispatcher]bool), synced: make(map[Dispatcher]time.Time), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -128,10 +130,7 @@
 // ask asks the dispatchers in turn, and decides here when none answers. It returns the instance that decided,
 // empty for this one on its own.
 func (c *Client) ask(ctx context.Context, job Job) (reply ReserveReply, by string) {
-	for _, d := range c.config.Dispatchers(job.Service) {
-		if c.silent(d.Instance) {
-			continue
-		}
+	for _, d := range c.order(job.Service) {
 		reply, err := c.reserve(ctx, d, job)
 		if ctx.Err() != nil {
 			return reply, d.Instance
@@ -165,10 +164,29 @@
 	return reply, nil
 }
 
-func (c *Client) silent(instance string) bool {
+// syncTime is how long a dispatcher must have been told of all running jobs before it is used again instead of
+// another one that answers. All entries tell it within that time.
+const syncTime = 2 * time.Second
+
+// order returns the dispatchers of a service that are not silent, in the order in which they are asked. The
+// one in use stays first until a better placed one knows what runs.
+func (c *Client) order(service string) []Dispatcher {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Now().Before(c.silence[instance].until)
+	now := time.Now()
+	var first, later []Dispatcher
+	current := c.current[service].dispatcher
+	for _, d := range c.config.Dispatchers(service) {
+		since, synced := c.synced[d]
+		switch {
+		case now.Before(c.silence[d.Instance].until):
+		case d == current, synced && now.Sub(since) >= syncTime:
+			first = append(first, d)
+		default:
+			later = append(later, d)
+		}
+	}
+	return slices.Concat(first, later)
 }
 
 func (c *Client) note(instance string, answered bool) {
@@ -276,6 +294,7 @@
 func (c *Client) flush(ctx context.Context, whole bool) {
 	for d, b := range c.batches(whole) {
 		err := c.report(ctx, d, b.request)
+		c.noteSync(d, b.request.Whole, err == nil)
 		if err == nil {
 			continue
 		}
@@ -288,6 +307,19 @@
 	}
 }
 
+// noteSync notes whether a dispatcher is told of what runs.
+func (c *Client) noteSync(d Dispatcher, whole, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, synced := c.synced[d]
+	switch {
+	case !answered:
+		delete(c.synced, d)
+	case whole && !synced:
+		c.synced[d] = time.Now()
+	}
+}
+
 // batches takes the events that wait, for the dispatchers of their services.
 func (c *Client) batches(whole bool) map[Dispatcher]*batch {
 	standby := make(map[string]Dispatcher)
