Wait for engines without streams where a long prompt is in time there

Ruled out: late first events (27). Change: a prompt whose reading harms streams waits while all engines would still make it in time.

--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -20,6 +20,8 @@
 	waitMax = 60 * time.Millisecond
 	// forgetWaiter is the silence after which a waiting job is forgotten.
 	forgetWaiter = 4 * waitMax
+	// waitGain is the least loss to other streams that waiting must save.
+	waitGain = 0.1
 	// tightObjective is the longest objective of requests that do not wait for others to be read.
 	tightObjective = 500 * time.Millisecond
 	// tightPause is the longest pause of streams that need engines of their own.
@@ -96,7 +98,10 @@
 	if ok && s.costly(j, best) {
 		return s.postpone(now, j, ideal, usable)
 	}
+	soon := weight(j) * lateness(j, latest+ideal)
 	switch {
+	case ok && latest > 0 && best.harm > 0 && best.harm+weight(j)*lateness(j, best.first) > soon+waitGain:
+		return s.wait(now, usable, "engines without streams are free soon")
 	case ok && (lateness(j, best.first) < lateLoss || lateness(j, latest+ideal) >= lateLoss):
 	case latest > 0:
 		return s.wait(now, usable, "more engines are free soon")
