Split the queue of long prompts from their placement

No change of behaviour: decisions on one prompt stay in long.go, the order of those that wait is in waiting.go; what a job gains by waiting has a name. Unused code is gone.

--- a/internal/gateway/balance.go
+++ b/internal/gateway/balance.go
@@ -99,7 +99,7 @@
 	return float64(s.inFlight) + failureLoad*s.failures
 }
 
-// done notes how a request at an endpoint ended; err is of kind Unreached, NotRun or Broken.
+// done notes how a request at an endpoint ended: kind is Unreached, NotRun or Broken, or empty after an answer.
 func (b *balance) done(now time.Time, id string, kind Kind) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 
 	"go.uber.org/zap"
@@ -151,13 +150,6 @@
 	return s.services[service], s.version
 }
 
-// Serves reports whether an endpoint is registered for a service and takes work.
-func (f *Fleet) Serves(service, endpoint string) bool {
-	return slices.ContainsFunc(f.state.Load().services[service], func(r registration.Record) bool {
-		return r.ID == endpoint && r.State == registration.Ready
-	})
-}
-
 const (
 	// dispatchers is the number of instances that are asked for a service: one and those that take over.
 	dispatchers = 3
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -15,11 +14,6 @@
 	leastPart = 8_000
 	// freeWithin is the rest of reading with which an engine counts as free.
 	freeWithin = 10 * time.Millisecond
-	// waitMin and waitMax bound the pause between two questions of a job that waits.
-	waitMin = 8 * time.Millisecond
-	waitMax = 60 * time.Millisecond
-	// forgetWaiter is the silence after which a waiting job is forgotten.
-	forgetWaiter = 4 * waitMax
 	// waitGain is the least loss to other streams that waiting must save.
 	waitGain = 0.1
 	// tightObjective is the longest objective of requests that do not wait for others to be read.
@@ -28,19 +22,6 @@
 	tightPause = 300 * time.Millisecond
 )
 
-// waiter is a long prompt that waits for engines.
-type waiter struct {
-	job   Job
-	since time.Time
-	asked time.Time
-	read  time.Duration
-}
-
-// waited is the time since the arrival of the request.
-func (w *waiter) waited(now time.Time) time.Duration {
-	return w.job.Waited + now.Sub(w.asked)
-}
-
 // long reports whether the prompt of a job is divided. One whose objective is tight is not, as long as one
 // engine reads it in half of that time.
 func (s *Scheduler) long(j *Job) bool {
@@ -64,21 +45,6 @@
 	return reply
 }
 
-func (s *Scheduler) enqueue(now time.Time, j Job) *waiter {
-	for id, w := range s.waiting {
-		if now.Sub(w.asked) > forgetWaiter {
-			delete(s.waiting, id)
-		}
-	}
-	w := s.waiting[j.ID]
-	if w == nil {
-		w = &waiter{since: now, read: s.profile.read(j.Prompt, 1)}
-		s.waiting[j.ID] = w
-	}
-	w.job, w.asked = j, now
-	return w
-}
-
 func (s *Scheduler) tryLong(now time.Time, w *waiter, usable []*replica) ReserveReply {
 	j := &w.job
 	if len(usable) == 0 {
@@ -95,20 +61,31 @@
 		return s.wait(now, usable, "another long prompt goes first")
 	}
 	best, ok := s.divide(now, j, s.free(now, usable), s.engineWorth(now, w, usable))
-	if ok && s.costly(j, best) {
-		return s.postpone(now, j, ideal, usable)
-	}
-	soon := weight(j) * lateness(j, latest+ideal)
 	switch {
-	case ok && latest > 0 && best.harm > 0 && best.harm+weight(j)*lateness(j, best.first) > soon+waitGain:
-		return s.wait(now, usable, "engines without streams are free soon")
-	case ok && (lateness(j, best.first) < lateLoss || lateness(j, latest+ideal) >= lateLoss):
+	case ok && s.costly(j, best):
+		return s.postpone(now, j, ideal, usable)
+	case ok && betterSoon(j, best, latest, latest+ideal):
+		return s.wait(now, usable, "engines without streams, or more of them, are free soon")
+	case ok:
+		return ReserveReply{Status: Granted, Grant: s.place(now, *j, best)}
 	case latest > 0:
-		return s.wait(now, usable, "more engines are free soon")
-	case !ok:
+		return s.wait(now, usable, "no engine is free")
+	default:
 		return *s.rejected(now, "no engines have slots and memory for the request").reply
 	}
-	return ReserveReply{Status: Granted, Grant: s.place(now, *j, best)}
+}
+
+// betterSoon reports whether a job should wait for all engines to be free, at latest, and have its first event
+// at soon: when it harms streams now for nothing, or when it is late now and would be in time then.
+func betterSoon(j *Job, best choice, latest, soon time.Duration) bool {
+	if latest == 0 {
+		return false
+	}
+	lostNow, lostSoon := lateness(j, best.first), lateness(j, soon)
+	if best.harm > 0 && best.harm+weight(j)*(lostNow-lostSoon) > waitGain {
+		return true
+	}
+	return lostNow >= lateLoss && lostSoon < lateLoss
 }
 
 // postpone lets a job wait that would cost more than it is worth, as long as it can be in time. After that its
@@ -126,27 +103,6 @@
 	}
 }
 
-// hopelessWait is the reading ahead of a job that is late already from which it is not kept waiting.
-const hopelessWait = 3 * time.Second
-
-// ahead is the time in which the engines read the waiting jobs that gain more.
-func (s *Scheduler) ahead(now time.Time, w *waiter, usable []*replica) time.Duration {
-	readers := 0
-	for _, r := range usable {
-		if r.tight() == 0 {
-			readers++
-		}
-	}
-	own := s.gain(now, w, usable)
-	var sum time.Duration
-	for _, o := range s.waiting {
-		if o != w && s.gain(now, o, usable) > own {
-			sum += o.read
-		}
-	}
-	return sum / time.Duration(max(1, readers))
-}
-
 // returnShare is the part of the time left, as a divisor, after which a postponed caller should return.
 const returnShare = 3
 
@@ -182,51 +138,6 @@
 	return count
 }
 
-// firstWaiter returns the job that gains most for each second of reading.
-func (s *Scheduler) firstWaiter(now time.Time, usable []*replica) *waiter {
-	var first *waiter
-	best := -1.0
-	for _, id := range sortedIDs(s.waiting) {
-		w := s.waiting[id]
-		if gain := s.gain(now, w, usable); gain > best {
-			first, best = w, gain
-		}
-	}
-	return first
-}
-
-const (
-	// lastChance is the time before the latest start of a job from which it goes first, and chanceGain how
-	// much it gains by that.
-	lastChance = 1500 * time.Millisecond
-	chanceGain = 4
-	// readFloor is added to reading times that are compared.
-	readFloor = 20 * time.Millisecond
-)
-
-// gain is the worth of a job for each second of reading: less when its objective cannot be met any more, more
-// when it is served soon or never.
-func (s *Scheduler) gain(now time.Time, w *waiter, usable []*replica) float64 {
-	ideal, _ := s.ideal(now, &w.job, usable)
-	worth := weight(&w.job)
-	if w.waited(now)+ideal > w.job.Objective {
-		worth *= 1 - lateLoss
-		if left := w.job.Left - now.Sub(w.asked) - ideal; left < lastChance {
-			worth *= chanceGain
-		}
-	}
-	return worth / (w.read + readFloor).Seconds()
-}
-
-func sortedIDs(waiting map[string]*waiter) []string {
-	ids := make([]string, 0, len(waiting))
-	for id := range waiting {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // free returns the engines that have read what was placed there.
 func (s *Scheduler) free(now time.Time, usable []*replica) []*replica {
 	var free []*replica
@@ -256,32 +167,3 @@
 	}
 	return best, best.replicas != nil
 }
-
-const (
-	// idleWorth is the worth of a second of an engine while no other long prompt waits.
-	idleWorth = 0.05
-	// waitingShare is the share of what the next prompt gains in a second of reading.
-	waitingShare = 0.15
-)
-
-// engineWorth is the worth of a second of one engine to the prompts that wait behind one.
-func (s *Scheduler) engineWorth(now time.Time, next *waiter, usable []*replica) float64 {
-	worth := idleWorth
-	for _, w := range s.waiting {
-		if w != next {
-			worth = max(worth, waitingShare*s.gain(now, w, usable))
-		}
-	}
-	return worth
-}
-
-// wait tells a job to ask again when the next engine is expected to be free.
-func (s *Scheduler) wait(now time.Time, usable []*replica, reason string) ReserveReply {
-	next := waitMax
-	for _, r := range usable {
-		if b := r.backlog(now); b > 0 {
-			next = min(next, b)
-		}
-	}
-	return ReserveReply{Status: Wait, After: min(waitMax, max(waitMin, next)), Reason: reason}
-}
