--- a/entryd/internal/cli/gateway.go
+++ b/entryd/internal/cli/gateway.go
@@ -30,8 +30,10 @@
 
 // gatewayEntry is an entry that serves declared routes.
 type gatewayEntry struct {
-	options  *options.Gateway
-	path     string
+	options *options.Gateway
+	path    string
+	// self is this instance as the others see it.
+	self     session.Member
 	logger   *zap.Logger
 	metrics  *metrics.Registry
 	pool     *peer.Pool
@@ -71,8 +73,9 @@
 	e.pool = peer.NewPool(peer.PoolConfig{Key: key})
 	e.peers = peer.NewServer(peer.ServerConfig{Key: key, Logger: e.logger})
 	e.control = control.NewClient(control.ClientConfig{Addresses: controlPeers(o), Caller: e.pool})
+	e.self = e.member()
 	e.keeper = session.NewKeeper(session.KeeperConfig{
-		Member: e.member(), Leader: e.control, Logger: e.logger, Learn: e.control.Learn,
+		Member: e.self, Leader: e.control, Logger: e.logger, Learn: e.control.Learn,
 	})
 	e.fleet = gateway.NewFleet(gateway.FleetConfig{Session: e.keeper, Decode: platform.DecodeDocument, Logger: e.logger})
 	dispatcher := placement.NewService(e.fleet, e.logger)
@@ -197,7 +200,7 @@
 		}
 		return nil
 	}))
-	e.logger.Info("Started", zap.Any("member", e.member()), zap.Strings("seeds", e.options.Seeds))
+	e.logger.Info("Started", zap.Any("member", e.self), zap.Strings("seeds", e.options.Seeds))
 	err = task.First(ctx, cancel, ends...)
 	e.logger.Info("Stopped", zap.Error(err))
 	return err
--- /dev/null
+++ b/internal/gateway/budget_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against instances that together make more retries than the deployment may: each takes its share of
+// the slack, also when it knew fewer of the others at first.
+func TestRetriesOfAllEntriesStayInBudget(t *testing.T) {
+	tests := map[string]struct{ first, later int }{
+		"all known":        {16, 16},
+		"one known first":  {1, 16},
+		"some known first": {5, 16},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				entries := test.first
+				b := newBudgets(RetryConfig{Ratio: 0.2, Slack: 230, Window: 10 * time.Second}, func() int { return entries })
+				b.of("desk")
+				entries = test.later
+				retries, requests := 0, 0
+				for start := time.Now(); time.Since(start) < 10*time.Second; time.Sleep(10 * time.Millisecond) {
+					b.of("desk").Request()
+					requests++
+					for range 4 {
+						if b.of("desk").Take() {
+							retries++
+						}
+					}
+				}
+				is := is.New(t)
+				is.True(float64(retries*test.later) <= 0.2*float64(requests*test.later)+230)
+				is.True(retries > 0)
+			})
+		})
+	}
+}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -63,6 +63,8 @@
 type fakePlacer struct {
 	mu      sync.Mutex
 	members []placement.Member
+	// helpers are part of each grant.
+	helpers []placement.Member
 	events  []placement.EventType
 }
 
@@ -71,7 +73,7 @@
 	defer p.mu.Unlock()
 	for _, m := range p.members {
 		if !contains(job.Exclude, m.Endpoint) {
-			return placement.ReserveReply{Status: placement.Granted, Grant: placement.Grant{Members: []placement.Member{m}}}, nil
+			return placement.ReserveReply{Status: placement.Granted, Grant: placement.Grant{Members: append([]placement.Member{m}, p.helpers...)}}, nil
 		}
 	}
 	return placement.ReserveReply{Status: placement.Rejected, Reason: "none is left", After: time.Second}, nil
@@ -97,17 +99,23 @@
 	server  *httptest.Server
 	gateway *gateway.Gateway
 	placer  *fakePlacer
+	memory  *switchedMemory
 	mu      sync.Mutex
 	reached map[string]int
 	headers []http.Header
 }
 
+// switchedMemory is set by the tests that need it.
+type switchedMemory struct{ gateway.Memory }
+
+func (d *deployment) useMemory(m gateway.Memory) { d.memory.Memory = m }
+
 // behaviour is what an endpoint does with a request.
 type behaviour func(w http.ResponseWriter, r *http.Request)
 
 func deploy(t *testing.T, endpoints map[string]behaviour) *deployment {
 	t.Helper()
-	d := &deployment{placer: &fakePlacer{}, reached: make(map[string]int)}
+	d := &deployment{placer: &fakePlacer{}, memory: &switchedMemory{}, reached: make(map[string]int)}
 	var records []registration.Record
 	for id, act := range endpoints {
 		address := d.endpoint(t, id, act)
@@ -138,7 +146,7 @@
 		t.Fatal(err)
 	}
 	d.gateway = gateway.New(gateway.Config{
-		Fleet: fleet, Callers: codec{}, Endpoints: hopCodec{}, Placer: d.placer, Metrics: metrics.NewRegistry(),
+		Fleet: fleet, Callers: codec{}, Endpoints: hopCodec{}, Placer: d.placer, Memory: d.memory, Metrics: metrics.NewRegistry(),
 		Retries: gateway.RetryConfig{Ratio: 1, Slack: 1000, Window: time.Second}, Logger: zap.NewNop(),
 	})
 	d.server = httptest.NewServer(d.gateway)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -203,3 +208,101 @@
 		})
 	}
 }
+
+// Guards against endpoints that work on for callers who have left.
+func TestCallerLeaves(t *testing.T) {
+	for name, path := range map[string]string{"whole": "/read/x", "stream": "/ask/x"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			reached, ended := make(chan struct{}), make(chan struct{})
+			d := deploy(t, map[string]behaviour{"busy": func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				close(reached)
+				<-r.Context().Done()
+				close(ended)
+			}})
+			ctx, cancel := context.WithCancel(t.Context())
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, d.server.URL+path, strings.NewReader("prompt"))
+			is.NoErr(err)
+			r.Header.Set("Id", "request-1")
+			r.Header.Set("Key", "k")
+			left := make(chan struct{})
+			go func() {
+				defer close(left)
+				answer, err := http.DefaultClient.Do(r)
+				if err == nil {
+					_ = answer.Body.Close()
+				}
+			}()
+			<-reached
+			cancel()
+			<-left
+			<-ended // the test's own time limit bounds the wait
+			is.Equal(d.total(), 1)
+		})
+	}
+}
+
+// fakeMemory counts the reservations that are held.
+type fakeMemory struct {
+	mu     sync.Mutex
+	held   map[string]int
+	refuse string
+}
+
+func (m *fakeMemory) Reserve(_ context.Context, address, _ string, tokens int, _ time.Duration) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if address == m.refuse {
+		return errors.New("no memory is free")
+	}
+	m.held[address] = tokens
+	return nil
+}
+
+func (m *fakeMemory) Release(_ context.Context, address, _ string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.held, address)
+	return nil
+}
+
+func (m *fakeMemory) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.held)
+}
+
+// Guards against memory that stays reserved after a request has ended in any way, and against a request that is
+// sent although one of its engines has no memory for it.
+func TestReservedMemoryComesBack(t *testing.T) {
+	tests := map[string]struct {
+		act     behaviour
+		refuse  string
+		status  int
+		reached int
+	}{
+		"whole":          {stream(1, 3, true), "", 200, 1},
+		"cut":            {stream(1, 2, false), "", 200, 1},
+		"did not run":    {notRun, "", 503, 1},
+		"no memory left": {stream(1, 3, true), "helper-2", 503, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			memory := &fakeMemory{held: make(map[string]int), refuse: test.refuse}
+			d := deploy(t, map[string]behaviour{"a": test.act})
+			d.placer.helpers = []placement.Member{
+				{Endpoint: "h1", Address: "helper-1", Hold: 100}, {Endpoint: "h2", Address: "helper-2", Hold: 50},
+			}
+			d.useMemory(memory)
+			answer := d.call(t, http.MethodPost, "/tell/x", "prompt", nil)
+			is.Equal(answer.StatusCode, test.status)
+			_, _ = io.ReadAll(answer.Body)
+			is.Equal(d.total(), test.reached)
+			for memory.count() > 0 { // the release follows the answer; the test's own time limit bounds the wait
+				runtime.Gosched()
+			}
+		})
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -225,7 +225,7 @@
 func (g *Gateway) finished(x *exchange, endpoint string, status int) {
 	took := time.Since(x.arrived)
 	g.config.Metrics.Counter("gateway_answers_total", "status", strconv.Itoa(status)).Inc(1)
-	g.config.Metrics.Histogram("gateway_latency_microseconds", "route", x.route.Name).Update(took.Microseconds())
+	g.config.Metrics.Histogram("gateway_latency_microseconds", "service", x.service).Update(took.Microseconds())
 	x.log.Info("Answered a request", zap.Int("status", status), zap.String("route", x.route.Name),
 		zap.String("service", x.service), zap.String(logging.Endpoint, endpoint), zap.Int("sent", x.sent),
 		zap.Strings("tried", x.tried), zap.Duration("after", took), zap.Duration("longest-pause", x.pause))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -133,7 +133,7 @@
 
 func (g *Gateway) noteFirst(x *exchange, p *pass) {
 	took := time.Since(p.started)
-	g.config.Metrics.Histogram("gateway_first_event_microseconds", "route", x.route.Name).Update(time.Since(x.arrived).Microseconds())
+	g.config.Metrics.Histogram("gateway_first_event_microseconds", "service", x.service).Update(time.Since(x.arrived).Microseconds())
 	x.log.Info("First event of a stream", zap.String(logging.Endpoint, p.hop.Endpoint), zap.Int("helpers", len(p.hop.Helpers)),
 		zap.Int("prompt", x.call.Prompt.Tokens), zap.Duration("took", took), zap.Duration("expected", p.grant.First),
 		zap.Duration("after", time.Since(x.arrived)))
