Bound the bodies that an entry holds in memory

Cause, found on reading: the size of one body was bounded, the sum was not; 50 callers with bodies of 4 MiB would have exceeded the memory of an instance. Change: at most 32 MiB of bodies at a time; callers beyond that are asked to return. Test: TestBodiesInMemoryAreBounded.

--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -113,7 +113,7 @@
 // behaviour is what an endpoint does with a request.
 type behaviour func(w http.ResponseWriter, r *http.Request)
 
-func deploy(t *testing.T, endpoints map[string]behaviour) *deployment {
+func deploy(t *testing.T, endpoints map[string]behaviour, changes ...func(*routing.Config)) *deployment {
 	t.Helper()
 	d := &deployment{placer: &fakePlacer{}, memory: &switchedMemory{}, reached: make(map[string]int)}
 	var records []registration.Record
@@ -137,7 +137,13 @@
 			Declaration: document, Endpoints: list, Quarantined: map[uint64]bool{},
 			MembershipVersion: 1, Members: []session.Member{{Instance: "entry"}},
 		}},
-		Decode: func(declaration.Document) (*routing.Table, error) { return routing.New(declared()) },
+		Decode: func(declaration.Document) (*routing.Table, error) {
+			config := declared()
+			for _, change := range changes {
+				change(&config)
+			}
+			return routing.New(config)
+		},
 		Logger: zap.NewNop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dandelionpier/dandelionpier/internal/placement"
+	"github.com/dandelionpier/dandelionpier/internal/routing"
 )
 
 // Guards against answers that are not the whole answer of one endpoint to this request, against requests that
@@ -306,3 +307,28 @@
 		})
 	}
 }
+
+// Guards against an instance that runs out of memory when many callers send large bodies at once.
+func TestBodiesInMemoryAreBounded(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	d := deploy(t, map[string]behaviour{"slow": func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-release
+		good(w, r)
+	}}, func(c *routing.Config) { c.Limits.MaxBodyBytes = 8 << 20 })
+	body := strings.Repeat("x", 8<<20)
+	const callers = 6
+	statuses := make(chan int, callers)
+	for range callers {
+		go func() { statuses <- d.call(t, http.MethodPost, "/file/x", body, nil).StatusCode }()
+	}
+	// 32 MiB are four bodies; the other two are refused while these are served.
+	is.Equal(<-statuses, 503)
+	is.Equal(<-statuses, 503)
+	close(release)
+	for range callers - 2 {
+		is.Equal(<-statuses, 200)
+	}
+	is.Equal(d.call(t, http.MethodPost, "/file/x", body, nil).StatusCode, 200)
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -30,6 +30,8 @@
 	// prefix makes the ids of attempts unique in the deployment.
 	prefix   string
 	inFlight gometrics.Counter
+	// bodies is the size of all bodies in memory, in bytes.
+	bodies atomic.Int64
 }
 
 // New returns a gateway.
@@ -73,6 +75,12 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Inc(1)
 	defer g.inFlight.Dec(1)
+	size := bodySize(r)
+	defer g.bodies.Add(-size)
+	if g.bodies.Add(size) > maxBodies {
+		g.shed(w, r)
+		return
+	}
 	x, refusal := g.admit(w, r)
 	if refusal != nil {
 		g.refuse(w, x, *refusal)
@@ -89,6 +97,31 @@
 	g.serveWhole(ctx, w, x)
 }
 
+const (
+	// maxBodies bounds the bodies that an instance holds in memory at a time, in bytes. The smallest instances
+	// have 136 MiB.
+	maxBodies = 32 << 20
+	// unknownBody is what a body counts for whose length is not told.
+	unknownBody = 256 << 10
+)
+
+func bodySize(r *http.Request) int64 {
+	if r.ContentLength < 0 {
+		return unknownBody
+	}
+	return r.ContentLength
+}
+
+// shed refuses a request whose body does not fit into memory beside the others. The body is read and dropped,
+// so that the caller sees the answer.
+func (g *Gateway) shed(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxBodies)); err != nil {
+		g.config.Logger.Debug("Could not read the body of a request that is refused", zap.Error(err))
+	}
+	x := &exchange{arrived: time.Now(), table: g.config.Fleet.Table(), log: g.config.Logger}
+	g.refuse(w, x, notRun("too many large requests at a time", soon))
+}
+
 // writeGrace is the time for the last bytes to a caller after the time limit of its request.
 const writeGrace = time.Second
 
