--- a/internal/gateway/pass.go
+++ b/internal/gateway/attempt.go
@@ -11,8 +11,8 @@
 	"github.com/dandelionpier/dandelionpier/internal/placement"
 )
 
-// pass is one attempt of a request at an endpoint.
-type pass struct {
+// attempt is one try of a request at an endpoint.
+type attempt struct {
 	hop     Hop
 	started time.Time
 	// job is set for requests to model engines.
@@ -23,8 +23,8 @@
 }
 
 // place finds an endpoint for the next attempt. It returns a refusal when there is none.
-func (g *Gateway) place(ctx context.Context, x *exchange, after string) (*pass, *Refusal) {
-	p := &pass{hop: Hop{Call: x.call, Workspace: x.workspace.Name, Urgency: -1, After: after}}
+func (g *Gateway) place(ctx context.Context, x *exchange, after string) (*attempt, *Refusal) {
+	p := &attempt{hop: Hop{Call: x.call, Workspace: x.workspace.Name, Urgency: -1, After: after}}
 	if x.engine != nil {
 		return g.placeJob(ctx, x, p)
 	}
@@ -38,7 +38,7 @@
 }
 
 // placeJob asks for engines. A job that waits is given up with ctx.
-func (g *Gateway) placeJob(ctx context.Context, x *exchange, p *pass) (*pass, *Refusal) {
+func (g *Gateway) placeJob(ctx context.Context, x *exchange, p *attempt) (*attempt, *Refusal) {
 	now := time.Now()
 	output := x.call.Prompt.LikelyOutput
 	if output <= 0 {
@@ -81,8 +81,8 @@
 	return overdue()
 }
 
-// try sends the request to the endpoint of a pass and reads the header of the answer. finish must follow.
-func (g *Gateway) try(ctx context.Context, x *exchange, p *pass) (*answer, error) {
+// try sends the request to the endpoint of an attempt and reads the header of the answer. finish must follow.
+func (g *Gateway) try(ctx context.Context, x *exchange, p *attempt) (*answer, error) {
 	p.started = time.Now()
 	if p.job != nil {
 		if blamed, err := g.hold(ctx, x, p); err != nil {
@@ -99,8 +99,8 @@
 	return a, err
 }
 
-// finish gives back what a pass has taken and notes how the endpoint did. a is the answer, if its header came.
-func (g *Gateway) finish(ctx context.Context, x *exchange, p *pass, a *answer, err error, pause time.Duration) {
+// finish gives back what an attempt has taken and notes how the endpoint did. a is the answer, if its header came.
+func (g *Gateway) finish(ctx context.Context, x *exchange, p *attempt, a *answer, err error, pause time.Duration) {
 	if p.holds != nil {
 		// Nothing waits for the release.
 		go p.holds.end()
@@ -130,7 +130,7 @@
 	}
 }
 
-func (g *Gateway) logFailure(x *exchange, p *pass, blamed string, err error) {
+func (g *Gateway) logFailure(x *exchange, p *attempt, blamed string, err error) {
 	x.log.Info("An attempt failed", zap.String(logging.Endpoint, blamed), zap.String("address", p.hop.Address),
 		zap.Int("sent", x.sent), zap.Duration("after", time.Since(p.started)), zap.Error(err))
 }
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -42,7 +42,7 @@
 
 // hold reserves memory at all engines of a grant that need it, or at none. It returns the engine that had
 // none free.
-func (g *Gateway) hold(ctx context.Context, x *exchange, p *pass) (blamed string, err error) {
+func (g *Gateway) hold(ctx context.Context, x *exchange, p *attempt) (blamed string, err error) {
 	h := &holds{memory: g.config.Memory, id: p.job.ID, log: x.log}
 	for _, m := range p.grant.Members {
 		if m.Hold > 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -67,7 +67,7 @@
 }
 
 // stream makes one attempt and passes its events on.
-func (g *Gateway) stream(parent context.Context, x *exchange, p *pass, d *delivery) (endpoint string, status int, err error) {
+func (g *Gateway) stream(parent context.Context, x *exchange, p *attempt, d *delivery) (endpoint string, status int, err error) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	watch := newWatchdog(p.hop.Address, cancel)
@@ -87,7 +87,7 @@
 }
 
 // relay passes an answer on: a stream by events, anything else as it is.
-func (g *Gateway) relay(x *exchange, p *pass, a *answer, d *delivery, watch *watchdog) (pause time.Duration, err error) {
+func (g *Gateway) relay(x *exchange, p *attempt, a *answer, d *delivery, watch *watchdog) (pause time.Duration, err error) {
 	if a.StatusCode != http.StatusOK {
 		return 0, g.relayWhole(x, p, a, d)
 	}
@@ -115,7 +115,7 @@
 }
 
 // relayWhole passes on an answer that is no stream, unless the caller has events already.
-func (g *Gateway) relayWhole(x *exchange, p *pass, a *answer, d *delivery) error {
+func (g *Gateway) relayWhole(x *exchange, p *attempt, a *answer, d *delivery) error {
 	body, err := a.whole(p.hop)
 	if err != nil {
 		return err
@@ -131,7 +131,7 @@
 	return nil
 }
 
-func (g *Gateway) noteFirst(x *exchange, p *pass) {
+func (g *Gateway) noteFirst(x *exchange, p *attempt) {
 	took := time.Since(p.started)
 	g.config.Metrics.Histogram("gateway_first_event_microseconds", "service", x.service).Update(time.Since(x.arrived).Microseconds())
 	x.log.Info("First event of a stream", zap.String(logging.Endpoint, p.hop.Endpoint), zap.Int("helpers", len(p.hop.Helpers)),
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -24,7 +24,7 @@
 			g.last(w, x, failed, *refusal)
 			return
 		}
-		r, err := g.attempt(ctx, x, p)
+		r, err := g.attemptWhole(ctx, x, p)
 		if err == nil && (!x.failedAt(r) || !g.again(ctx, x, nil)) {
 			g.deliver(w, x, r)
 			return
@@ -42,8 +42,8 @@
 	}
 }
 
-// attempt makes one attempt and reads the whole answer.
-func (g *Gateway) attempt(ctx context.Context, x *exchange, p *pass) (*result, error) {
+// attemptWhole makes one attempt and reads the whole answer.
+func (g *Gateway) attemptWhole(ctx context.Context, x *exchange, p *attempt) (*result, error) {
 	a, err := g.try(ctx, x, p)
 	var r *result
 	if err == nil {
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -56,14 +56,14 @@
 type Client struct {
 	config ClientConfig
 	// own sees the jobs of this entry only; it places them while no dispatcher answers.
-	own *board
+	own *schedulers
 
 	mu      sync.Mutex
 	running map[string]*running
 	pending []outgoing
 	silence map[string]silence
 	// current is the dispatcher of each service that answered last, with its life.
-	current map[string]seat
+	current map[string]inUse
 	// fresh are dispatchers that have not been told yet of all jobs that run.
 	fresh map[Dispatcher]bool
 	// synced has the dispatchers that are told of all running jobs, with the time since when.
@@ -90,7 +90,8 @@
 	length time.Duration
 }
 
-type seat struct {
+// inUse is a dispatcher that answers, with its life.
+type inUse struct {
 	dispatcher Dispatcher
 	life       uint64
 }
@@ -98,8 +99,8 @@
 // NewClient returns a client; Run must run for events to be reported.
 func NewClient(config ClientConfig) *Client {
 	return &Client{
-		config: config, own: newBoard(config.Fleet), running: make(map[string]*running),
-		silence: make(map[string]silence), current: make(map[string]seat), fresh: make(map[Dispatcher]bool), synced: make(map[Dispatcher]time.Time), wake: make(chan struct{}, 1),
+		config: config, own: newSchedulers(config.Fleet), running: make(map[string]*running),
+		silence: make(map[string]silence), current: make(map[string]inUse), fresh: make(map[Dispatcher]bool), synced: make(map[Dispatcher]time.Time), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -204,10 +205,10 @@
 func (c *Client) follow(service string, d Dispatcher, life uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.current[service] == (seat{d, life}) {
+	if c.current[service] == (inUse{d, life}) {
 		return
 	}
-	c.current[service] = seat{d, life}
+	c.current[service] = inUse{d, life}
 	c.fresh[d] = true
 	c.config.Logger.Info("Using a dispatcher", zap.String("service", service), zap.String("dispatcher", d.Instance))
 	now := time.Now()
@@ -286,8 +287,8 @@
 // batch is what one dispatcher is told.
 type batch struct {
 	request ReportRequest
-	// inUse says that a service uses the dispatcher now; the others stand by.
-	inUse bool
+	// serves says that a service uses the dispatcher now; the others stand by.
+	serves bool
 }
 
 // flush reports the events that wait, and all jobs that run to dispatchers that are new or where whole says so.
@@ -298,10 +299,10 @@
 		if err == nil {
 			continue
 		}
-		c.config.Logger.Info("Could not report to a dispatcher", zap.String("dispatcher", d.Instance), zap.Bool("in-use", b.inUse),
+		c.config.Logger.Info("Could not report to a dispatcher", zap.String("dispatcher", d.Instance), zap.Bool("in-use", b.serves),
 			zap.Int("events", len(b.request.Events)), zap.Error(err))
 		c.note(d.Instance, false)
-		if b.inUse {
+		if b.serves {
 			c.keep(b.request.Events)
 		}
 	}
@@ -337,7 +338,7 @@
 	for _, e := range c.pending {
 		service := e.Job.Service
 		if s, ok := c.current[service]; ok && s.dispatcher.Instance != e.knows {
-			addTo(batches, s.dispatcher, e.Event).inUse = true
+			addTo(batches, s.dispatcher, e.Event).serves = true
 		}
 		if d, ok := standby[service]; ok && d.Instance != e.knows {
 			addTo(batches, d, e.Event)
@@ -349,7 +350,7 @@
 		if whole || batches[s.dispatcher] != nil && c.fresh[s.dispatcher] {
 			delete(c.fresh, s.dispatcher)
 			b := addTo(batches, s.dispatcher)
-			b.inUse, b.request.Whole, b.request.Running = true, true, ids
+			b.serves, b.request.Whole, b.request.Running = true, true, ids
 		}
 		if d, ok := standby[service]; ok && whole {
 			b := addTo(batches, d)
--- a/internal/placement/client_test.go
+++ b/internal/placement/client_test.go
@@ -72,7 +72,7 @@
 
 func jobsAt(s *Service) int {
 	count := 0
-	s.board.all(func(_ time.Time, s *Scheduler) { count += s.Running() })
+	s.schedulers.all(func(_ time.Time, s *Scheduler) { count += s.Running() })
 	return count
 }
 
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -23,38 +23,39 @@
 	Endpoints(service string) (records []registration.Record, version uint64)
 }
 
-// board holds a scheduler for each service. It is safe for concurrent use.
-type board struct {
-	fleet Fleet
-	mu    sync.Mutex
-	desks map[string]*desk
+// schedulers holds a scheduler for each service. It is safe for concurrent use.
+type schedulers struct {
+	fleet     Fleet
+	mu        sync.Mutex
+	byService map[string]*versioned
 }
 
-type desk struct {
+// versioned is a scheduler with the version of the fleet that it has taken over.
+type versioned struct {
 	scheduler *Scheduler
 	version   uint64
 }
 
-func newBoard(fleet Fleet) *board {
-	return &board{fleet: fleet, desks: make(map[string]*desk)}
+func newSchedulers(fleet Fleet) *schedulers {
+	return &schedulers{fleet: fleet, byService: make(map[string]*versioned)}
 }
 
 // with runs f on the scheduler of a service, brought up to date. It returns false for a service without
 // engines.
-func (b *board) with(service string, f func(now time.Time, s *Scheduler)) bool {
-	engine, ok := b.fleet.Engine(service)
+func (m *schedulers) with(service string, f func(now time.Time, s *Scheduler)) bool {
+	engine, ok := m.fleet.Engine(service)
 	if !ok {
 		return false
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	now := time.Now()
-	d := b.desks[service]
+	d := m.byService[service]
 	if d == nil {
-		d = &desk{scheduler: NewScheduler(engine)}
-		b.desks[service] = d
+		d = &versioned{scheduler: NewScheduler(engine)}
+		m.byService[service] = d
 	}
-	if records, version := b.fleet.Endpoints(service); version != d.version {
+	if records, version := m.fleet.Endpoints(service); version != d.version {
 		d.scheduler.UseEngine(engine)
 		d.scheduler.Update(now, records)
 		d.version = version
@@ -64,30 +65,30 @@
 }
 
 // all runs f on all schedulers.
-func (b *board) all(f func(now time.Time, s *Scheduler)) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (m *schedulers) all(f func(now time.Time, s *Scheduler)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	now := time.Now()
-	for _, d := range b.desks {
+	for _, d := range m.byService {
 		f(now, d.scheduler)
 	}
 }
 
 // Service is the dispatcher of services, over net/rpc.
 type Service struct {
-	life   uint64
-	board  *board
-	logger *zap.Logger
+	life       uint64
+	schedulers *schedulers
+	logger     *zap.Logger
 }
 
 // NewService returns a dispatcher that knows of no running jobs.
 func NewService(fleet Fleet, logger *zap.Logger) *Service {
-	return &Service{life: rand.Uint64(), board: newBoard(fleet), logger: logger}
+	return &Service{life: rand.Uint64(), schedulers: newSchedulers(fleet), logger: logger}
 }
 
 // Reserve places a job.
 func (s *Service) Reserve(request ReserveRequest, reply *ReserveReply) error {
-	ok := s.board.with(request.Job.Service, func(now time.Time, scheduler *Scheduler) {
+	ok := s.schedulers.with(request.Job.Service, func(now time.Time, scheduler *Scheduler) {
 		*reply = scheduler.Reserve(now, request.Entry, request.Job)
 	})
 	if !ok {
@@ -103,10 +104,10 @@
 // Report takes events of jobs.
 func (s *Service) Report(request ReportRequest, reply *ReportReply) error {
 	for _, e := range request.Events {
-		s.board.with(e.Job.Service, func(now time.Time, scheduler *Scheduler) { scheduler.Report(now, request.Entry, e) })
+		s.schedulers.with(e.Job.Service, func(now time.Time, scheduler *Scheduler) { scheduler.Report(now, request.Entry, e) })
 	}
 	if request.Whole {
-		s.board.all(func(now time.Time, scheduler *Scheduler) { scheduler.Keep(now, request.Entry, request.Running) })
+		s.schedulers.all(func(now time.Time, scheduler *Scheduler) { scheduler.Keep(now, request.Entry, request.Running) })
 	}
 	reply.Life = s.life
 	return nil
