Place short prompts as long ones are placed, and write whole answers in one place

A decision carried a reply that only refusals used and three callers took out by hand: reserveShort and reserveLong now both return the reply. The same five lines sent a whole answer in two files. A doc comment said that a job keeps its grant where it is placed anew. No change of behaviour.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -123,11 +123,7 @@
 	if d.started || x.route.Repeat.Repeatable() && a.StatusCode >= http.StatusInternalServerError && x.mayTry() {
 		return fault.New("relay answer", Broken, "%s answered %d", p.hop.Endpoint, a.StatusCode)
 	}
-	copyHeader(d.writer.Header(), a.Header)
-	d.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	d.writer.WriteHeader(a.StatusCode)
-	// An error here means that the caller has left.
-	_, _ = d.writer.Write(body)
+	writeWhole(d.writer, a.StatusCode, a.Header, body)
 	return nil
 }
 
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -74,10 +74,15 @@
 }
 
 func (g *Gateway) deliver(w http.ResponseWriter, x *exchange, r *result) {
-	copyHeader(w.Header(), r.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
-	w.WriteHeader(r.status)
-	// An error here means that the caller has left.
-	_, _ = w.Write(r.body)
+	writeWhole(w, r.status, r.header, r.body)
 	g.finished(x, r.endpoint, r.status)
 }
+
+// writeWhole sends a complete answer of an endpoint.
+func writeWhole(w http.ResponseWriter, status int, header http.Header, body []byte) {
+	copyHeader(w.Header(), header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	// An error here means that the caller has left.
+	_, _ = w.Write(body)
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -28,7 +28,7 @@
 	retryMax = 5 * time.Second
 )
 
-// choice is the result of one decision: replicas, the one that answers first, or a reply.
+// choice is the replicas for a request, the one that answers first.
 type choice struct {
 	replicas []*replica
 	// memory and hold are in tokens, for each replica.
@@ -40,7 +40,6 @@
 	// occupied is the part of cost that other long prompts bear.
 	occupied float64
 	cost     float64
-	reply    *ReserveReply
 }
 
 // weight is what a request is worth in comparison to others: long prompts have waited for more.
@@ -68,10 +67,10 @@
 	}
 }
 
-// choose returns the engine with the least expected loss over a short prompt and what runs already. It answers
-// a load of short prompts with tight pauses beside long prompts whose reading stops a pass for as long as it
+// reserveShort places a short prompt on the engine with the least expected loss over it and what runs already.
+// It answers a load of short prompts with tight pauses beside long prompts whose reading stops a pass for as long as it
 // takes: short ones are packed on engines that write, and keep off those that read.
-func (s *Scheduler) choose(now time.Time, j Job) choice {
+func (s *Scheduler) reserveShort(now time.Time, j Job) ReserveReply {
 	usable := s.usable(now, &j)
 	if len(usable) == 0 {
 		return s.rejected(now, "no engine takes work")
@@ -83,7 +82,7 @@
 	case best.first > j.Left:
 		return s.rejected(now, tooLate(best.first, j.Left))
 	}
-	return best
+	return ReserveReply{Status: Granted, Grant: s.place(now, j, best)}
 }
 
 func tooLate(first, left time.Duration) string {
@@ -260,7 +259,7 @@
 
 // rejected returns the reply for a job that cannot be served, with the time at which an engine is expected
 // to have read what it has.
-func (s *Scheduler) rejected(now time.Time, reason string) choice {
+func (s *Scheduler) rejected(now time.Time, reason string) ReserveReply {
 	after := retryMax
 	for _, r := range s.order {
 		if r.usable(now) {
@@ -270,5 +269,5 @@
 	if len(s.order) == 0 {
 		after = retryMin
 	}
-	return choice{reply: &ReserveReply{Status: Rejected, After: min(retryMax, max(retryMin, after)), Reason: reason}}
+	return ReserveReply{Status: Rejected, After: min(retryMax, max(retryMin, after)), Reason: reason}
 }
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -48,11 +48,11 @@
 func (s *Scheduler) tryLong(now time.Time, w *waiter, usable []*replica) ReserveReply {
 	j := &w.job
 	if len(usable) == 0 {
-		return *s.rejected(now, "no engine takes work").reply
+		return s.rejected(now, "no engine takes work")
 	}
 	ideal, latest := s.ideal(now, j, usable)
 	if latest+ideal > j.Left && ideal > j.Left {
-		return *s.rejected(now, tooLate(ideal, j.Left)).reply
+		return s.rejected(now, tooLate(ideal, j.Left))
 	}
 	if first := s.firstWaiter(now, usable); first != w {
 		if j.Waited+ideal > j.Objective && latest+s.ahead(now, w, usable) > hopelessWait {
@@ -71,7 +71,7 @@
 	case latest > 0:
 		return s.wait(now, usable, "no engine is free")
 	default:
-		return *s.rejected(now, "no engines have slots and memory for the request").reply
+		return s.rejected(now, "no engines have slots and memory for the request")
 	}
 }
 
--- a/internal/placement/replica.go
+++ b/internal/placement/replica.go
@@ -26,7 +26,7 @@
 	shares []*share
 	// reads is when the reading that is placed here is expected to end.
 	reads time.Time
-	// memory is in tokens, of all tasks here.
+	// memory is in tokens, of all shares here.
 	memory int
 	// pace is the ratio of measured to declared times.
 	pace float64
@@ -140,7 +140,7 @@
 	r.memory -= t.memory
 }
 
-// done ends the reading of a task. What is queued behind it moves by the difference to its expected end.
+// done ends the reading of a share. What is queued behind it moves by the difference to its expected end.
 func (r *replica) done(now time.Time, t *share) {
 	if !t.reading {
 		return
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -70,7 +70,7 @@
 }
 
 // Reserve places a job, or says when to ask again, or that it cannot be served in its time. A job that is
-// placed already keeps its grant.
+// placed already, whose grant was lost on its way, is placed anew.
 func (s *Scheduler) Reserve(now time.Time, entry string, j Job) ReserveReply {
 	s.heard[entry] = now
 	s.expire(now)
@@ -88,14 +88,10 @@
 	if s.long(&j) {
 		return s.reserveLong(now, j)
 	}
-	best := s.choose(now, j)
-	if best.reply != nil {
-		return *best.reply
-	}
-	return ReserveReply{Status: Granted, Grant: s.place(now, j, best)}
+	return s.reserveShort(now, j)
 }
 
-// place adds the tasks of a job to the replicas of a choice and returns its grant.
+// place adds the shares of a job to the replicas of a choice and returns its grant.
 func (s *Scheduler) place(now time.Time, j Job, c choice) Grant {
 	placed := &job{
 		Job: j, replicas: c.replicas, granted: now,
@@ -210,7 +206,7 @@
 	}
 }
 
-// read ends the reading of all tasks of a job.
+// read ends the reading of all shares of a job.
 func (s *Scheduler) read(now time.Time, j *job) {
 	for _, r := range j.replicas {
 		for _, t := range r.shares {
