Read seeds and the key of an open network in package peer

Both programs turned seeds into peer addresses and an empty cluster key into the open one, each in its own way; entryd left out a seed that it could not read without a word, which the check of the settings rules out. No change of behaviour for settings that pass their check.

--- a/controld/internal/cli/formation.go
+++ b/controld/internal/cli/formation.go
@@ -10,17 +10,8 @@
 
 	"github.com/dandelionpier/dandelionpier/controld/internal/formation"
 	"github.com/dandelionpier/dandelionpier/internal/consensus"
-	"github.com/dandelionpier/dandelionpier/internal/peer"
 )
 
-// clusterKey returns the key that peers prove to hold. On an open network it is one that everybody knows.
-func (s Settings) clusterKey() string {
-	if s.ClusterKey == "" {
-		return peer.OpenKey
-	}
-	return s.ClusterKey
-}
-
 // identify returns how this instance takes part in the quorum: by its name in the bootstrap list, or by what
 // the seeds say.
 func (s Settings) identify() (formation.Identity, error) {
--- a/controld/internal/formation/formation.go
+++ b/controld/internal/formation/formation.go
@@ -11,6 +11,7 @@
 	"github.com/dandelionpier/dandelionpier/internal/consensus"
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/journal"
+	"github.com/dandelionpier/dandelionpier/internal/peer"
 )
 
 // Kind classifies an Error.
@@ -83,17 +84,8 @@
 	if err != nil {
 		return nil, fault.Wrap(err, "read address", Invalid, address)
 	}
-	var peers []string
-	for _, seed := range seeds {
-		host, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			return nil, fault.Wrap(err, "read seed", Invalid, seed)
-		}
-		if peer := net.JoinHostPort(host, port); !slices.Contains(peers, peer) {
-			peers = append(peers, peer)
-		}
-	}
-	return peers, nil
+	peers, err := peer.AtPort(seeds, port)
+	return peers, fault.Wrap(err, "read seeds", Invalid, "seeds")
 }
 
 func servers(addresses []string) []consensus.Server {
--- a/entryd/internal/cli/gateway.go
+++ b/entryd/internal/cli/gateway.go
@@ -66,13 +66,14 @@
 
 func (e *gatewayEntry) build() error {
 	o := e.options
-	key := o.ClusterKey
-	if key == "" {
-		key = peer.OpenKey
+	key := peer.KeyOrOpen(o.ClusterKey)
+	controls, err := controlPeers(o)
+	if err != nil {
+		return err
 	}
 	e.pool = peer.NewPool(peer.PoolConfig{Key: key})
 	e.peers = peer.NewServer(peer.ServerConfig{Key: key, Logger: e.logger})
-	e.control = control.NewClient(control.ClientConfig{Addresses: controlPeers(o), Caller: e.pool})
+	e.control = control.NewClient(control.ClientConfig{Addresses: controls, Caller: e.pool})
 	e.self = e.member()
 	e.keeper = session.NewKeeper(session.KeeperConfig{
 		Member: e.self, Leader: e.control, Logger: e.logger, Learn: e.control.Learn,
@@ -105,15 +106,8 @@
 }
 
 // controlPeers returns the peer addresses on the instances of the seeds.
-func controlPeers(o *options.Gateway) []string {
-	peers := make([]string, 0, len(o.Seeds))
-	for _, seed := range o.Seeds {
-		host, _, err := net.SplitHostPort(seed)
-		if err == nil {
-			peers = append(peers, net.JoinHostPort(host, strconv.Itoa(o.ControlPort)))
-		}
-	}
-	return peers
+func controlPeers(o *options.Gateway) ([]string, error) {
+	return peer.AtPort(o.Seeds, strconv.Itoa(o.ControlPort))
 }
 
 // crashTimeout bounds the report of a request that crashes endpoints.
@@ -241,6 +235,11 @@
 		e.logger.Error("Could not reload the settings; the old ones stay in force", zap.Error(err))
 		return
 	}
-	e.control.Use(controlPeers(o))
+	controls, err := controlPeers(o)
+	if err != nil {
+		e.logger.Error("Could not use the seeds of the settings; the old ones stay in force", zap.Error(err))
+		return
+	}
+	e.control.Use(controls)
 	e.logger.Info("Reloaded the settings", zap.Strings("seeds", o.Seeds))
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -157,6 +157,3 @@
 	clientRole = "client"
 	serverRole = "server"
 )
-
-// OpenKey is the cluster key of deployments on a network that nobody else reaches. It is no secret.
-const OpenKey = "open-network-without-a-cluster-key"
