Measure the pace of engines by the undisturbed pauses of streams

Cause: the pace of an engine was measured by the mean pause of its streams. Change: the entry reports the lower quartile of the pauses of a stream.

--- /dev/null
+++ b/internal/gateway/rhythm.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxPauses bounds the pauses that are kept of one stream.
+	maxPauses = 64
+	// undisturbedQuantile is the part of the pauses, as a divisor, that counts as free of other work.
+	undisturbedQuantile = 4
+)
+
+// rhythm keeps the pauses between the events of one stream.
+type rhythm struct {
+	last   time.Time
+	pauses []time.Duration
+}
+
+// beat notes an event and reports whether it is the first one.
+func (r *rhythm) beat(now time.Time) (first bool) {
+	first = r.last.IsZero()
+	if !first && len(r.pauses) < maxPauses {
+		r.pauses = append(r.pauses, now.Sub(r.last))
+	}
+	r.last = now
+	return first
+}
+
+// undisturbed is the pause between events while the engine reads no prompts, 0 when it is not known. Longer pauses,
+// in which prompts of other requests are read, say nothing of the engine's own pace.
+func (r *rhythm) undisturbed() time.Duration {
+	if len(r.pauses) < undisturbedQuantile {
+		return 0
+	}
+	slices.Sort(r.pauses)
+	return r.pauses[len(r.pauses)/undisturbedQuantile]
+}
--- /dev/null
+++ b/internal/gateway/rhythm_test.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against an engine that counts as slow because it reads prompts between the events of a stream.
+func TestUndisturbedPause(t *testing.T) {
+	const usual, slow, reading = 50 * time.Millisecond, 150 * time.Millisecond, 800 * time.Millisecond
+	cases := map[string]struct {
+		pauses []time.Duration
+		want   time.Duration
+	}{
+		"too few events to tell":    {pauses: []time.Duration{usual, usual}, want: 0},
+		"prompts are read half way": {pauses: []time.Duration{usual, reading, usual, reading, reading, usual, usual, reading}, want: usual},
+		"a slow engine":             {pauses: []time.Duration{slow, slow, reading, slow, slow}, want: slow},
+		"events that come together": {pauses: []time.Duration{0, usual, usual, usual, usual, usual, usual, usual}, want: usual},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var r rhythm
+			now := time.Unix(1_800_000_000, 0)
+			is.True(r.beat(now))
+			for _, pause := range slices.Clone(c.pauses) {
+				now = now.Add(pause)
+				is.True(!r.beat(now))
+			}
+			is.Equal(r.undisturbed(), c.want)
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -92,24 +92,21 @@
 		return 0, g.relayWhole(x, p, a, d)
 	}
 	reader := newEventReader(a.Body)
-	var first, last time.Time
-	count := 0
+	var r rhythm
 	for {
 		e, err := reader.next()
 		if errors.Is(err, io.EOF) {
-			return meanPause(first, last, count), d.end(a)
+			return r.undisturbed(), d.end(a)
 		}
 		if err != nil {
-			return meanPause(first, last, count), err
+			return r.undisturbed(), err
 		}
-		last = time.Now()
-		if count++; count == 1 {
-			first = last
+		if first := r.beat(time.Now()); first {
 			g.noteFirst(x, p)
 		}
 		watch.heard()
 		if err := d.event(a, e); err != nil {
-			return meanPause(first, last, count), err
+			return r.undisturbed(), err
 		}
 	}
 }
@@ -138,13 +135,6 @@
 	}
 }
 
-func meanPause(first, last time.Time, count int) time.Duration {
-	if count < 2 {
-		return 0
-	}
-	return last.Sub(first) / time.Duration(count-1)
-}
-
 // begin sends the header of the first answer.
 func (d *delivery) begin(a *answer) {
 	if d.started {
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -217,7 +217,7 @@
 	}
 }
 
-// judgePause compares the pauses of an ended stream with those that the writers at its engine explain.
+// judgePause compares the undisturbed pause of an ended stream with that which the writers at its engine explain.
 func (s *Scheduler) judgePause(j *job, e Event) {
 	r := s.replicas[e.Endpoint]
 	if r == nil || e.Pause <= 0 || len(j.replicas) != 1 {
--- a/internal/placement/wire.go
+++ b/internal/placement/wire.go
@@ -128,7 +128,8 @@
 	Endpoint string
 	// Elapsed is the time since the request was sent to the engine.
 	Elapsed time.Duration
-	// Pause is the mean pause between two events of an ended stream; 0 when it is not known.
+	// Pause is the pause between two events of an ended stream while its engine read no prompts; 0 when it is
+	// not known.
 	Pause time.Duration
 }
 
