Give the declared times of engines one place, package routing

Cause: a model of engines in virtual time needs the times that placement computes; two copies would drift. Change: read, step and pass times are methods of routing.Engine; placement.profile is gone. A decision on a job is logged with the ids of its engines. No change of behaviour.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -134,7 +134,7 @@
 
 // fits reports whether a replica has a slot and memory for a request that it answers.
 func (s *Scheduler) fits(r *replica, j *Job) bool {
-	return r.heads() < s.profile.Slots && (s.profile.Memory == 0 || r.memory+need(j) <= s.profile.Memory)
+	return r.heads() < s.engine.Slots && (s.engine.Memory == 0 || r.memory+need(j) <= s.engine.Memory)
 }
 
 func (s *Scheduler) candidate(now time.Time, j *Job, r *replica, parts int) candidate {
@@ -148,7 +148,7 @@
 	if s.long(j) {
 		c.bias += spreading * float64(writers)
 	} else {
-		c.bias -= packing * float64(r.heads()) / float64(s.profile.Slots)
+		c.bias -= packing * float64(r.heads()) / float64(s.engine.Slots)
 	}
 	c.cost = c.harm + c.bias + weight(j)*lateness(j, c.ready+s.firstPass(r))
 	return c
@@ -157,9 +157,9 @@
 // occupied is the time for which a part of a prompt keeps a replica from reading the next one: the reading,
 // and the pass in which streams are written beside it.
 func (s *Scheduler) occupied(r *replica, prompt, parts int) time.Duration {
-	read := s.profile.read(prompt, parts)
+	read := s.engine.ReadTime(prompt, parts)
 	if count, context := r.writers(); count > 0 && read > longRead/2 {
-		read += s.profile.pass(count, context)
+		read += s.engine.PassTime(count, context)
 	}
 	return r.scaled(read)
 }
@@ -167,7 +167,7 @@
 // firstPass is the time from the end of reading to the first event, and the rest of the pass before it.
 func (s *Scheduler) firstPass(r *replica) time.Duration {
 	count, context := r.writers()
-	pass := r.scaled(s.profile.pass(count+1, context))
+	pass := r.scaled(s.engine.PassTime(count+1, context))
 	if count > 0 {
 		pass += pass / 2
 	}
@@ -177,7 +177,7 @@
 // passWith is the pause that the streams at a replica see while it reads what is placed there and more.
 func (s *Scheduler) passWith(now time.Time, r *replica, more time.Duration) time.Duration {
 	count, context := r.writers()
-	return r.scaled(s.profile.pass(count, context)) + r.backlog(now) + more
+	return r.scaled(s.engine.PassTime(count, context)) + r.backlog(now) + more
 }
 
 // harm is the worth that is lost at the streams of a replica when it reads more.
@@ -234,11 +234,11 @@
 // assembleHolds divides the memory of a prompt: the engine that answers takes what it has free, the rest is
 // reserved at the others, at as few as possible.
 func (s *Scheduler) assembleHolds(j *Job, candidates []candidate) (choice, bool) {
-	if need(j) <= s.profile.Memory || s.profile.Memory == 0 {
+	if need(j) <= s.engine.Memory || s.engine.Memory == 0 {
 		return choice{}, false
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.replica.memory, b.replica.memory) })
-	head := slices.IndexFunc(candidates, func(c candidate) bool { return c.replica.heads() < s.profile.Slots })
+	head := slices.IndexFunc(candidates, func(c candidate) bool { return c.replica.heads() < s.engine.Slots })
 	if head < 0 {
 		return choice{}, false
 	}
@@ -246,7 +246,7 @@
 	c := s.combine(j, candidates)
 	rest := need(j)
 	for i, r := range c.replicas {
-		free := int(float64(s.profile.Memory)*(1-memoryMargin)) - r.memory
+		free := int(float64(s.engine.Memory)*(1-memoryMargin)) - r.memory
 		take := max(0, min(rest, free))
 		c.memory[i] = take
 		if i > 0 {
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -25,7 +25,7 @@
 // long reports whether the prompt of a job is divided. One whose objective is tight is not, as long as one
 // engine reads it in half of that time.
 func (s *Scheduler) long(j *Job) bool {
-	read := s.profile.read(j.Prompt, 1)
+	read := s.engine.ReadTime(j.Prompt, 1)
 	if j.Objective > 0 && j.Objective <= tightObjective {
 		return read > j.Objective/2
 	}
@@ -109,7 +109,7 @@
 // costly reports whether a choice takes more from the streams beside it, and from those that come while it
 // reads, than the request is worth.
 func (s *Scheduler) costly(j *Job, c choice) bool {
-	read := s.profile.read(j.Prompt, len(c.replicas))
+	read := s.engine.ReadTime(j.Prompt, len(c.replicas))
 	return c.harm*(1+read.Seconds()) >= weight(j)*(1-min(1, lateness(j, c.first)))
 }
 
@@ -124,7 +124,7 @@
 		}
 	}
 	parts := max(1, min(readers, maxParts, j.Prompt/leastPart))
-	return s.profile.read(j.Prompt, parts) + s.profile.pass(1, j.Prompt/parts), latest
+	return s.engine.ReadTime(j.Prompt, parts) + s.engine.PassTime(1, j.Prompt/parts), latest
 }
 
 // tight counts the streams of an engine that a long reading would delay beyond their objective.
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -12,7 +12,7 @@
 // Scheduler is the view of the engines of one service and all decisions on them. Its methods do no I/O and
 // take the time as an argument. It is not safe for concurrent use.
 type Scheduler struct {
-	profile  profile
+	engine   routing.Engine
 	replicas map[string]*replica
 	// order has the replicas by id, so that decisions do not depend on the order of maps.
 	order []*replica
@@ -25,12 +25,12 @@
 
 // NewScheduler returns a scheduler without engines.
 func NewScheduler(engine routing.Engine) *Scheduler {
-	return &Scheduler{profile: newProfile(engine), replicas: make(map[string]*replica), jobs: make(map[string]*job), waiting: make(map[string]*waiter), heard: make(map[string]time.Time)}
+	return &Scheduler{engine: engine.WithDefaults(), replicas: make(map[string]*replica), jobs: make(map[string]*job), waiting: make(map[string]*waiter), heard: make(map[string]time.Time)}
 }
 
 // UseEngine replaces the declared times of the engines.
 func (s *Scheduler) UseEngine(engine routing.Engine) {
-	s.profile = newProfile(engine)
+	s.engine = engine.WithDefaults()
 }
 
 // Update takes the registered endpoints of the service. What runs on one that is gone has ended.
@@ -110,7 +110,7 @@
 	}
 	s.spoil(now, c.replicas)
 	count, context := c.replicas[0].writers()
-	grant.Pass = c.replicas[0].scaled(s.profile.pass(count+1, context+j.Prompt/parts))
+	grant.Pass = c.replicas[0].scaled(s.engine.PassTime(count+1, context+j.Prompt/parts))
 	return grant
 }
 
@@ -224,7 +224,7 @@
 		return
 	}
 	count, context := r.writers()
-	r.measure(e.Pause, s.profile.pass(max(1, count), context))
+	r.measure(e.Pause, s.engine.PassTime(max(1, count), context))
 }
 
 // judge notes how an engine ended a job.
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -139,7 +139,7 @@
 			}
 			a.done = true
 			for _, m := range grant.Members {
-				read := s.profile.read(j.Prompt, len(grant.Members))
+				read := s.engine.ReadTime(j.Prompt, len(grant.Members))
 				parts[m.Endpoint] = append([]*part{{j.ID, read}}, parts[m.Endpoint]...)
 				open[j.ID]++
 			}
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -97,7 +97,7 @@
 	reply.Life = s.life
 	s.logger.Debug("Decided on a job", zap.String(logging.AttemptID, request.Job.ID), zap.Int("prompt", request.Job.Prompt),
 		zap.Duration("waited", request.Job.Waited), zap.String("status", string(reply.Status)), zap.String("reason", reply.Reason),
-		zap.Int("engines", len(reply.Grant.Members)), zap.Duration("expected", reply.Grant.First), zap.Duration("after", reply.After))
+		zap.Strings("engines", reply.Grant.endpoints()), zap.Duration("expected", reply.Grant.First), zap.Duration("after", reply.After))
 	return nil
 }
 
--- a/internal/placement/waiting.go
+++ b/internal/placement/waiting.go
@@ -35,7 +35,7 @@
 	}
 	w := s.waiting[j.ID]
 	if w == nil {
-		w = &waiter{read: s.profile.read(j.Prompt, 1)}
+		w = &waiter{read: s.engine.ReadTime(j.Prompt, 1)}
 		s.waiting[j.ID] = w
 	}
 	w.job, w.asked = j, now
--- a/internal/placement/wire.go
+++ b/internal/placement/wire.go
@@ -65,6 +65,15 @@
 	Pass  time.Duration
 }
 
+// endpoints are the ids of the engines.
+func (g Grant) endpoints() []string {
+	ids := make([]string, len(g.Members))
+	for i, m := range g.Members {
+		ids[i] = m.Endpoint
+	}
+	return ids
+}
+
 // Status says how a reservation stands.
 type Status string
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -64,30 +64,6 @@
 	Public bool
 }
 
-// Engine describes the model engines of a service as their operator declares them.
-type Engine struct {
-	// Slots is the number of requests that an engine processes at a time.
-	Slots int
-	// Memory is the KV-cache capacity in tokens.
-	Memory int
-	// EventTokens is the number of tokens in one event of a stream; a pass runs as many steps.
-	EventTokens int
-	// Step is the time of one token step, StepPerRequest what each writing request adds to it, and
-	// StepPerKiloToken what each 1,000 tokens of their context add.
-	Step             time.Duration
-	StepPerRequest   time.Duration
-	StepPerKiloToken time.Duration
-	// ReadRate is in prompt tokens a second.
-	ReadRate float64
-	// ReadPerMegaPair is the time for each million pairs of a prompt token and an earlier one.
-	ReadPerMegaPair time.Duration
-	// Chunk bounds the prompt tokens that one step reads.
-	Chunk int
-	// UsualPrompt and UsualOutput are mean token counts of a request.
-	UsualPrompt int
-	UsualOutput int
-}
-
 // Service is a group of endpoints that run the same requests.
 type Service struct {
 	Name       string
