--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -92,21 +92,21 @@
 		return 0, g.relayWhole(x, p, a, d)
 	}
 	reader := newEventReader(a.Body)
-	var r rhythm
+	var r placement.Rhythm
 	for {
 		e, err := reader.next()
 		if errors.Is(err, io.EOF) {
-			return r.undisturbed(), d.end(a)
+			return r.Undisturbed(), d.end(a)
 		}
 		if err != nil {
-			return r.undisturbed(), err
+			return r.Undisturbed(), err
 		}
-		if first := r.beat(time.Now()); first {
+		if first := r.Beat(time.Now()); first {
 			g.noteFirst(x, p)
 		}
 		watch.heard()
 		if err := d.event(a, e); err != nil {
-			return r.undisturbed(), err
+			return r.Undisturbed(), err
 		}
 	}
 }
--- a/internal/gateway/rhythm.go
+++ b/internal/placement/rhythm.go
@@ -1,4 +1,4 @@
-package gateway
+package placement
 
 import (
 	"slices"
@@ -12,14 +12,14 @@
 	undisturbedQuantile = 4
 )
 
-// rhythm keeps the pauses between the events of one stream.
-type rhythm struct {
+// Rhythm keeps the pauses between the events of one stream.
+type Rhythm struct {
 	last   time.Time
 	pauses []time.Duration
 }
 
-// beat notes an event and reports whether it is the first one.
-func (r *rhythm) beat(now time.Time) (first bool) {
+// Beat notes an event and reports whether it is the first one.
+func (r *Rhythm) Beat(now time.Time) (first bool) {
 	first = r.last.IsZero()
 	if !first && len(r.pauses) < maxPauses {
 		r.pauses = append(r.pauses, now.Sub(r.last))
@@ -28,9 +28,9 @@
 	return first
 }
 
-// undisturbed is the pause between events while the engine reads no prompts, 0 when it is not known. Longer pauses,
+// Undisturbed is the pause between events while the engine reads no prompts, 0 when it is not known. Longer pauses,
 // in which prompts of other requests are read, say nothing of the engine's own pace.
-func (r *rhythm) undisturbed() time.Duration {
+func (r *Rhythm) Undisturbed() time.Duration {
 	if len(r.pauses) < undisturbedQuantile {
 		return 0
 	}
--- a/internal/gateway/rhythm_test.go
+++ b/internal/placement/rhythm_test.go
@@ -1,4 +1,4 @@
-package gateway
+package placement
 
 import (
 	"slices"
@@ -23,14 +23,14 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			var r rhythm
+			var r Rhythm
 			now := time.Unix(1_800_000_000, 0)
-			is.True(r.beat(now))
+			is.True(r.Beat(now))
 			for _, pause := range slices.Clone(c.pauses) {
 				now = now.Add(pause)
-				is.True(!r.beat(now))
+				is.True(!r.Beat(now))
 			}
-			is.Equal(r.undisturbed(), c.want)
+			is.Equal(r.Undisturbed(), c.want)
 		})
 	}
 }
--- /dev/null
+++ b/internal/simulation/day.go
@@ -0,0 +1,86 @@
+package simulation
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of request.
+type Kind struct {
+	Name string
+	// Rate is the mean number of requests in a second.
+	Rate float64
+	// Prompt and Output are mean lengths in tokens; Spread is the standard deviation of the logarithm of both.
+	Prompt int
+	Output int
+	Spread float64
+	// Objective is the time to the first event and MaxPause the longest pause for a full credit, Limit the
+	// time after which a caller leaves.
+	Objective time.Duration
+	MaxPause  time.Duration
+	Limit     time.Duration
+	// Worth and LateWorth are the credits of a request of mean length.
+	Worth     float64
+	LateWorth float64
+}
+
+// Burst multiplies the rate of a kind for a time.
+type Burst struct {
+	Kind     string
+	From, To time.Duration
+	Factor   float64
+}
+
+// hintSpread is the standard deviation of the logarithm of an expected answer length against the real one.
+const hintSpread = 0.4
+
+// Draw returns the arrivals of a day, the same ones for the same seed.
+func Draw(seed uint64, length time.Duration, kinds []Kind, bursts []Burst) []Arrival {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var arrivals []Arrival
+	for i := range kinds {
+		k := &kinds[i]
+		peak := 1.0
+		for _, b := range bursts {
+			if b.Kind == k.Name {
+				peak = max(peak, b.Factor)
+			}
+		}
+		for at := time.Duration(0); ; {
+			at += time.Duration(random.ExpFloat64() / (k.Rate * peak) * float64(time.Second))
+			if at >= length {
+				break
+			}
+			if random.Float64()*peak < factor(bursts, k.Name, at) {
+				arrivals = append(arrivals, k.draw(random, at))
+			}
+		}
+	}
+	slices.SortStableFunc(arrivals, func(a, b Arrival) int { return int(a.At - b.At) })
+	return arrivals
+}
+
+func factor(bursts []Burst, kind string, at time.Duration) float64 {
+	product := 1.0
+	for _, b := range bursts {
+		if b.Kind == kind && at >= b.From && at < b.To {
+			product *= b.Factor
+		}
+	}
+	return product
+}
+
+func (k *Kind) draw(random *rand.Rand, at time.Duration) Arrival {
+	// The mean of a logarithmic normal distribution is above its median by this.
+	shift := k.Spread * k.Spread / 2
+	length := func(mean int) int {
+		return 1 + int(float64(mean)*math.Exp(k.Spread*random.NormFloat64()-shift))
+	}
+	output := length(k.Output)
+	return Arrival{
+		At: at, Kind: k, Prompt: length(k.Prompt), Output: output,
+		Hint: 1 + int(float64(output)*math.Exp(hintSpread*random.NormFloat64())),
+	}
+}
