Place long prompts at once where streams lose less than they gain, and fill engines that are nearly full

A stream counted as harmed at nine tenths of its pause, but as lost only at the whole of it, so engines in between were avoided again and again. Streams of short prompts stood in twos and threes on engines that long prompts needed. Change: no waiting for engines without streams; pauses count as they are declared; engines that are nearly full gain more; what reading takes from streams to come counts twice; overdue reading counts for 15 ms.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -16,9 +16,11 @@
 	safeShare = 0.7
 	// helperCost is what each further engine of a request costs, so that no more are taken than help.
 	helperCost = 0.004
-	// packing is the gain of an engine that writes already: streams on few engines leave the others to long
-	// prompts. crossing is the cost of an engine in another data centre.
-	packing   = 0.4
+	// packing is the gain of an engine that writes already, filling that of one which is nearly full: streams on
+	// few engines leave the others to long prompts. spreading is what a long prompt loses with each stream at
+	// its engine, crossing the cost of an engine in another data centre.
+	packing   = 0.2
+	filling   = 0.4
 	spreading = 0.05
 	crossing  = 0.01
 	// failureCost is the cost of an engine that fails all requests.
@@ -148,7 +150,8 @@
 	if s.long(j) {
 		c.bias += spreading * float64(writers)
 	} else {
-		c.bias -= packing * float64(r.heads()) / float64(s.engine.Slots)
+		taken := float64(r.heads()) / float64(s.engine.Slots)
+		c.bias -= packing*taken + filling*taken*taken
 	}
 	c.cost = c.harm + c.bias + weight(j)*lateness(j, c.ready+s.firstPass(r))
 	return c
@@ -189,7 +192,7 @@
 			continue
 		}
 		delayed := t.reading && t.end.Add(read).After(t.job.due)
-		paused := !t.reading && t.job.MaxPause > 0 && pass > t.job.MaxPause*9/10
+		paused := !t.reading && t.job.MaxPause > 0 && pass > t.job.MaxPause
 		if delayed || paused {
 			sum += weight(&t.job.Job) * lateLoss
 		}
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -14,8 +14,6 @@
 	leastPart = 8_000
 	// freeWithin is the rest of reading with which an engine counts as free.
 	freeWithin = 10 * time.Millisecond
-	// waitGain is the least loss to other streams that waiting must save.
-	waitGain = 0.1
 	// tightObjective is the longest objective of requests that do not wait for others to be read.
 	tightObjective = 500 * time.Millisecond
 	// tightPause is the longest pause of streams that need engines of their own.
@@ -65,7 +63,7 @@
 	case ok && s.costly(j, best):
 		return s.postpone(now, j, ideal, usable)
 	case ok && betterSoon(j, best, latest, latest+ideal):
-		return s.wait(now, usable, "engines without streams, or more of them, are free soon")
+		return s.wait(now, usable, "more engines are free soon")
 	case ok:
 		return ReserveReply{Status: Granted, Grant: s.place(now, *j, best)}
 	case latest > 0:
@@ -76,16 +74,9 @@
 }
 
 // betterSoon reports whether a job should wait for all engines to be free, at latest, and have its first event
-// at soon: when it harms streams now for nothing, or when it is late now and would be in time then.
+// at soon: when it is late now and would be in time then.
 func betterSoon(j *Job, best choice, latest, soon time.Duration) bool {
-	if latest == 0 {
-		return false
-	}
-	lostNow, lostSoon := lateness(j, best.first), lateness(j, soon)
-	if best.harm > 0 && best.harm+weight(j)*(lostNow-lostSoon) > waitGain {
-		return true
-	}
-	return lostNow >= lateLoss && lostSoon < lateLoss
+	return latest > 0 && lateness(j, best.first) >= lateLoss && lateness(j, soon) < lateLoss
 }
 
 // postpone lets a job wait that would cost more than it is worth, as long as it can be in time. After that its
@@ -106,11 +97,14 @@
 // returnShare is the part of the time left, as a divisor, after which a postponed caller should return.
 const returnShare = 3
 
+// comingLoss is the part of the loss of running streams that those which come in a second of reading lose.
+const comingLoss = 2
+
 // costly reports whether a choice takes more from the streams beside it, and from those that come while it
 // reads, than the request is worth.
 func (s *Scheduler) costly(j *Job, c choice) bool {
 	read := s.engine.ReadTime(j.Prompt, len(c.replicas))
-	return c.harm*(1+read.Seconds()) >= weight(j)*(1-min(1, lateness(j, c.first)))
+	return c.harm*(1+comingLoss*read.Seconds()) >= weight(j)*(1-min(1, lateness(j, c.first)))
 }
 
 // ideal returns the time to the first event with all engines that read long prompts, and the time until they
--- a/internal/placement/replica.go
+++ b/internal/placement/replica.go
@@ -96,7 +96,7 @@
 const (
 	// overdueRest is the time that reading which should have ended is expected to go on: an engine that got
 	// another part then would read that one first, and the old one last.
-	overdueRest = 40 * time.Millisecond
+	overdueRest = 15 * time.Millisecond
 	// overdueLimit is how long after the expected end of reading the first event may come before the engine
 	// counts as free all the same.
 	overdueLimit = 4 * time.Second
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -260,3 +260,21 @@
 	is.Equal(reply.Status, Rejected)
 	is.True(reply.After > 0)
 }
+
+// Guards against a long prompt that waits for engines without streams while those with streams could read it in time:
+// under an even load some engine always reads, and all that wait behind it lose their objective.
+func TestLongPromptDoesNotWaitForEnginesWithoutStreams(t *testing.T) {
+	is := is.New(t)
+	s := scheduler(6)
+	for i, r := range s.order[:2] {
+		j := long(fmt.Sprint("m", i), 45_000)
+		j.MaxPause = 500 * time.Millisecond
+		s.place(epoch, j, choice{replicas: []*replica{r}, memory: []int{need(&j)}, hold: []int{0}})
+		s.jobs[j.ID].entry = "entry"
+	}
+	s.Report(epoch, "entry", Event{Type: FirstEvent, Job: Job{ID: "m1"}, Endpoint: "e01"})
+	j := long("l", 350_000)
+	j.Waited = 1400 * time.Millisecond
+	reply := s.Reserve(epoch.Add(10*time.Millisecond), "entry", j)
+	is.Equal(reply.Status, Granted)
+}
