--- a/internal/simulation/worth.go
+++ b/internal/simulation/worth.go
@@ -47,6 +47,18 @@
 	return t.Earned / t.Owed
 }
 
+// Plus returns the sum of two tallies.
+func (t Tally) Plus(o Tally) Tally {
+	t.Asked += o.Asked
+	t.InTime += o.InTime
+	t.Late += o.Late
+	t.Refused += o.Refused
+	t.Lost += o.Lost
+	t.Earned += o.Earned
+	t.Owed += o.Owed
+	return t
+}
+
 func (t *Tally) add(o Outcome) {
 	full, _ := o.owed()
 	t.Asked++
--- a/loadtool/internal/cli/cli.go
+++ b/loadtool/internal/cli/cli.go
@@ -7,6 +7,7 @@
 	"github.com/dandelionpier/dandelionpier/internal/program"
 	"github.com/dandelionpier/dandelionpier/loadtool/internal/demo"
 	"github.com/dandelionpier/dandelionpier/loadtool/internal/sessions"
+	"github.com/dandelionpier/dandelionpier/loadtool/internal/trial"
 )
 
 // Run executes the program and returns its exit code.
@@ -21,7 +22,7 @@
 		Description: "docs/loadtool.md describes the experiments, policies and results.\n" +
 			"Exit codes: 0 when done, 1 after an error, which is printed.",
 		Commands: []*cli.Command{
-			runCommand(), summariseCommand(), demo.Command(), sessions.Command(), program.ManualCommand(command, 1), program.VersionCommand(),
+			runCommand(), summariseCommand(), trial.Command(), demo.Command(), sessions.Command(), program.ManualCommand(command, 1), program.VersionCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/loadtool/internal/trial/day.go
@@ -0,0 +1,101 @@
+package trial
+
+import (
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/routing"
+	"github.com/dandelionpier/dandelionpier/internal/settings"
+	"github.com/dandelionpier/dandelionpier/internal/simulation"
+)
+
+// Day is a day file: the engines and the load.
+type Day struct {
+	Length  time.Duration `yaml:"length" validate:"gt=0"`
+	Engines int           `yaml:"engines" validate:"gt=0"`
+	Engine  Engine        `yaml:"engine"`
+	Kinds   []Request     `yaml:"kinds" validate:"required,min=1,dive"`
+	Bursts  []Burst       `yaml:"bursts" validate:"dive"`
+	Slow    []Slowdown    `yaml:"slow" validate:"dive"`
+}
+
+// Engine is the declaration of the engines.
+type Engine struct {
+	Slots  int `yaml:"slots" validate:"gt=0"`
+	Memory int `yaml:"memory" validate:"gt=0"`
+	// EventTokens is the number of steps of a pass that writes.
+	EventTokens      int           `yaml:"event-tokens" validate:"gt=0"`
+	Step             time.Duration `yaml:"step" validate:"gte=0"`
+	StepPerRequest   time.Duration `yaml:"step-per-request" validate:"gte=0"`
+	StepPerKiloToken time.Duration `yaml:"step-per-kilo-token" validate:"gte=0"`
+	// ReadRate is in tokens a second, Chunk in tokens a step.
+	ReadRate        float64       `yaml:"read-rate" validate:"gt=0"`
+	ReadPerMegaPair time.Duration `yaml:"read-per-mega-pair" validate:"gte=0"`
+	Chunk           int           `yaml:"chunk" validate:"gte=0"`
+}
+
+// Request is a kind of request.
+type Request struct {
+	Name string `yaml:"name" validate:"required"`
+	// Rate is in requests a second.
+	Rate float64 `yaml:"rate" validate:"gt=0"`
+	// Prompt and Output are mean lengths in tokens, Spread the standard deviation of their logarithms.
+	Prompt    int           `yaml:"prompt" validate:"gt=0"`
+	Output    int           `yaml:"output" validate:"gt=0"`
+	Spread    float64       `yaml:"spread" validate:"gte=0"`
+	Objective time.Duration `yaml:"objective" validate:"gt=0"`
+	MaxPause  time.Duration `yaml:"max-pause" validate:"gt=0"`
+	Limit     time.Duration `yaml:"limit" validate:"gt=0"`
+	Worth     float64       `yaml:"worth" validate:"gt=0"`
+	LateWorth float64       `yaml:"late-worth" validate:"gte=0"`
+}
+
+// Burst multiplies the rate of a kind of request for a time.
+type Burst struct {
+	Kind   string        `yaml:"kind" validate:"required"`
+	From   time.Duration `yaml:"from" validate:"gte=0"`
+	To     time.Duration `yaml:"to" validate:"gtfield=From"`
+	Factor float64       `yaml:"factor" validate:"gt=0"`
+}
+
+// Slowdown makes an engine slow for a time.
+type Slowdown struct {
+	Engine int           `yaml:"engine" validate:"gte=0"`
+	From   time.Duration `yaml:"from" validate:"gte=0"`
+	To     time.Duration `yaml:"to" validate:"gtfield=From"`
+	Pace   float64       `yaml:"pace" validate:"gte=1"`
+}
+
+// Load reads a day file.
+func Load(path string) (Day, error) {
+	var d Day
+	err := settings.Load(path, &d)
+	return d, err
+}
+
+func (d Day) engine() routing.Engine {
+	return routing.Engine{
+		Slots: d.Engine.Slots, Memory: d.Engine.Memory, EventTokens: d.Engine.EventTokens, Step: d.Engine.Step,
+		StepPerRequest: d.Engine.StepPerRequest, StepPerKiloToken: d.Engine.StepPerKiloToken,
+		ReadRate: d.Engine.ReadRate, ReadPerMegaPair: d.Engine.ReadPerMegaPair, Chunk: d.Engine.Chunk,
+	}
+}
+
+// draw returns the day with the arrivals of a seed.
+func (d Day) draw(seed uint64) simulation.Day {
+	kinds := make([]simulation.Kind, len(d.Kinds))
+	for i, k := range d.Kinds {
+		kinds[i] = simulation.Kind{
+			Name: k.Name, Rate: k.Rate, Prompt: k.Prompt, Output: k.Output, Spread: k.Spread, Objective: k.Objective,
+			MaxPause: k.MaxPause, Limit: k.Limit, Worth: k.Worth, LateWorth: k.LateWorth,
+		}
+	}
+	bursts := make([]simulation.Burst, len(d.Bursts))
+	for i, b := range d.Bursts {
+		bursts[i] = simulation.Burst{Kind: b.Kind, From: b.From, To: b.To, Factor: b.Factor}
+	}
+	day := simulation.Day{Engine: d.engine(), Engines: d.Engines, Arrivals: simulation.Draw(seed, d.Length, kinds, bursts)}
+	for _, s := range d.Slow {
+		day.Slow = append(day.Slow, simulation.Slowdown{Engine: s.Engine % d.Engines, From: s.From, To: s.To, Pace: s.Pace})
+	}
+	return day
+}
--- /dev/null
+++ b/loadtool/internal/trial/trial_test.go
@@ -0,0 +1,43 @@
+package trial
+
+import (
+	"bytes"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against day files of the repository that cannot be read, and a policy that is worse than the baseline on them.
+func TestDayFiles(t *testing.T) {
+	files, err := filepath.Glob("../../../experiments/days/*.yaml")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no day files", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			is := is.New(t)
+			day, err := Load(file)
+			is.NoErr(err)
+			worth := make(map[string]float64)
+			for _, policy := range []string{schedulerPolicy, leastPolicy} {
+				results, err := Play(t.Context(), day, policy, 2)
+				is.NoErr(err)
+				for _, r := range results {
+					worth[policy] += r.All.Worth()
+				}
+				var out bytes.Buffer
+				is.NoErr(Print(&out, results))
+				is.True(strings.Contains(out.String(), "days 2"))
+			}
+			is.True(worth[schedulerPolicy] > worth[leastPolicy])
+		})
+	}
+}
+
+func TestUnknownPolicy(t *testing.T) {
+	is := is.New(t)
+	_, err := Play(t.Context(), Day{Engines: 1}, "none", 1)
+	is.True(err != nil)
+}
