--- a/internal/placement/rhythm.go
+++ b/internal/placement/rhythm.go
@@ -9,7 +9,7 @@
 	// maxPauses bounds the pauses that are kept of one stream.
 	maxPauses = 64
 	// undisturbedQuantile is the part of the pauses, as a divisor, that counts as free of other work.
-	undisturbedQuantile = 4
+	undisturbedQuantile = 8
 )
 
 // Rhythm keeps the pauses between the events of one stream.
