Let requests wait for the first declaration of an instance that has just started

Cause: after a fault that stops all instances, entries listen 0.4 s before they have learned the declaration from the new leader. Ruled out: an earlier declaration from the entry's own disk (most entries have none), no listening before the declaration (callers give up on the address). Change: requests wait for the first declaration, at most 1.5 s after the start of the process; later ones are refused at once as before.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -33,6 +33,8 @@
 type Fleet struct {
 	config FleetConfig
 	state  atomic.Pointer[fleetState]
+	// declared is closed with the first declaration.
+	declared chan struct{}
 }
 
 // fleetState is immutable.
@@ -50,7 +52,7 @@
 
 // NewFleet returns a fleet that knows nothing; Run must run.
 func NewFleet(config FleetConfig) *Fleet {
-	f := &Fleet{config: config}
+	f := &Fleet{config: config, declared: make(chan struct{})}
 	f.state.Store(&fleetState{})
 	return f
 }
@@ -92,6 +94,14 @@
 		next.version++
 	}
 	f.state.Store(&next)
+	if old.table == nil && next.table != nil {
+		close(f.declared)
+	}
+}
+
+// Declared is closed once there is a declaration.
+func (f *Fleet) Declared() <-chan struct{} {
+	return f.declared
 }
 
 // decode returns the table of a document, or the old one when the document is not newer or cannot be read.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -32,8 +32,14 @@
 	inFlight gometrics.Counter
 	// bodies is the size of all bodies in memory, in bytes.
 	bodies atomic.Int64
+	// prepared is when a declaration is expected at the latest; requests wait for the first one until then.
+	prepared time.Time
 }
 
+// preparation is the time after the start in which an instance usually learns the declaration. Callers that come back
+// after all instances were down are served then, where a refusal would be their last answer.
+const preparation = 1500 * time.Millisecond
+
 // New returns a gateway.
 func New(config Config) *Gateway {
 	return &Gateway{
@@ -41,6 +47,7 @@
 		budgets:  newBudgets(config.Retries, func() int { return len(config.Fleet.Members()) }),
 		prefix:   strconv.FormatUint(rand.Uint64(), 36) + "-",
 		inFlight: config.Metrics.Counter("gateway_requests_in_flight"),
+		prepared: time.Now().Add(preparation),
 	}
 }
 
@@ -142,6 +149,9 @@
 	x.call = call
 	call.Body = body
 	x.log = g.config.Logger.With(zap.String(logging.RequestID, call.ID))
+	if x.table == nil {
+		x.table = g.firstTable(r.Context(), x)
+	}
 	switch {
 	case x.table == nil:
 		return x, pointer(unprepared())
@@ -151,6 +161,23 @@
 	return x, g.find(x)
 }
 
+// firstTable waits for the declaration of an instance that has just started. It returns nil if none comes in time.
+func (g *Gateway) firstTable(ctx context.Context, x *exchange) *routing.Table {
+	wait := time.Until(g.prepared)
+	if wait <= 0 || g.stopping.Load() {
+		return nil
+	}
+	x.log.Debug("Waiting for the first declaration", zap.Duration("at-most", wait))
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-g.config.Fleet.Declared():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.config.Fleet.Table()
+}
+
 func pointer(r Refusal) *Refusal {
 	return &r
 }
