--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: build, test, lint, format, pages, demo, bench, measure, clean.
+# Targets: build, test, lint, format, pages, demo, bench, measure, soak, clean.
 
 MODULES := . controld entryd loadtool pierctl standin
 PROGRAMS := controld entryd loadtool pierctl standin
@@ -11,7 +11,7 @@
 
 export CGO_ENABLED = 1
 
-.PHONY: build test lint format pages demo bench measure clean
+.PHONY: build test lint format pages demo bench measure soak clean
 
 build:
 	@mkdir -p bin
@@ -52,5 +52,13 @@
 measure: build
 	scripts/measure
 
+# Fresh seeds of the fault soak: make soak SEEDS=10 SECONDS=12 FIRST=1000
+SEEDS ?= 10
+SECONDS ?= 12
+FIRST ?=
+
+soak:
+	SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=$(SECONDS) SOAK_FIRST=$(FIRST) go test -race -count=1 -timeout 1h -run '^TestSoak$$' -v ./platform
+
 clean:
 	rm -rf bin run results
