Explain a request from collected logs

Cause: on-call engineers have logs alone; a time line had to be put together by hand, and lines of dispatchers carried another id. Change: pierctl explain REQUEST-ID FILE... prints the course in words and bars; lines of entries bear the attempt id of their dispatcher's.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -37,6 +37,14 @@
 	return p, nil
 }
 
+// id names an attempt at a model engine in the lines of its dispatcher; it is empty for plain services.
+func (p *attempt) id() string {
+	if p.job == nil {
+		return ""
+	}
+	return p.job.ID
+}
+
 // placeJob asks for engines. A job that waits is given up with ctx.
 func (g *Gateway) placeJob(ctx context.Context, x *exchange, p *attempt) (*attempt, *Refusal) {
 	now := time.Now()
@@ -50,6 +58,7 @@
 		Waited: now.Sub(x.arrived), Left: x.left(now), Priority: x.workspace.Priority,
 		DataCentre: g.config.DataCentre, Exclude: x.tried,
 	}
+	x.attempt = p.job.ID
 	reply, err := g.config.Placer.Reserve(ctx, *p.job)
 	if err != nil {
 		return nil, pointer(g.ended(ctx, x))
@@ -94,7 +103,7 @@
 	if !fault.Is(err, NotRun) && !fault.Is(err, Unreached) {
 		x.sent++
 	}
-	x.log.Debug("Sent a request", zap.String(logging.Endpoint, p.hop.Endpoint), zap.Int("helpers", len(p.hop.Helpers)),
+	x.log.Debug("Sent a request", zap.String(logging.AttemptID, p.id()), zap.String(logging.Endpoint, p.hop.Endpoint), zap.Int("helpers", len(p.hop.Helpers)),
 		zap.Duration("left", p.hop.Left), zap.Duration("expected", p.grant.First), zap.Error(err))
 	return a, err
 }
@@ -131,7 +140,7 @@
 }
 
 func (g *Gateway) logFailure(x *exchange, p *attempt, blamed string, err error) {
-	x.log.Info("An attempt failed", zap.String(logging.Endpoint, blamed), zap.String("address", p.hop.Address),
+	x.log.Info("An attempt failed", zap.String(logging.AttemptID, p.id()), zap.String(logging.Endpoint, blamed), zap.String("address", p.hop.Address),
 		zap.Int("sent", x.sent), zap.Duration("after", time.Since(p.started)), zap.Error(err))
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -70,6 +70,8 @@
 	// tried are the ids of endpoints that failed the request, sent counts those that may have run it.
 	tried []string
 	sent  int
+	// attempt is the id of the last attempt at a model engine.
+	attempt string
 	// pause is the longest time between two events of a stream.
 	pause time.Duration
 	log   *zap.Logger
@@ -265,7 +267,7 @@
 // refuse answers with a refusal and logs the decision.
 func (g *Gateway) refuse(w http.ResponseWriter, x *exchange, refusal Refusal) {
 	g.config.Metrics.Counter("gateway_refusals_total", "status", strconv.Itoa(refusal.Status)).Inc(1)
-	x.log.Info("Refused a request", zap.Int("status", refusal.Status), zap.String("reason", refusal.Message),
+	x.log.Info("Refused a request", zap.String(logging.AttemptID, x.attempt), zap.Int("status", refusal.Status), zap.String("reason", refusal.Message),
 		zap.Duration("retry-after", refusal.RetryAfter), zap.String("route", x.route.Name), zap.Uint64("declaration", versionOf(x.table)),
 		zap.Int("sent", x.sent), zap.Strings("tried", x.tried), zap.Duration("after", time.Since(x.arrived)))
 	if refusal.Status == 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -127,7 +127,7 @@
 func (g *Gateway) noteFirst(x *exchange, p *attempt) {
 	took := time.Since(p.started)
 	g.config.Metrics.Histogram("gateway_first_event_microseconds", "service", x.service).Update(time.Since(x.arrived).Microseconds())
-	x.log.Info("First event of a stream", zap.String(logging.Endpoint, p.hop.Endpoint), zap.Int("helpers", len(p.hop.Helpers)),
+	x.log.Info("First event of a stream", zap.String(logging.AttemptID, p.id()), zap.String(logging.Endpoint, p.hop.Endpoint), zap.Int("helpers", len(p.hop.Helpers)),
 		zap.Int("prompt", x.call.Prompt.Tokens), zap.Duration("took", took), zap.Duration("expected", p.grant.First),
 		zap.Duration("after", time.Since(x.arrived)))
 	if p.job != nil {
--- a/pierctl/internal/cli/cli.go
+++ b/pierctl/internal/cli/cli.go
@@ -145,6 +145,7 @@
 					{Name: "remove", Usage: "remove a control instance", ArgsUsage: "INSTANCE", OnUsageError: usageError, Action: p.removeMember},
 				},
 			},
+			{Name: "explain", Usage: "tell from log files what happened to a request", ArgsUsage: "REQUEST-ID FILE…", OnUsageError: usageError, Action: p.explain},
 			{Name: "interactive", Usage: "read queries and transactions from standard input", OnUsageError: usageError, Action: p.interactive},
 			{Name: "check-settings", Usage: "check the settings and flags", Action: p.checkSettings},
 			shared.ReferenceCommand(reference),
