--- a/internal/placement/waiting.go
+++ b/internal/placement/waiting.go
@@ -7,7 +7,7 @@
 
 const (
 	// waitMin and waitMax bound the pause between two questions of a job that waits.
-	waitMin = 8 * time.Millisecond
+	waitMin = 20 * time.Millisecond
 	waitMax = 60 * time.Millisecond
 	// forgetWaiter is the silence after which a waiting job is forgotten.
 	forgetWaiter = 4 * waitMax
