Let the quorum grow to a wanted number of voters by itself

Cause: instances that join become learners, and learners only replace voters that were lost one after the other. Change: Config.Voters; a leader promotes a learner that has caught up while there are fewer voters and all of them are reachable. A learner at a voter's address stays that voter's successor. Tests (simulation): three voters and three standbys grow to five, all go down, two come back without disks: the other three go on and nothing committed is lost; the quorum does not grow while a voter is down.

--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -123,6 +123,7 @@
 	}
 	lost := c.lostVoter()
 	if lost == "" {
+		c.grow(m)
 		return
 	}
 	for _, o := range m.Members {
@@ -133,6 +134,31 @@
 	}
 }
 
+// grow promotes a standby while there are fewer voters than wanted, so that more of them may be lost at once. It
+// waits while a voter is not reachable, because one more voter raises the majority. A learner at the address of a voter
+// is the successor of that voter and takes no other place.
+func (c *core) grow(m Membership) {
+	if m.voters() >= c.wanted {
+		return
+	}
+	taken := make(map[string]bool)
+	for _, o := range m.Members {
+		if !o.Voter {
+			continue
+		}
+		if !c.live(o.ID) {
+			return
+		}
+		taken[o.Address] = true
+	}
+	for _, o := range m.Members {
+		if !o.Voter && !o.Observer && !taken[o.Address] && c.live(o.ID) {
+			_, _ = c.promote(o.ID, "")
+			return
+		}
+	}
+}
+
 // lost reports whether a member has been unreachable for the replacement time.
 func (c *core) lost(id string) bool {
 	p := c.peers[id]
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -143,6 +143,9 @@
 	Transport    Transport
 	Logger       *zap.Logger
 	Timing       Timing
+	// Voters is the number of voters up to which a leader promotes learners by itself; 0 means never. It
+	// does so while all voters are reachable.
+	Voters int
 	// SnapshotEvery is the number of applied entries between snapshots; 0 means 10,000.
 	SnapshotEvery int
 	// MaxPending bounds the proposals that wait for their commit; 0 means 4,096.
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -16,7 +16,9 @@
 	incarnation string
 	address     string
 	timing      Timing
-	random      *rand.Rand
+	// wanted is the number of voters up to which learners are promoted.
+	wanted int
+	random *rand.Rand
 
 	now   time.Duration
 	state journal.HardState
@@ -108,6 +110,7 @@
 		incarnation: contents.Identity.Incarnation,
 		address:     config.Address,
 		timing:      config.Timing.withDefaults(),
+		wanted:      config.Voters,
 		random:      random,
 		now:         now,
 		state:       contents.State,
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -369,6 +369,58 @@
 	is.Equal(s.violation, "")
 }
 
+// Guards against a quorum of three that does not survive two lost disks although standbys were there: with all down at
+// once and two of five voters wiped, the other three elect a leader, nothing committed is lost, and the wiped ones stop.
+func TestGrownQuorumSurvivesTwoLostDisks(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(11, 3, 3)
+	s.voters = 5
+	for _, id := range s.order {
+		s.nodes[id].core.wanted = 5
+	}
+	l := s.awaitLeader()
+	for _, id := range []string{"d", "e", "f"} {
+		s.change(l, id, 0)
+		s.advance(time.Second)
+	}
+	s.advance(5 * time.Second)
+	l = s.leader()
+	is.Equal(l.core.membership().voters(), 5)
+	s.propose(l, "acknowledged")
+	s.advance(time.Second)
+	highest := s.highest
+	for _, id := range s.order {
+		s.crash(id)
+	}
+	s.wipe("a")
+	s.wipe("b")
+	for _, id := range s.order {
+		s.start(id)
+	}
+	l = s.awaitLeader()
+	s.propose(l, "after")
+	s.advance(time.Second)
+	is.True(s.highest > highest)
+	is.Equal(s.violation, "")
+}
+
+// Guards against a larger majority while a voter is down.
+func TestQuorumDoesNotGrowWhileAVoterIsDown(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(12, 3, 1)
+	l := s.awaitLeader()
+	s.change(l, "d", 0)
+	s.advance(time.Second)
+	others := s.except(l.id)
+	s.crash(others[0])
+	s.advance(time.Second)
+	for _, id := range s.order {
+		s.nodes[id].core.wanted = 5
+	}
+	s.advance(time.Second)
+	is.Equal(s.leader().core.membership().voters(), 3)
+}
+
 // Guards against progress without a quorum, and against a cluster that stays down once it is back.
 func TestQuorumLostAndBack(t *testing.T) {
 	is := is.New(t)
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -15,6 +15,8 @@
 // simulation runs cores against a network, clocks and disks in memory, one input at a time, and
 // checks the safety properties of Raft after each. The first violation is kept.
 type simulation struct {
+	// voters is Config.Voters of all nodes.
+	voters int
 	now    time.Duration
 	nodes  map[string]*simulated
 	order  []string
@@ -109,7 +111,7 @@
 	}
 	disk := n.disk
 	disk.Entries = slices.Clone(n.disk.Entries)
-	config := Config{ID: id, Address: id, Bootstrap: s.servers, Timing: Timing{ReplaceAfter: 3 * time.Second}}
+	config := Config{ID: id, Address: id, Bootstrap: s.servers, Timing: Timing{ReplaceAfter: 3 * time.Second}, Voters: s.voters}
 	c, err := newCore(config, &disk, s.random, s.clock(n))
 	if err != nil {
 		panic(err)
