--- a/controld/internal/cli/interfaces.go
+++ b/controld/internal/cli/interfaces.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	return d.serveHTTP(ctx, listener, platform.NewControl(platform.ControlConfig{
+	return serveHTTP(ctx, listener, platform.NewControl(platform.ControlConfig{
 		Quorum: d.control, Document: d.machine.Document, Logger: d.logger,
-	}))
+	}), d.logger)
 }
--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -54,6 +54,13 @@
 	}
 	defer func() { _ = logger.Sync() }()
 	debug.SetMemoryLimit(memoryLimit(s.MemoryLimit))
+	if s.DataDirectory == "" {
+		r, err := newRelay(path, s, logger)
+		if err != nil {
+			return err
+		}
+		return r.serve(ctx)
+	}
 	for {
 		err := runOnce(ctx, path, s, logger)
 		if err == nil || len(s.Seeds) == 0 || !formation.Fresh(err) {
@@ -111,6 +118,7 @@
 		Transport:     consensus.NewPeerTransport(d.pool),
 		Logger:        logger,
 		Timing:        consensus.Timing{ReplaceAfter: s.ReplaceAfter},
+		Voters:        s.Voters,
 		SnapshotEvery: s.SnapshotEvery,
 	})
 	if err != nil {
@@ -277,7 +285,7 @@
 			if err != nil {
 				return err
 			}
-			return d.serveHTTP(ctx, listener, handler)
+			return serveHTTP(ctx, listener, handler, d.logger)
 		}))
 	}
 	d.logger.Info("Started", zap.String("peer", d.settings.peerAddress()))
@@ -296,7 +304,7 @@
 		listener = tls.NewListener(listener, d.certificates.Server)
 	}
 	started(listener.Addr())
-	return d.serveHTTP(ctx, listener, d.operators())
+	return serveHTTP(ctx, listener, d.operators(), d.logger)
 }
 
 // ready fails on an instance that knows no leader.
@@ -316,8 +324,8 @@
 )
 
 // serveHTTP serves until ctx ends and then finishes the requests in flight.
-func (d *daemon) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	errorLog, _ := zap.NewStdLogAt(d.logger, zap.DebugLevel)
+func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, logger *zap.Logger) error {
+	errorLog, _ := zap.NewStdLogAt(logger, zap.DebugLevel)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: errorLog}
 	end := make(chan error, 1)
 	go func() { end <- server.Serve(listener) }()
--- a/controld/internal/cli/settings.go
+++ b/controld/internal/cli/settings.go
@@ -13,7 +13,7 @@
 type Settings struct {
 	Instance       string              `yaml:"instance" validate:"required" description:"Name of this instance, unique in the deployment. An instance that lost its disk returns under a new one."`
 	DataCentre     string              `yaml:"data-centre" validate:"required" description:"Data centre of this instance."`
-	DataDirectory  string              `yaml:"data-directory" validate:"required" description:"Directory of the log and snapshots, on a disk that keeps synced files."`
+	DataDirectory  string              `yaml:"data-directory" validate:"required_without=PlatformListen" description:"Directory of the log and snapshots, on a disk that keeps synced files. Without one, an instance with platform-listen and seeds passes calls on to the quorum."`
 	PeerListen     string              `yaml:"peer-listen" validate:"required,listen_address" description:"Address for the other processes of the system."`
 	AdvertisePeer  string              `yaml:"advertise-peer" validate:"omitempty,hostname_port" description:"Address that other processes are told; empty means the address listened on."`
 	OperatorListen string              `yaml:"operator-listen" validate:"omitempty,listen_address" description:"Address of the operators' API; empty means none."`
@@ -28,6 +28,7 @@
 	Operators      []operator.Operator `yaml:"operators" validate:"dive" description:"People who may issue commands and queries."`
 	SnapshotEvery  int                 `yaml:"snapshot-every" validate:"min=16" description:"Entries of the log between two snapshots."`
 	ReplaceAfter   time.Duration       `yaml:"replace-after" validate:"gt=0" description:"Time for which a voter is unreachable before a standby takes its place."`
+	Voters         int                 `yaml:"voters" validate:"min=0,max=9" description:"Number of voters up to which instances that have joined become voters by themselves; 0 means never."`
 	MaxLoads       int                 `yaml:"max-loads" validate:"min=1" description:"Engines that the weight store can serve at a time."`
 	LogLevel       string              `yaml:"log-level" validate:"oneof=debug info warn error" description:"Least level of log lines."`
 	TLS            TLS                 `yaml:"tls"`
@@ -87,6 +88,9 @@
 	if s.ClusterKey == "" && !s.OpenNetwork {
 		return Settings{}, settings.Refuse(path, "cluster-key", "a cluster key is required unless open-network is set")
 	}
+	if s.DataDirectory == "" && len(s.Seeds) == 0 {
+		return Settings{}, settings.Refuse(path, "data-directory", "a data directory is required where there are no seeds")
+	}
 	return s, s.TLS.Check(s.TLS.use())
 }
 
