--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -40,6 +40,27 @@
 	})
 }
 
+// Guards against schedules of faults that break safety while the quorum grows by itself, and against a quorum that does
+// not recover afterwards.
+func TestSafetyWhileTheQuorumGrows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(rapid.Uint64().Draw(t, "seed"), 3, 3)
+		s.want(5)
+		l := s.awaitLeader()
+		for _, id := range []string{"d", "e", "f"} {
+			s.change(l, id, 0)
+		}
+		choose := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		for range 100 {
+			s.disturb(choose)
+		}
+		s.recover()
+		if s.violation != "" {
+			t.Fatal(s.violation)
+		}
+	})
+}
+
 // Guards against an answer that is given before the state is stored: the leader and a voter that both
 // answered lose power, and the entry must survive. The naive version sends first and stores then.
 func TestAnswerAfterStore(t *testing.T) {
@@ -374,10 +395,7 @@
 func TestGrownQuorumSurvivesTwoLostDisks(t *testing.T) {
 	is := is.New(t)
 	s := newSimulation(11, 3, 3)
-	s.voters = 5
-	for _, id := range s.order {
-		s.nodes[id].core.wanted = 5
-	}
+	s.want(5)
 	l := s.awaitLeader()
 	for _, id := range []string{"d", "e", "f"} {
 		s.change(l, id, 0)
@@ -414,9 +432,7 @@
 	others := s.except(l.id)
 	s.crash(others[0])
 	s.advance(time.Second)
-	for _, id := range s.order {
-		s.nodes[id].core.wanted = 5
-	}
+	s.want(5)
 	s.advance(time.Second)
 	is.Equal(s.leader().core.membership().voters(), 3)
 }
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -125,6 +125,14 @@
 	return n
 }
 
+// want sets the number of voters up to which the quorum grows by itself, now and at later starts.
+func (s *simulation) want(voters int) {
+	s.voters = voters
+	for _, n := range s.nodes {
+		n.core.wanted = voters
+	}
+}
+
 func (s *simulation) crash(id string) {
 	s.nodes[id].up = false
 }
