Ask silent entries what they run when all slots are taken

Change: a job that finds all slots taken waits up to 60 ms while entries that were not heard of for 100 ms are asked for their jobs; one that refuses connections runs nothing, one that does not answer keeps its jobs.

--- a/entryd/internal/cli/gateway.go
+++ b/entryd/internal/cli/gateway.go
@@ -33,17 +33,18 @@
 	options *options.Gateway
 	path    string
 	// self is this instance as the others see it.
-	self     session.Member
-	logger   *zap.Logger
-	metrics  *metrics.Registry
-	pool     *peer.Pool
-	peers    *peer.Server
-	control  *control.Client
-	keeper   *session.Keeper
-	fleet    *gateway.Fleet
-	placer   *placement.Client
-	gateway  *gateway.Gateway
-	draining atomic.Bool
+	self       session.Member
+	logger     *zap.Logger
+	metrics    *metrics.Registry
+	pool       *peer.Pool
+	peers      *peer.Server
+	control    *control.Client
+	keeper     *session.Keeper
+	fleet      *gateway.Fleet
+	placer     *placement.Client
+	dispatcher *placement.Service
+	gateway    *gateway.Gateway
+	draining   atomic.Bool
 }
 
 // serveGateway runs an entry until ctx ends, then drains it.
@@ -79,9 +80,9 @@
 		Member: e.self, Leader: e.control, Logger: e.logger, Learn: e.control.Learn,
 	})
 	e.fleet = gateway.NewFleet(gateway.FleetConfig{Session: e.keeper, Decode: platform.DecodeDocument, Logger: e.logger})
-	dispatcher := placement.NewService(e.fleet, e.logger)
+	e.dispatcher = placement.NewService(placement.ServiceConfig{Fleet: e.fleet, Peer: e.fleet.Peer, Caller: e.pool, Logger: e.logger})
 	e.placer = placement.NewClient(placement.ClientConfig{
-		Instance: o.Instance, Dispatchers: e.fleet.Dispatchers, Local: dispatcher, Fleet: e.fleet, Caller: e.pool, Logger: e.logger,
+		Instance: o.Instance, Dispatchers: e.fleet.Dispatchers, Local: e.dispatcher, Fleet: e.fleet, Caller: e.pool, Logger: e.logger,
 	})
 	e.gateway = gateway.New(gateway.Config{
 		DataCentre: o.DataCentre, Fleet: e.fleet, Callers: platform.Callers{}, Endpoints: platform.Endpoints{},
@@ -91,7 +92,10 @@
 	metrics.RegisterProcess(e.metrics)
 	e.metrics.GaugeFunc("log_lines_dropped_total", logging.Dropped)
 	e.metrics.GaugeFunc("peer_bytes_total", func() int64 { return e.pool.Traffic() + e.peers.Traffic() })
-	return e.peers.Register(placement.ServiceName, dispatcher)
+	if err := e.peers.Register(placement.WitnessName, placement.NewWitness(e.placer)); err != nil {
+		return err
+	}
+	return e.peers.Register(placement.ServiceName, e.dispatcher)
 }
 
 func (e *gatewayEntry) member() session.Member {
@@ -174,6 +178,7 @@
 		task.Start(ctx, e.keeper.Run),
 		task.Start(ctx, e.fleet.Run),
 		task.Start(ctx, e.placer.Run),
+		task.Start(ctx, e.dispatcher.Run),
 		task.Start(ctx, func(ctx context.Context) error { return settings.Watch(ctx, e.path, e.reload) }),
 	}
 	list := e.listeners()
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -136,6 +136,16 @@
 	return f.state.Load().members
 }
 
+// Peer returns the peer address of a live entry.
+func (f *Fleet) Peer(instance string) (address string, ok bool) {
+	for _, m := range f.Members() {
+		if m.Instance == instance {
+			return m.Peer, true
+		}
+	}
+	return "", false
+}
+
 // Quarantined reports whether a request is refused because it crashes endpoints.
 func (f *Fleet) Quarantined(fingerprint uint64) bool {
 	return f.state.Load().quarantined[fingerprint]
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -80,7 +80,7 @@
 	best, ok := s.spread(now, &j, usable, 1)
 	switch {
 	case !ok:
-		return s.rejected(now, "no engine has a slot and memory for the request")
+		return s.full(now, "no engine has a slot and memory for the request")
 	case best.first > j.Left:
 		return s.rejected(now, tooLate(best.first, j.Left))
 	}
@@ -274,3 +274,10 @@
 	}
 	return ReserveReply{Status: Rejected, After: min(retryMax, max(retryMin, after)), Reason: reason}
 }
+
+// full is the reply for a job that finds all slots or all memory taken.
+func (s *Scheduler) full(now time.Time, reason string) ReserveReply {
+	reply := s.rejected(now, reason)
+	reply.Full = true
+	return reply
+}
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -360,6 +360,13 @@
 	return batches
 }
 
+// ids returns the ids of all jobs that run.
+func (c *Client) ids() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.running))
+}
+
 // addTo adds events to the batch of a dispatcher.
 func addTo(batches map[Dispatcher]*batch, d Dispatcher, events ...Event) *batch {
 	b := batches[d]
--- a/internal/placement/client_test.go
+++ b/internal/placement/client_test.go
@@ -57,7 +57,7 @@
 
 func startClient(t *testing.T, instance string, n *network, fleet Fleet) *Client {
 	c := NewClient(ClientConfig{
-		Instance: instance, Local: NewService(fleet, zap.NewNop()), Fleet: fleet, Caller: n, Logger: zap.NewNop(),
+		Instance: instance, Local: NewService(ServiceConfig{Fleet: fleet, Logger: zap.NewNop()}), Fleet: fleet, Caller: n, Logger: zap.NewNop(),
 		Dispatchers: func(string) []Dispatcher { return []Dispatcher{{"a", "a"}, {"b", "b"}} },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -82,7 +82,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fleet := fakeFleet{engines(4)}
-		n := &network{services: map[string]*Service{"a": NewService(fleet, zap.NewNop()), "b": NewService(fleet, zap.NewNop())}, down: map[string]bool{}}
+		n := &network{services: map[string]*Service{"a": NewService(ServiceConfig{Fleet: fleet, Logger: zap.NewNop()}), "b": NewService(ServiceConfig{Fleet: fleet, Logger: zap.NewNop()})}, down: map[string]bool{}}
 		entries := []*Client{startClient(t, "entry-1", n, fleet), startClient(t, "entry-2", n, fleet)}
 		reserve := func(entry, id int) Job {
 			j := short(fmt.Sprint(entry, "-", id))
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -69,7 +69,7 @@
 	case latest > 0:
 		return s.wait(now, usable, "no engine is free")
 	default:
-		return s.rejected(now, "no engines have slots and memory for the request")
+		return s.full(now, "no engines have slots and memory for the request")
 	}
 }
 
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -19,13 +19,14 @@
 	jobs  map[string]*job
 	// waiting are long prompts that wait for engines to be free.
 	waiting map[string]*waiter
-	// heard is when each entry was last heard of.
+	// heard is when each entry was last heard of, asked when it was asked for its jobs.
 	heard map[string]time.Time
+	asked map[string]time.Time
 }
 
 // NewScheduler returns a scheduler without engines.
 func NewScheduler(engine routing.Engine) *Scheduler {
-	return &Scheduler{engine: engine.WithDefaults(), replicas: make(map[string]*replica), jobs: make(map[string]*job), waiting: make(map[string]*waiter), heard: make(map[string]time.Time)}
+	return &Scheduler{engine: engine.WithDefaults(), replicas: make(map[string]*replica), jobs: make(map[string]*job), waiting: make(map[string]*waiter), heard: make(map[string]time.Time), asked: make(map[string]time.Time)}
 }
 
 // UseEngine replaces the declared times of the engines.
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -74,33 +74,61 @@
 	}
 }
 
+// ServiceConfig sets up a Service.
+type ServiceConfig struct {
+	Fleet Fleet
+	// Peer returns the peer address of an entry.
+	Peer   func(instance string) (address string, ok bool)
+	Caller Caller
+	Logger *zap.Logger
+}
+
 // Service is the dispatcher of services, over net/rpc.
 type Service struct {
+	config     ServiceConfig
 	life       uint64
 	schedulers *schedulers
-	logger     *zap.Logger
+	questions  chan question
 }
 
-// NewService returns a dispatcher that knows of no running jobs.
-func NewService(fleet Fleet, logger *zap.Logger) *Service {
-	return &Service{life: rand.Uint64(), schedulers: newSchedulers(fleet), logger: logger}
+// NewService returns a dispatcher that knows of no running jobs; Run must run.
+func NewService(config ServiceConfig) *Service {
+	return &Service{
+		config: config, life: rand.Uint64(), schedulers: newSchedulers(config.Fleet), questions: make(chan question, maxQuestions),
+	}
 }
 
 // Reserve places a job.
 func (s *Service) Reserve(request ReserveRequest, reply *ReserveReply) error {
 	ok := s.schedulers.with(request.Job.Service, func(now time.Time, scheduler *Scheduler) {
 		*reply = scheduler.Reserve(now, request.Entry, request.Job)
+		if reply.Full && s.askSilent(now, scheduler, request.Job.Service) {
+			*reply = ReserveReply{Status: Wait, After: recheck, Reason: "entries that may be gone hold slots"}
+		}
 	})
 	if !ok {
 		*reply = ReserveReply{Status: Rejected, After: retryMin, Reason: "this instance knows no such service"}
 	}
 	reply.Life = s.life
-	s.logger.Debug("Decided on a job", zap.String(logging.AttemptID, request.Job.ID), zap.Int("prompt", request.Job.Prompt),
+	s.config.Logger.Debug("Decided on a job", zap.String(logging.AttemptID, request.Job.ID), zap.Int("prompt", request.Job.Prompt),
 		zap.Duration("waited", request.Job.Waited), zap.String("status", string(reply.Status)), zap.String("reason", reply.Reason),
 		zap.Strings("engines", reply.Grant.endpoints()), zap.Duration("expected", reply.Grant.First), zap.Duration("after", reply.After))
 	return nil
 }
 
+// askSilent has the silent entries asked for their jobs and reports whether answers are expected.
+func (s *Service) askSilent(now time.Time, scheduler *Scheduler, service string) bool {
+	entries, expected := scheduler.Silent(now)
+	for _, entry := range entries {
+		select {
+		case s.questions <- question{service, entry}:
+		default:
+			return false
+		}
+	}
+	return expected
+}
+
 // Report takes events of jobs.
 func (s *Service) Report(request ReportRequest, reply *ReportReply) error {
 	for _, e := range request.Events {
--- a/internal/placement/wire.go
+++ b/internal/placement/wire.go
@@ -103,6 +103,8 @@
 	After time.Duration
 	// Reason explains a rejection or why the job waits.
 	Reason string
+	// Full says of a rejection that all slots or all memory are taken.
+	Full bool
 }
 
 // EventType says what happened to a job.
