--- a/controld/internal/cli/formation.go
+++ b/controld/internal/cli/formation.go
@@ -10,6 +10,7 @@
 
 	"github.com/dandelionpier/dandelionpier/controld/internal/formation"
 	"github.com/dandelionpier/dandelionpier/internal/consensus"
+	"github.com/dandelionpier/dandelionpier/internal/control"
 )
 
 // identify returns how this instance takes part in the quorum: by its name in the bootstrap list, or by what
@@ -108,13 +109,13 @@
 
 // reload takes over the seeds of the settings file. Other options need a restart. A file that cannot be used
 // leaves the settings in force.
-func (d *daemon) reload() {
-	s, err := loadSettings(d.seeds.path)
+func (s *seeds) reload(client *control.Client, addresses func() []string, logger *zap.Logger) {
+	loaded, err := loadSettings(s.path)
 	if err != nil {
-		d.logger.Error("Could not reload the settings; the old ones stay in force", zap.Error(err))
+		logger.Error("Could not reload the settings; the old ones stay in force", zap.Error(err))
 		return
 	}
-	d.seeds.use(s.Seeds)
-	d.control.Use(d.controlAddresses())
-	d.logger.Info("Reloaded the settings", zap.Strings("seeds", s.Seeds))
+	s.use(loaded.Seeds)
+	client.Use(addresses())
+	logger.Info("Reloaded the settings", zap.Strings("seeds", loaded.Seeds))
 }
--- a/controld/internal/cli/interfaces.go
+++ b/controld/internal/cli/interfaces.go
@@ -15,7 +15,9 @@
 func (d *daemon) interfaces(ctx context.Context) []<-chan error {
 	ends := []<-chan error{
 		task.Start(ctx, d.join),
-		task.Start(ctx, func(ctx context.Context) error { return settings.Watch(ctx, d.seeds.path, d.reload) }),
+		task.Start(ctx, func(ctx context.Context) error {
+			return settings.Watch(ctx, d.seeds.path, func() { d.seeds.reload(d.control, d.controlAddresses, d.logger) })
+		}),
 	}
 	if d.settings.OperatorListen != "" {
 		orders, roles := d.controllers()
@@ -34,11 +36,7 @@
 
 // servePlatform serves check-ins and declarations in the platform's form until ctx ends.
 func (d *daemon) servePlatform(ctx context.Context) error {
-	listener, err := net.Listen("tcp", d.settings.PlatformListen)
-	if err != nil {
-		return err
-	}
-	return serveHTTP(ctx, listener, platform.NewControl(platform.ControlConfig{
+	return listenHTTP(ctx, d.settings.PlatformListen, platform.NewControl(platform.ControlConfig{
 		Quorum: d.control, Document: d.machine.Document, Logger: d.logger,
 	}), d.logger)
 }
--- a/controld/internal/cli/relay.go
+++ b/controld/internal/cli/relay.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"net/http"
 
 	"go.uber.org/zap"
 
@@ -41,16 +41,11 @@
 	return r, nil
 }
 
-// reload takes over the seeds of the settings file.
-func (r *relay) reload() {
-	s, err := loadSettings(r.seeds.path)
-	if err != nil {
-		r.logger.Error("Could not reload the settings; the old ones stay in force", zap.Error(err))
-		return
-	}
-	r.seeds.use(s.Seeds)
-	r.control.Use(r.seeds.peers())
-	r.logger.Info("Reloaded the settings", zap.Strings("seeds", s.Seeds))
+// api passes calls on. It holds no declaration, so it takes check-ins for any service.
+func (r *relay) api() http.Handler {
+	return platform.NewControl(platform.ControlConfig{
+		Quorum: r.control, Document: func() declaration.Document { return declaration.Document{} }, Logger: r.logger,
+	})
 }
 
 // serve runs until ctx ends or a part fails.
@@ -58,28 +53,18 @@
 	defer r.pool.Close()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	api := platform.NewControl(platform.ControlConfig{
-		Quorum: r.control, Document: func() declaration.Document { return declaration.Document{} }, Logger: r.logger,
-	})
 	ends := []<-chan error{
-		task.Start(ctx, func(ctx context.Context) error { return settings.Watch(ctx, r.seeds.path, r.reload) }),
 		task.Start(ctx, func(ctx context.Context) error {
-			listener, err := net.Listen("tcp", r.settings.PlatformListen)
-			if err != nil {
-				return err
-			}
-			return serveHTTP(ctx, listener, api, r.logger)
+			return settings.Watch(ctx, r.seeds.path, func() { r.seeds.reload(r.control, r.seeds.peers, r.logger) })
+		}),
+		task.Start(ctx, func(ctx context.Context) error {
+			return listenHTTP(ctx, r.settings.PlatformListen, r.api(), r.logger)
 		}),
 	}
 	if r.settings.MetricsListen != "" {
-		ready := func() error { return nil }
-		handler := metrics.Handler(metrics.HandlerConfig{Registry: r.registry, Ready: ready})
+		handler := metrics.Handler(metrics.HandlerConfig{Registry: r.registry, Ready: func() error { return nil }})
 		ends = append(ends, task.Start(ctx, func(ctx context.Context) error {
-			listener, err := net.Listen("tcp", r.settings.MetricsListen)
-			if err != nil {
-				return err
-			}
-			return serveHTTP(ctx, listener, handler, r.logger)
+			return listenHTTP(ctx, r.settings.MetricsListen, handler, r.logger)
 		}))
 	}
 	r.logger.Info("Started without a data directory; passing calls on to the quorum", zap.Strings("seeds", r.settings.Seeds))
--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -281,11 +281,7 @@
 	if d.settings.MetricsListen != "" {
 		handler := metrics.Handler(metrics.HandlerConfig{Registry: d.registry, Ready: d.ready, Profiles: true})
 		ends = append(ends, task.Start(ctx, func(ctx context.Context) error {
-			listener, err := net.Listen("tcp", d.settings.MetricsListen)
-			if err != nil {
-				return err
-			}
-			return serveHTTP(ctx, listener, handler, d.logger)
+			return listenHTTP(ctx, d.settings.MetricsListen, handler, d.logger)
 		}))
 	}
 	d.logger.Info("Started", zap.String("peer", d.settings.peerAddress()))
@@ -323,6 +319,15 @@
 	shutdownTimeout   = 10 * time.Second
 )
 
+// listenHTTP listens on an address and serves until ctx ends.
+func listenHTTP(ctx context.Context, address string, handler http.Handler, logger *zap.Logger) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	return serveHTTP(ctx, listener, handler, logger)
+}
+
 // serveHTTP serves until ctx ends and then finishes the requests in flight.
 func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, logger *zap.Logger) error {
 	errorLog, _ := zap.NewStdLogAt(logger, zap.DebugLevel)
--- a/internal/placement/presence.go
+++ b/internal/placement/presence.go
@@ -23,10 +23,10 @@
 	recheck = 15 * time.Millisecond
 )
 
-// Silent returns the entries with jobs that were not heard of lately and are to be asked what runs, and whether answers
+// EntriesToAsk returns the entries with jobs that were not heard of lately and are to be asked what runs, and whether answers
 // are expected. It answers the death of many entries at once: their streams end with them, their callers are back
 // at once, and the slots count as taken until the silence of the entries is long.
-func (s *Scheduler) Silent(now time.Time) (entries []string, expected bool) {
+func (s *Scheduler) EntriesToAsk(now time.Time) (entries []string, expected bool) {
 	for _, j := range s.jobs {
 		asked := now.Sub(s.asked[j.entry])
 		if asked < askTimeout {
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -118,7 +118,7 @@
 
 // askSilent has the silent entries asked for their jobs and reports whether answers are expected.
 func (s *Service) askSilent(now time.Time, scheduler *Scheduler, service string) bool {
-	entries, expected := scheduler.Silent(now)
+	entries, expected := scheduler.EntriesToAsk(now)
 	for _, entry := range entries {
 		select {
 		case s.questions <- question{service, entry}:
