--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -26,8 +26,6 @@
 	passEnd time.Time
 	writers []*run
 	read    []*part
-	// served is the time in passes.
-	served time.Duration
 }
 
 // part is the share of a prompt that one engine reads.
@@ -43,7 +41,6 @@
 type run struct {
 	Request
 	helpers []*engine
-	parts   []*part
 	// unread counts parts that are not read yet.
 	unread  int
 	reading bool
@@ -91,11 +88,9 @@
 	readers := append([]*engine{head}, r.helpers...)
 	tokens := (r.memory() + len(readers) - 1) / len(readers)
 	perToken := head.declared.TokenTime(r.memory())
-	r.reading, r.unread, r.parts = true, len(readers), nil
+	r.reading, r.unread = true, len(readers)
 	for _, e := range readers {
-		p := &part{run: r, left: tokens, perToken: perToken, divided: len(readers) > 1}
-		r.parts = append(r.parts, p)
-		e.enqueue(p)
+		e.enqueue(&part{run: r, left: tokens, perToken: perToken, divided: len(readers) > 1})
 	}
 }
 
@@ -108,8 +103,8 @@
 	e.parts = append(e.parts, p)
 }
 
-// begin starts a pass at now if there is work, and reports whether it did.
-func (e *engine) begin(now time.Time) bool {
+// begin starts a pass at now if there is work.
+func (e *engine) begin(now time.Time) {
 	e.admit()
 	e.preempt()
 	e.writers, e.read = nil, nil
@@ -123,7 +118,7 @@
 		}
 	}
 	if len(e.writers) == 0 && len(e.parts) == 0 {
-		return false
+		return
 	}
 	step := e.declared.StepTime(len(e.writers), context)
 	var length time.Duration
@@ -132,8 +127,6 @@
 	}
 	length = time.Duration(float64(length) * e.pace)
 	e.busy, e.passEnd = true, now.Add(length)
-	e.served += length
-	return true
 }
 
 // readChunk reads what one step can, and returns the time of it.
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -132,12 +132,3 @@
 	}
 	return events
 }
-
-// Served returns the time that all engines have spent in passes.
-func (p *Pool) Served() time.Duration {
-	var sum time.Duration
-	for _, e := range p.engines {
-		sum += e.served
-	}
-	return sum
-}
--- a/pierctl/internal/explanation/line.go
+++ b/pierctl/internal/explanation/line.go
@@ -39,14 +39,11 @@
 	Took         float64  `json:"took"`
 	Expected     float64  `json:"expected"`
 	LongestPause float64  `json:"longest-pause"`
-	Waited       float64  `json:"waited"`
 	RetryAfter   float64  `json:"retry-after"`
 	Status       int      `json:"-"`
 	Decision     string   `json:"-"`
 	Reason       string   `json:"reason"`
 	Error        string   `json:"error"`
-	Route        string   `json:"route"`
-	Service      string   `json:"service"`
 	Declaration  uint64   `json:"declaration"`
 	Sent         int      `json:"sent"`
 	Events       int      `json:"events"`
