--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -29,6 +29,8 @@
 	requesterByToken map[uint64]string
 	lastToken        uint64
 	servers          []Server
+	// retired holds the nodes that have stopped for good.
+	retired map[string]bool
 
 	// The fields below record what was observed so far.
 	leaderByTerm     map[uint64]string
@@ -78,7 +80,7 @@
 	s := &simulation{
 		nodes: make(map[string]*simulatedNode), random: rand.New(rand.NewPCG(seed, 1)),
 		cutLinks: make(map[[2]string]bool), requestLossLinks: make(map[[2]string]bool),
-		requesterByToken: make(map[uint64]string), leaderByTerm: make(map[uint64]string),
+		retired: make(map[string]bool), requesterByToken: make(map[uint64]string), leaderByTerm: make(map[uint64]string),
 		entryChecksums: make(map[[2]uint64][2]uint64), committed: make(map[uint64]journal.Entry), minReadIndexes: make(map[uint64]uint64),
 	}
 	for i := range voters {
@@ -137,6 +139,11 @@
 	}
 }
 
+// newID returns an id that no node has yet.
+func (s *simulation) newID() string {
+	return string(rune('a' + len(s.order)))
+}
+
 func (s *simulation) crash(id string) {
 	s.nodes[id].up = false
 }
