Keep the number of voters odd, and remove an absent voter of an even number

Cause: the quorum grew from three to four voters as soon as a fourth instance had joined. A voter that then stopped for good stayed in the list, because a lost voter left only when a further learner could take its place. One lost disk left two voters of four, and three were needed. Four voters bear one loss like three, so the fourth bought nothing and cost the quorum. The class: the list of voters holds one whose instance is gone.

Change: learners are promoted in pairs, so that the number of voters is odd; the leader of a cluster with a target removes an absent voter at once while the number is even, which costs no tolerance, and promotes a learner in its place first while it is odd. A voter without a successor stays, because it may return with its files.

TestQuorumDoesNotGrowWhileAVoterIsDown has two learners now, since one alone no longer makes the quorum grow in any case. TestVotersStayOdd and TestAbsentVoter are new.

--- a/controld/internal/cli/settings.go
+++ b/controld/internal/cli/settings.go
@@ -28,7 +28,7 @@
 	Operators      []operator.Operator `yaml:"operators" validate:"dive" description:"People who may issue commands and queries."`
 	SnapshotEvery  int                 `yaml:"snapshot-every" validate:"min=16" description:"Entries of the log between two snapshots."`
 	ReplaceAfter   time.Duration       `yaml:"replace-after" validate:"gt=0" description:"Time for which a voter is unreachable before a standby takes its place."`
-	Voters         int                 `yaml:"voters" validate:"min=0,max=9" description:"Number of voters up to which instances that have joined become voters by themselves; 0 means never."`
+	Voters         int                 `yaml:"voters" validate:"min=0,max=9" description:"Number of voters up to which instances that have joined become voters by themselves, always to an odd number; 0 means never."`
 	MaxLoads       int                 `yaml:"max-loads" validate:"min=1" description:"Engines that the weight store can serve at a time."`
 	LogLevel       string              `yaml:"log-level" validate:"oneof=debug info warn error" description:"Least level of log lines."`
 	TLS            TLS                 `yaml:"tls"`
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -152,7 +152,8 @@
 	Logger       *zap.Logger
 	Timing       Timing
 	// TargetVoters is the number of voters up to which a leader promotes learners automatically; 0
-	// disables this. It promotes only while all voters are reachable.
+	// disables this. It promotes only while all voters are reachable and only up to an odd number,
+	// and it removes an unreachable voter of an even number.
 	TargetVoters int
 	// SnapshotEvery is the number of applied entries between snapshots; 0 means 10,000.
 	SnapshotEvery int
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -429,10 +429,12 @@
 // Guards against a growing quorum while a voter is down.
 func TestQuorumDoesNotGrowWhileAVoterIsDown(t *testing.T) {
 	is := is.New(t)
-	s := newSimulation(12, 3, 1)
+	s := newSimulation(12, 3, 2)
 	l := s.awaitLeader()
-	s.change(l, "d", 0)
-	s.advance(time.Second)
+	for _, id := range []string{"d", "e"} {
+		s.change(l, id, 0)
+		s.advance(time.Second)
+	}
 	others := s.otherThan(l.id)
 	s.crash(others[0])
 	s.advance(time.Second)
--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -1,8 +1,6 @@
 package consensus
 
 import (
-	"iter"
-
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 )
 
@@ -111,81 +109,3 @@
 	}
 	return c.changeMembership(m.without(id))
 }
-
-// replaceLostVoters promotes a learner when a voter has been unreachable for too long, and removes
-// the lost voter once the learner has caught up. A refused step is retried at the next heartbeat.
-func (c *core) replaceLostVoters() {
-	if c.timing.ReplaceAfter < 0 || c.log.commitIndex < c.termStartIndex || c.membershipIndex() > c.log.commitIndex {
-		return
-	}
-	m := c.membership()
-	if m.Replaced != "" && m.voter(m.Replaced) {
-		if c.unreachableTooLong(m.Fresh) && c.peers[m.Fresh].matchIndex < c.membershipIndex() {
-			_, _ = c.removeMember(m.Fresh)
-			return
-		}
-		_, _ = c.removeMember(m.Replaced)
-		return
-	}
-	lost := c.lostVoter()
-	if lost == "" {
-		c.growQuorum(m)
-		return
-	}
-	for _, o := range m.Members {
-		if !o.Voter && !o.Observer && c.reachableAndCaughtUp(o.ID) {
-			_, _ = c.promoteLearner(o.ID, lost)
-			return
-		}
-	}
-}
-
-// growQuorum promotes a learner while there are fewer voters than targetVoters, so that more voters
-// may be lost at the same time. It waits while a voter is unreachable, because another voter would
-// raise the size of a quorum. A learner at the address of a voter is the successor of that voter
-// and is not promoted as an additional one.
-func (c *core) growQuorum(m Membership) {
-	if m.voters() >= c.targetVoters {
-		return
-	}
-	voterAddresses := make(map[string]bool)
-	for _, o := range m.Members {
-		if !o.Voter {
-			continue
-		}
-		if !c.reachableAndCaughtUp(o.ID) {
-			return
-		}
-		voterAddresses[o.Address] = true
-	}
-	for _, o := range m.Members {
-		if !o.Voter && !o.Observer && !voterAddresses[o.Address] && c.reachableAndCaughtUp(o.ID) {
-			_, _ = c.promoteLearner(o.ID, "")
-			return
-		}
-	}
-}
-
-// unreachableTooLong reports whether a member has been unreachable for longer than ReplaceAfter.
-func (c *core) unreachableTooLong(id string) bool {
-	p := c.peers[id]
-	return p != nil && c.now > p.lastReplyAt+c.timing.ReplaceAfter
-}
-
-func (c *core) lostVoter() string {
-	for id := range c.lostVoters() {
-		return id
-	}
-	return ""
-}
-
-// lostVoters yields the voters that have been unreachable for too long.
-func (c *core) lostVoters() iter.Seq[string] {
-	return func(yield func(string) bool) {
-		for _, m := range c.membership().Members {
-			if m.Voter && c.unreachableTooLong(m.ID) && !yield(m.ID) {
-				return
-			}
-		}
-	}
-}
--- /dev/null
+++ b/internal/consensus/replacement.go
@@ -0,0 +1,122 @@
+package consensus
+
+import "iter"
+
+// An odd number of voters bears as many lost voters as the next even number, with a smaller quorum.
+// The leader of a cluster with a target therefore keeps the number of voters odd: it promotes
+// learners in pairs, and it removes an absent voter at once when the number is even. With an odd
+// number it promotes a learner first.
+
+// replaceLostVoters removes voters that have been unreachable for too long, or promotes learners
+// that take their place. It makes at most one membership change; a refused one is retried at the
+// next heartbeat.
+func (c *core) replaceLostVoters() {
+	if c.timing.ReplaceAfter < 0 || c.log.commitIndex < c.termStartIndex || c.membershipIndex() > c.log.commitIndex {
+		return
+	}
+	m := c.membership()
+	if m.Replaced != "" && m.voter(m.Replaced) {
+		c.completeReplacement(m)
+		return
+	}
+	if lost := c.lostVoter(); lost != "" {
+		c.replaceVoter(m, lost)
+		return
+	}
+	c.growQuorum(m)
+}
+
+// completeReplacement removes the voter that the most recently promoted one replaces. If that one
+// is lost before it has caught up, it is removed instead.
+func (c *core) completeReplacement(m Membership) {
+	id := m.Replaced
+	if c.unreachableTooLong(m.Fresh) && c.peers[m.Fresh].matchIndex < c.membershipIndex() {
+		id = m.Fresh
+	}
+	_, _ = c.removeMember(id)
+}
+
+// replaceVoter removes an absent voter, or promotes a learner to take its place. Without a learner
+// an odd number of voters stays as it is, because the voter may return with its files.
+func (c *core) replaceVoter(m Membership, absent string) {
+	if voters := m.voters(); c.targetVoters > 0 && voters > minVoters && voters%2 == 0 {
+		_, _ = c.removeMember(absent)
+		return
+	}
+	for standby := range c.standbys(m) {
+		_, _ = c.promoteLearner(standby, absent)
+		return
+	}
+}
+
+// growQuorum promotes a learner while there are fewer voters than targetVoters, so that more voters
+// may be lost at the same time. It waits until there are enough learners to reach an odd number of
+// voters, and while a voter is unreachable, because another voter would raise the size of a quorum.
+// A learner at the address of a voter is the successor of that voter and is not promoted as an
+// additional one.
+func (c *core) growQuorum(m Membership) {
+	voters := m.voters()
+	missing := 1 + voters%2
+	if voters+missing > c.targetVoters {
+		return
+	}
+	voterAddresses := make(map[string]bool)
+	for _, o := range m.Members {
+		if !o.Voter {
+			continue
+		}
+		if !c.reachableAndCaughtUp(o.ID) {
+			return
+		}
+		voterAddresses[o.Address] = true
+	}
+	var learners []string
+	for id := range c.standbys(m) {
+		if o, _ := m.find(id); !voterAddresses[o.Address] {
+			learners = append(learners, id)
+		}
+	}
+	if len(learners) >= missing {
+		_, _ = c.promoteLearner(learners[0], "")
+	}
+}
+
+// standbys yields the learners that may be promoted now.
+func (c *core) standbys(m Membership) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for _, o := range m.Members {
+			if !o.Voter && !o.Observer && c.reachableAndCaughtUp(o.ID) && !yield(o.ID) {
+				return
+			}
+		}
+	}
+}
+
+// unreachableTooLong reports whether a member has been unreachable for longer than ReplaceAfter.
+func (c *core) unreachableTooLong(id string) bool {
+	p := c.peers[id]
+	return p != nil && c.now > p.lastReplyAt+c.timing.ReplaceAfter
+}
+
+// lostVoter returns the voter that has been unreachable for the longest time, if that is too long,
+// and otherwise an empty string.
+func (c *core) lostVoter() string {
+	longest := ""
+	for id := range c.lostVoters() {
+		if longest == "" || c.peers[id].lastReplyAt < c.peers[longest].lastReplyAt {
+			longest = id
+		}
+	}
+	return longest
+}
+
+// lostVoters yields the voters that have been unreachable for too long.
+func (c *core) lostVoters() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for _, m := range c.membership().Members {
+			if m.Voter && c.unreachableTooLong(m.ID) && !yield(m.ID) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/consensus/replacement_test.go
@@ -0,0 +1,158 @@
+package consensus
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// join starts a new node and adds it as a learner.
+func (s *simulation) join(id string) {
+	s.start(id)
+	for range 100 {
+		l := s.awaitLeader()
+		if _, ok := l.core.membership().find(id); ok {
+			return
+		}
+		s.change(l, id, 0)
+	}
+	s.fail("%s could not join", id)
+}
+
+// replaceByPlan lets node successor join, and stops node id for good once the successor has had time to catch up.
+func (s *simulation) replaceByPlan(id, successor string) {
+	s.join(successor)
+	s.advance(4 * time.Second)
+	s.stopForGood(id)
+	s.advance(3 * time.Second)
+}
+
+// stopForGood transfers the leadership of a node, if it leads, and stops it.
+func (s *simulation) stopForGood(id string) {
+	if l := s.leader(); l != nil && l.id == id {
+		s.transferLeadership(l)
+		s.advance(200 * time.Millisecond)
+	}
+	s.crash(id)
+	s.retired[id] = true
+}
+
+// darken crashes all nodes at once, wipes the given ones, and starts all that are not stopped for good.
+func (s *simulation) darken(wiped ...string) {
+	for _, id := range s.order {
+		s.crash(id)
+	}
+	for _, id := range wiped {
+		s.wipe(id)
+	}
+	for _, id := range s.order {
+		if !s.retired[id] {
+			s.start(id)
+		}
+	}
+}
+
+// Guards against a quorum that counts voters which have stopped for good: after planned replacements all nodes
+// go dark at once, and as many lose their files as the wanted number of voters can bear.
+func TestQuorumLostAfterPlannedReplacement(t *testing.T) {
+	for name, test := range map[string]struct{ voters, learners, replacements, lostDisks int }{
+		"3 voters, 1 replacement":                {3, 0, 1, 1},
+		"3 voters, 2 replacements":               {3, 0, 2, 1},
+		"3 voters and a learner, 1 replacement":  {3, 1, 1, 1},
+		"5 voters, 1 replacement":                {5, 0, 1, 2},
+		"5 voters, 3 replacements":               {5, 0, 3, 2},
+		"5 voters and a learner, 2 replacements": {5, 1, 2, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(21, test.voters, test.learners)
+			s.setTargetVoters(5)
+			s.awaitLeader()
+			for i := range test.learners {
+				s.join(s.order[test.voters+i])
+			}
+			for i := range test.replacements {
+				s.replaceByPlan(s.order[i], s.newID())
+			}
+			l := s.awaitLeader()
+			s.propose(l, "acknowledged")
+			s.advance(time.Second)
+			highest := s.highestCommitted
+			var wiped []string
+			for _, m := range l.core.membership().Members {
+				if m.Voter && !s.retired[m.ID] && len(wiped) < test.lostDisks {
+					wiped = append(wiped, m.ID)
+				}
+			}
+			s.darken(wiped...)
+			l = s.awaitLeader()
+			is.Equal(s.violation, "")
+			s.propose(l, "after")
+			s.advance(time.Second)
+			is.True(s.highestCommitted > highest)
+			is.Equal(s.violation, "")
+		})
+	}
+}
+
+// Guards against an even number of voters, which bears no more losses than the odd number below it: the quorum
+// grows in pairs, and a voter that is gone leaves an even number at once.
+func TestVotersStayOdd(t *testing.T) {
+	for name, test := range map[string]struct{ voters, learners, target, want int }{
+		"one learner":             {3, 1, 5, 3},
+		"two learners":            {3, 2, 5, 5},
+		"four learners":           {3, 4, 5, 5},
+		"even target":             {3, 3, 4, 3},
+		"even start":              {4, 1, 5, 5},
+		"even start, no learner":  {4, 0, 5, 4},
+		"two first voters":        {2, 1, 5, 3},
+		"one first voter":         {1, 2, 5, 3},
+		"one first voter, seven":  {1, 6, 7, 7},
+		"growth is switched off":  {3, 3, 0, 3},
+		"more voters than wanted": {5, 2, 3, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(31, test.voters, test.learners)
+			s.setTargetVoters(test.target)
+			s.awaitLeader()
+			for i := range test.learners {
+				s.join(s.order[test.voters+i])
+			}
+			s.advance(3 * time.Second)
+			is.Equal(s.awaitLeader().core.membership().voters(), test.want)
+			is.Equal(s.violation, "")
+		})
+	}
+}
+
+// Guards against removing a voter whose place no learner can take: it may return with its files.
+func TestAbsentVoter(t *testing.T) {
+	for name, test := range map[string]struct{ voters, learners, target, want int }{
+		"three voters":                    {3, 0, 5, 3},
+		"four voters":                     {4, 0, 5, 3},
+		"four voters, no target":          {4, 0, 0, 4},
+		"five voters":                     {5, 0, 5, 5},
+		"five voters and a learner":       {5, 1, 5, 5},
+		"four voters, learner, no target": {4, 1, 0, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(32, test.voters, test.learners)
+			l := s.awaitLeader()
+			for i := range test.learners {
+				s.join(s.order[test.voters+i])
+			}
+			s.setTargetVoters(test.target)
+			absent := s.otherThan(l.id)[0]
+			s.crash(absent)
+			s.advance(6 * time.Second)
+			m := s.awaitLeader().core.membership()
+			is.Equal(m.voters(), test.want)
+			stays := test.voters == test.want && test.learners == 0
+			is.Equal(m.voter(absent), stays)
+			is.Equal(s.violation, "")
+		})
+	}
+}
