Replace a lost voter that was the last one promoted

What users would see: after a change of the leader, a voter that is gone for good is never replaced although a learner stands by, and the quorum bears one loss less from then on.

Cause: no change is made while the most recently promoted voter has not caught up. A leader that has never heard from that voter does not know whether it had, so the rule held for ever once the voter was lost.

Change: the rule holds only while that voter replies or may reply soon; after ReplaceAfter it counts as lost like any other. The quorum of the next membership is still checked without it. A replacement is cancelled only if the voter to be replaced still replies.

TestLossOfLastPromotedVoterBlocksReplacement fails without the change: the voter is still in the list after 6 s with ReplaceAfter at 3 s.

--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -37,12 +37,12 @@
 }
 
 // checkChange refuses a membership whose quorum could not commit entries now. While the most
-// recently promoted voter has not caught up, it also refuses every change except the removal of
-// that voter.
+// recently promoted voter is catching up, it also refuses every change except the removal of that
+// voter.
 func (c *core) checkChange(next Membership) error {
 	const op = "change membership"
 	promotedVoter := c.membership().Fresh
-	if p := c.peers[promotedVoter]; p != nil && p.matchIndex < c.membershipIndex() {
+	if p := c.peers[promotedVoter]; p != nil && p.matchIndex < c.membershipIndex() && !c.unreachableTooLong(promotedVoter) {
 		if _, stays := next.find(promotedVoter); stays {
 			return fault.New(op, Refused, "voter %q has not caught up yet", promotedVoter)
 		}
--- a/internal/consensus/replacement.go
+++ b/internal/consensus/replacement.go
@@ -27,10 +27,10 @@
 }
 
 // completeReplacement removes the voter that the most recently promoted one replaces. If that one
-// is lost before it has caught up, it is removed instead.
+// is lost before it has caught up and the other one still replies, the replacement is cancelled.
 func (c *core) completeReplacement(m Membership) {
 	id := m.Replaced
-	if c.unreachableTooLong(m.Fresh) && c.peers[m.Fresh].matchIndex < c.membershipIndex() {
+	if c.unreachableTooLong(m.Fresh) && !c.unreachableTooLong(m.Replaced) && c.peers[m.Fresh].matchIndex < c.membershipIndex() {
 		id = m.Fresh
 	}
 	_, _ = c.removeMember(id)
--- a/internal/consensus/replacement_test.go
+++ b/internal/consensus/replacement_test.go
@@ -156,3 +156,29 @@
 		})
 	}
 }
+
+// Guards against a lost voter that is never replaced because it was the last one promoted: a leader that has
+// never heard from it does not know whether it had caught up.
+func TestLossOfLastPromotedVoterBlocksReplacement(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(21, 3, 3)
+	s.setTargetVoters(5)
+	s.awaitLeader()
+	for _, id := range []string{"d", "e", "f"} {
+		s.join(id)
+	}
+	s.advance(3 * time.Second)
+	m := s.awaitLeader().core.membership()
+	is.Equal(m.voters(), 5)
+	promoted := m.Fresh
+	s.crash(promoted)
+	l := s.awaitLeader()
+	s.transferLeadership(l)
+	s.advance(300 * time.Millisecond)
+	is.True(s.awaitLeader() != l)
+	s.advance(6 * time.Second)
+	m = s.awaitLeader().core.membership()
+	is.Equal(m.voters(), 5)
+	is.True(!m.voter(promoted))
+	is.Equal(s.violation, "")
+}
