Let an instance that stops by plan leave the quorum first

What users would see: for the 1.5 s until the leader gives a stopped voter up, one lost disk more costs the quorum, although the successor has been there for seconds.

A planned stop told the quorum nothing but the transfer of the leadership.

Change: before an instance with seeds stops, it asks the leader to release it. A learner takes its place first, or the number of voters is even and it goes at once; otherwise it stays a voter, since its files may be needed. It waits for the committed change, 2 s at most while nobody leads. A replaced voter may go whatever the number of voters is, so that the only voter of a quorum can hand over too.

TestQuorumLostRightAfterPlannedStop and TestReleaseKeepsTolerance hold the decision for 1 to 7 voters, TestLeave and TestLeaveReply the daemon.

--- a/controld/internal/cli/formation.go
+++ b/controld/internal/cli/formation.go
@@ -102,10 +102,14 @@
 		<-ctx.Done()
 		return nil
 	}
-	return formation.Join(ctx, formation.JoinConfig{
+	return formation.Join(ctx, d.joinConfig())
+}
+
+func (d *daemon) joinConfig() formation.JoinConfig {
+	return formation.JoinConfig{
 		ID: d.identity.ID, Address: d.settings.peerAddress(), Peers: d.seeds.peers,
 		Quorum: d.node, Caller: d.peerPool, Logger: d.logger,
-	})
+	}
 }
 
 // reload applies the seeds of the settings file; other options require a restart. If the file is invalid,
--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -66,6 +66,9 @@
 		if err == nil || len(s.Seeds) == 0 || !formation.NeedsNewIdentity(err) {
 			return err
 		}
+		if ctx.Err() != nil {
+			return nil // The next start discards the files.
+		}
 		logger.Warn("Discarding the files of the quorum, to join it again", zap.Error(err))
 		s.FirstStart = false
 		if err := journal.Discard(s.DataDirectory); err != nil {
@@ -268,14 +271,22 @@
 // milliseconds. After the maximum election timeout (600 ms) this instance is no longer the leader.
 const leadershipTransferTimeout = time.Second
 
-// transferLeadership waits until ctx is done and then transfers the leadership to another voter, while all
-// parts of the daemon still run.
-func (d *daemon) transferLeadership(ctx, running context.Context) error {
+// prepareStop waits until ctx is done. While all parts of the daemon still run, it then transfers the leadership
+// to another voter and, where this instance can join again by itself, gives up its membership.
+func (d *daemon) prepareStop(ctx, running context.Context) error {
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
 		return nil
 	}
+	d.transferLeadership(running)
+	if len(d.settings.Seeds) > 0 {
+		formation.Leave(running, d.joinConfig())
+	}
+	return nil
+}
+
+func (d *daemon) transferLeadership(running context.Context) {
 	transferCtx, cancel := context.WithTimeout(running, leadershipTransferTimeout)
 	defer cancel()
 	switch err := d.node.TransferLeadership(transferCtx); {
@@ -284,7 +295,6 @@
 	case !fault.Is(err, consensus.NotLeader):
 		d.logger.Warn("Could not transfer the leadership", zap.Error(err))
 	}
-	return nil
 }
 
 // serve runs all parts of the daemon until ctx is done or one of them fails.
@@ -300,7 +310,7 @@
 		task.Start(ctx, func(ctx context.Context) error { return d.peerServer.Serve(ctx, peerListener) }),
 		task.Start(ctx, d.node.Run),
 		task.Start(ctx, d.controlService.Run),
-		task.Start(ctx, func(ctx context.Context) error { return d.transferLeadership(stopping, ctx) }),
+		task.Start(ctx, func(ctx context.Context) error { return d.prepareStop(stopping, ctx) }),
 	)
 	if d.settings.MetricsListen != "" {
 		handler := metrics.Handler(metrics.HandlerConfig{Registry: d.registry, Ready: d.ready, Profiles: true})
--- a/controld/internal/formation/formation_test.go
+++ b/controld/internal/formation/formation_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -62,6 +64,8 @@
 	status  consensus.Status
 	added   []consensus.Server
 	removed []string
+	// releaseErr is the result of Release.
+	releaseErr error
 }
 
 func (q *fakeQuorum) AddLearner(_ context.Context, s consensus.Server) error {
@@ -74,6 +78,8 @@
 	return nil
 }
 
+func (q *fakeQuorum) Release(context.Context, string) error { return q.releaseErr }
+
 func (q *fakeQuorum) Status() consensus.Status         { return q.status }
 func (q *fakeQuorum) Leader() (string, string, uint64) { return "leader", "10.0.0.2:7340", 1 }
 
@@ -118,3 +124,73 @@
 	is.True(!formation.NeedsNewIdentity(fault.New("run", consensus.Disk, "full")))
 	is.True(!formation.NeedsNewIdentity(nil))
 }
+
+// Guards against an instance that waits at its stop although nobody can take its place, and against one that
+// counts as removed although the change may not be committed.
+func TestLeaveReply(t *testing.T) {
+	for name, test := range map[string]struct {
+		releaseErr error
+		reply      formation.LeaveReply
+	}{
+		"removed":       {nil, formation.LeaveReply{Left: true}},
+		"no successor":  {fault.New("release", consensus.NoSuccessor, "none"), formation.LeaveReply{Stays: true}},
+		"not leader":    {fault.New("release", consensus.NotLeader, "another leads"), formation.LeaveReply{Leader: "10.0.0.2:7340"}},
+		"not committed": {fault.New("release", consensus.OutcomeUnknown, "timeout"), formation.LeaveReply{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var reply formation.LeaveReply
+			service := formation.NewJoinService(&fakeQuorum{releaseErr: test.releaseErr}, zap.NewNop())
+			is.NoErr(service.Leave(formation.LeaveRequest{ID: "10.0.0.1:7340"}, &reply))
+			is.Equal(reply, test.reply)
+		})
+	}
+}
+
+// fakePeers answers calls of Leave by address and records the addresses called.
+type fakePeers struct {
+	replies map[string]formation.LeaveReply
+	called  []string
+}
+
+func (p *fakePeers) Call(_ context.Context, address, _ string, _, reply any) error {
+	p.called = append(p.called, address)
+	answer, ok := p.replies[address]
+	if !ok {
+		return fault.New("call", consensus.Unreachable, "no reply from %s", address)
+	}
+	*reply.(*formation.LeaveReply) = answer
+	return nil
+}
+
+// Guards against a stop that does not reach the leader, or that waits without end when nobody leads.
+func TestLeave(t *testing.T) {
+	const known, other, next = "10.0.0.2:7340", "10.0.0.3:7340", "10.0.0.4:7340"
+	for name, test := range map[string]struct {
+		replies map[string]formation.LeaveReply
+		calls   []string
+	}{
+		"the leader removes it":      {map[string]formation.LeaveReply{known: {Left: true}}, []string{known}},
+		"the leader keeps it":        {map[string]formation.LeaveReply{known: {Stays: true}}, []string{known}},
+		"another instance leads now": {map[string]formation.LeaveReply{known: {Leader: next}, next: {Left: true}}, []string{known, next}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			peers := &fakePeers{replies: test.replies}
+			formation.Leave(context.Background(), formation.JoinConfig{
+				ID: "10.0.0.1:7340", Peers: func() []string { return []string{other} },
+				Quorum: &fakeQuorum{}, Caller: peers, Logger: zap.NewNop(),
+			})
+			is.Equal(peers.called, test.calls)
+		})
+	}
+	t.Run("nobody leads", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			formation.Leave(context.Background(), formation.JoinConfig{
+				Peers: func() []string { return []string{other} }, Quorum: &fakeQuorum{}, Caller: &fakePeers{}, Logger: zap.NewNop(),
+			})
+			is.New(t).Equal(time.Since(start), 2*time.Second)
+		})
+	})
+}
--- a/controld/internal/formation/join.go
+++ b/controld/internal/formation/join.go
@@ -32,11 +32,12 @@
 type Quorum interface {
 	AddLearner(ctx context.Context, server consensus.Server) error
 	Remove(ctx context.Context, id string) error
+	Release(ctx context.Context, id string) error
 	Status() consensus.Status
 	Leader() (id, address string, term uint64)
 }
 
-// JoinService is the net/rpc service by which instances ask to join the quorum.
+// JoinService is the net/rpc service by which instances ask to join and to leave the quorum.
 type JoinService struct {
 	quorum Quorum
 	logger *zap.Logger
@@ -97,7 +98,7 @@
 
 const (
 	joinRetryInterval = 200 * time.Millisecond
-	joinTimeout       = 700 * time.Millisecond
+	callTimeout       = 700 * time.Millisecond
 	// membershipCheckInterval is the time between two checks that the instance is still a member.
 	membershipCheckInterval = 2 * time.Second
 )
@@ -129,32 +130,46 @@
 	return false
 }
 
-// requestJoin asks one instance, and then the leader that it names, to add this instance. It reports
-// whether this instance is a member now.
+// requestJoin asks an instance, or the leader that it names, to add this instance. It reports whether this
+// instance is a member now.
 func requestJoin(ctx context.Context, config JoinConfig, address string) bool {
-	for range 2 {
-		reply, err := callJoin(ctx, config, address)
-		switch {
-		case err != nil:
-			config.Logger.Debug("Could not ask to join", zap.String("address", address), zap.Error(err))
-			return false
-		case reply.Member:
-			config.Logger.Info("Joined the quorum as a learner", zap.String("id", config.ID), zap.String("leader", address))
-			return true
-		case reply.Leader == "" || reply.Leader == address:
-			return false
-		}
-		address = reply.Leader
+	reply, err := ask[JoinReply](ctx, config.Caller, address, "Join", JoinRequest{ID: config.ID, Address: config.Address})
+	if err != nil {
+		config.Logger.Debug("Could not ask to join", zap.String("address", address), zap.Error(err))
+		return false
 	}
-	return false
+	if reply.Member {
+		config.Logger.Info("Joined the quorum as a learner", zap.String("id", config.ID), zap.String("asked", address))
+	}
+	return reply.Member
+}
+
+// reply is the reply of a JoinService.
+type reply interface {
+	// final reports whether the instance has decided on the request.
+	final() bool
+	// leader returns the peer address of the leader, if known.
+	leader() string
+}
+
+func (r JoinReply) final() bool    { return r.Member }
+func (r JoinReply) leader() string { return r.Leader }
+
+// ask calls a method of JoinService at one instance, and then at the leader that it names.
+func ask[R reply](ctx context.Context, caller Caller, address, method string, request any) (R, error) {
+	answer, err := call[R](ctx, caller, address, method, request)
+	if err != nil || answer.final() || answer.leader() == "" || answer.leader() == address {
+		return answer, err
+	}
+	return call[R](ctx, caller, answer.leader(), method, request)
 }
 
-func callJoin(ctx context.Context, config JoinConfig, address string) (JoinReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+func call[R reply](ctx context.Context, caller Caller, address, method string, request any) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var reply JoinReply
-	err := config.Caller.Call(ctx, address, ServiceName+".Join", JoinRequest{ID: config.ID, Address: config.Address}, &reply)
-	return reply, err
+	var answer R
+	err := caller.Call(ctx, address, ServiceName+"."+method, request, &answer)
+	return answer, err
 }
 
 // NeedsNewIdentity reports whether a node that stopped with err must restart with an empty disk and a new id.
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -47,6 +47,10 @@
 	// Removed means that the node was removed from the membership. It may rejoin as a learner with
 	// a new ID.
 	Removed Kind = "removed"
+	// NotMember means that the committed membership does not hold the member.
+	NotMember Kind = "not a member"
+	// NoSuccessor means that a voter must keep its place, because no learner can take it.
+	NoSuccessor Kind = "no successor"
 	// Unreachable means that a request got no reply.
 	Unreachable Kind = "unreachable"
 )
--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -15,16 +15,8 @@
 // changeMembership proposes a membership and returns the index of its entry. Only one change may be
 // in progress at a time.
 func (c *core) changeMembership(next Membership) (uint64, error) {
-	const op = "change membership"
-	switch {
-	case c.role != Leader || c.transferringLeadership():
-		return 0, &Error{Op: op, Kind: NotLeader, Err: &LeaderHint{ID: c.leaderID, Address: c.leaderAddress}}
-	case c.log.commitIndex < c.termStartIndex:
-		// Ongaro's correction of 2015: a leader that has not committed an entry of its own term may
-		// not know the latest committed membership.
-		return 0, fault.New(op, Refused, "the leader has not committed an entry of its term yet")
-	case c.membershipIndex() > c.log.commitIndex:
-		return 0, fault.New(op, Refused, "the change at entry %d is not committed yet", c.membershipIndex())
+	if err := c.checkMembershipCommitted("change membership"); err != nil {
+		return 0, err
 	}
 	if err := c.checkChange(next); err != nil {
 		return 0, err
@@ -36,6 +28,22 @@
 	return index, nil
 }
 
+// checkMembershipCommitted returns an error unless this node leads and knows that the latest
+// membership is committed.
+func (c *core) checkMembershipCommitted(op string) error {
+	switch {
+	case c.role != Leader || c.transferringLeadership():
+		return &Error{Op: op, Kind: NotLeader, Err: &LeaderHint{ID: c.leaderID, Address: c.leaderAddress}}
+	case c.log.commitIndex < c.termStartIndex:
+		// Ongaro's correction of 2015: a leader that has not committed an entry of its own term may
+		// not know the latest committed membership.
+		return fault.New(op, Refused, "the leader has not committed an entry of its term yet")
+	case c.membershipIndex() > c.log.commitIndex:
+		return fault.New(op, Refused, "the change at entry %d is not committed yet", c.membershipIndex())
+	}
+	return nil
+}
+
 // checkChange refuses a membership whose quorum could not commit entries now. While the most
 // recently promoted voter is catching up, it also refuses every change except the removal of that
 // voter.
@@ -104,7 +112,7 @@
 		return 0, fault.New("remove member", Refused, "%q is not a member", id)
 	}
 	m := c.membership()
-	if m.voter(id) && m.voters() <= minVoters {
+	if m.voter(id) && m.voters() <= minVoters && id != m.Replaced {
 		return 0, fault.New("remove member", Refused, "%d voters are the minimum; add and promote another one first", minVoters)
 	}
 	return c.changeMembership(m.without(id))
--- /dev/null
+++ b/internal/consensus/release.go
@@ -0,0 +1,72 @@
+package consensus
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/task"
+)
+
+// releaseMember makes the next change towards a membership without a member that is about to stop.
+// A voter leaves an even number of voters directly, and otherwise after a learner has been promoted
+// in its place. The kind of an error is NotLeader, NotMember once the change is complete,
+// NoSuccessor, or Refused if the next change is not possible yet.
+func (c *core) releaseMember(id string) (uint64, error) {
+	const op = "release member"
+	if err := c.checkMembershipCommitted(op); err != nil {
+		return 0, err
+	}
+	m := c.membership()
+	member, ok := m.find(id)
+	replacing := m.Replaced != "" && m.voter(m.Replaced)
+	switch {
+	case !ok:
+		return 0, fault.New(op, NotMember, "%q is not a member", id)
+	case !member.Voter || id == m.Replaced:
+		return c.removeMember(id)
+	case replacing:
+		return 0, fault.New(op, Refused, "the replacement of %q is not complete yet", m.Replaced)
+	case m.voters() > minVoters && m.voters()%2 == 0:
+		return c.removeMember(id)
+	}
+	for standby := range c.standbys(m) {
+		return c.promoteLearner(standby, id)
+	}
+	if c.learnerCatchesUp(m) {
+		return 0, fault.New(op, Refused, "no learner has caught up yet")
+	}
+	return 0, fault.New(op, NoSuccessor, "no learner can take the place of %q", id)
+}
+
+// learnerCatchesUp reports whether a learner replies that may be promoted once it has caught up.
+func (c *core) learnerCatchesUp(m Membership) bool {
+	return slices.ContainsFunc(m.Members, func(o Member) bool {
+		p := c.peers[o.ID]
+		return !o.Voter && !o.Observer && p != nil && p.repliedThisTerm && c.now <= p.lastReplyAt+c.timing.ElectionMin
+	})
+}
+
+// releaseRetryInterval is the time between two attempts to make a change that is not possible yet.
+const releaseRetryInterval = 20 * time.Millisecond
+
+// Release removes a member that is about to stop, without a loss of tolerance: a learner is promoted
+// first where the number of voters is odd. It returns nil once the membership without the member is
+// committed. The kind of an error is NotLeader, NoSuccessor (the voter keeps its place), Stopped, or
+// OutcomeUnknown if ctx ends first.
+func (n *Node) Release(ctx context.Context, id string) error {
+	const op = "release member"
+	for {
+		err := n.changeMembership(ctx, op, func() (uint64, error) { return n.core.releaseMember(id) })
+		switch {
+		case fault.Is(err, NotMember):
+			return nil
+		case err != nil && !fault.Is(err, Refused):
+			return err
+		}
+		if task.Pause(ctx, releaseRetryInterval); ctx.Err() != nil {
+			return fault.Wrap(ctx.Err(), op, OutcomeUnknown, "wait for the next change")
+		}
+	}
+}
--- a/internal/consensus/replacement_test.go
+++ b/internal/consensus/replacement_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/dandelionpier/dandelionpier/internal/fault"
 )
 
 // join starts a new node and adds it as a learner.
@@ -38,6 +40,33 @@
 	s.retired[id] = true
 }
 
+// prepareStop does what a node does before a planned stop: it transfers the leadership and gives up its membership
+// if another node can take its place.
+func (s *simulation) prepareStop(id string) {
+	if l := s.leader(); l != nil && l.id == id {
+		s.transferLeadership(l)
+		s.advance(100 * time.Millisecond)
+	}
+	for range 100 {
+		if s.release(id) {
+			break
+		}
+		s.advance(20 * time.Millisecond)
+	}
+}
+
+// release makes one change towards a membership without a node. It reports whether the release has ended.
+func (s *simulation) release(id string) bool {
+	l := s.leader()
+	if l == nil {
+		return false
+	}
+	l.core.tick(s.clock(l))
+	_, err := l.core.releaseMember(id)
+	s.processOutput(l)
+	return fault.Is(err, NotMember) || fault.Is(err, NoSuccessor)
+}
+
 // darken crashes all nodes at once, wipes the given ones, and starts all that are not stopped for good.
 func (s *simulation) darken(wiped ...string) {
 	for _, id := range s.order {
@@ -182,3 +211,71 @@
 	is.True(!m.voter(promoted))
 	is.Equal(s.violation, "")
 }
+
+// Guards against a quorum that counts a voter which has just stopped by plan: as many disks are lost in the next
+// moment as the number of voters can bear, and the stopped voter never returns.
+func TestQuorumLostRightAfterPlannedStop(t *testing.T) {
+	for name, test := range map[string]struct{ voters, lostDisks int }{
+		"1 of 3 voters": {3, 1}, "1 of 5 voters": {5, 2}, "1 of 7 voters": {7, 3}, "1 of 1 voter": {1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(41, test.voters, 1)
+			s.setTargetVoters(test.voters)
+			s.awaitLeader()
+			s.join(s.order[test.voters])
+			s.advance(time.Second)
+			leaving := s.awaitLeader().id
+			s.prepareStop(leaving)
+			s.crash(leaving)
+			s.retired[leaving] = true
+			m := s.awaitLeader().core.membership()
+			is.Equal(m.voters(), test.voters)
+			is.True(!m.voter(leaving))
+			s.darken(s.votersOf(m)[:test.lostDisks]...)
+			l := s.awaitLeader()
+			is.True(l != nil)
+			s.propose(l, "after")
+			s.advance(time.Second)
+			is.Equal(l.core.log.commitIndex, l.core.log.lastIndex())
+			is.Equal(s.violation, "")
+		})
+	}
+}
+
+// Guards against a planned stop that gives up a voter whose place nobody can take: its files may be needed when it
+// is back and others have lost theirs.
+func TestReleaseKeepsTolerance(t *testing.T) {
+	for name, test := range map[string]struct {
+		voters, learners int
+		released         bool
+		want             int
+	}{
+		"1 voter":                 {1, 0, false, 1},
+		"1 voter, 1 learner":      {1, 1, true, 1},
+		"2 voters":                {2, 0, false, 2},
+		"2 voters, 1 learner":     {2, 1, true, 2},
+		"3 voters":                {3, 0, false, 3},
+		"3 voters, 1 learner":     {3, 1, true, 3},
+		"4 voters":                {4, 0, true, 3},
+		"5 voters":                {5, 0, false, 5},
+		"6 voters, without need":  {6, 1, true, 5},
+		"5 voters and 2 learners": {5, 2, true, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(42, test.voters, test.learners)
+			s.awaitLeader()
+			for i := range test.learners {
+				s.join(s.order[test.voters+i])
+			}
+			s.advance(time.Second)
+			leaving := s.awaitLeader().id
+			s.prepareStop(leaving)
+			m := s.awaitLeader().core.membership()
+			is.Equal(m.voters(), test.want)
+			is.Equal(!m.voter(leaving), test.released)
+			is.Equal(s.violation, "")
+		})
+	}
+}
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -389,6 +389,17 @@
 	return found
 }
 
+// votersOf returns the ids of the voters of a membership.
+func (s *simulation) votersOf(m Membership) []string {
+	var ids []string
+	for _, o := range m.Members {
+		if o.Voter {
+			ids = append(ids, o.ID)
+		}
+	}
+	return ids
+}
+
 func (s *simulation) otherThan(id string) []string {
 	return slices.DeleteFunc(slices.Clone(s.order), func(o string) bool { return o == id })
 }
