Let a removed instance find out that it is no longer a member

What users would see: an instance that was removed while it was away stays outside the quorum after its return, and the place that it should take as a standby stays empty.

Cause: an instance believed its own list of members. Nobody sends to an instance that is not in the list, a learner asks for no votes, and the loop that joins looked at the stale list. A voter that holds the membership without itself, but does not know that it is committed, was not told either: the voters compared the index of its membership with '<'.

Change: an instance with seeds that has not heard from a leader for a second asks whether it is still a member. The decision is the log's now (consensus.Node.Join), made on the loop of a leader with a valid lease and a committed membership, because a 'removed' costs the instance its files. Initial voters ask too. Voters tell a candidate that it is removed if they know the same membership or a later one.

Identity.Joins had no use any more.

--- a/controld/internal/cli/formation.go
+++ b/controld/internal/cli/formation.go
@@ -96,9 +96,9 @@
 	s.list = list
 }
 
-// join asks the seeds to add this instance to the quorum, unless it is an initial voter.
+// join keeps this instance a member of the quorum, which it finds by the seeds. Without seeds, an operator adds it.
 func (d *daemon) join(ctx context.Context) error {
-	if !d.identity.Joins {
+	if len(d.settings.Seeds) == 0 {
 		<-ctx.Done()
 		return nil
 	}
--- a/controld/internal/formation/formation.go
+++ b/controld/internal/formation/formation.go
@@ -22,6 +22,8 @@
 	Invalid Kind = "invalid"
 	// Disk means that the data directory cannot be read.
 	Disk Kind = "disk"
+	// Removed means that the quorum has removed the instance.
+	Removed Kind = "removed"
 )
 
 // Error is the error type of this package.
@@ -44,8 +46,6 @@
 	ID string
 	// Bootstrap lists the initial voters. It is empty on an instance that joins.
 	Bootstrap []consensus.Server
-	// Joins means that the instance asks to be added as a learner.
-	Joins bool
 }
 
 // randomIDBytes is the length of the random part of an id.
@@ -69,7 +69,7 @@
 		// Only an instance that stopped before the first election uses the list.
 		return Identity{ID: stored.ID, Bootstrap: bootstrapServers(peers)}, nil
 	case hasStored:
-		return Identity{ID: stored.ID, Joins: true}, nil
+		return Identity{ID: stored.ID}, nil
 	case config.FirstStart && isSeed:
 		return Identity{ID: config.Address, Bootstrap: bootstrapServers(peers)}, nil
 	}
@@ -77,7 +77,7 @@
 	if _, err := rand.Read(id); err != nil {
 		return Identity{}, fault.Wrap(err, "identify", Disk, "random id")
 	}
-	return Identity{ID: config.Address + "/" + hex.EncodeToString(id), Joins: true}, nil
+	return Identity{ID: config.Address + "/" + hex.EncodeToString(id)}, nil
 }
 
 // PeerAddresses returns the peer addresses of the seeds: their hosts with the port of address, the instance's own
--- a/controld/internal/formation/join.go
+++ b/controld/internal/formation/join.go
@@ -11,16 +11,20 @@
 	"github.com/dandelionpier/dandelionpier/internal/task"
 )
 
-// JoinRequest asks to be added as a learner.
+// JoinRequest asks to be added as a learner, or whether the instance is still a member.
 type JoinRequest struct {
 	ID      string
 	Address string
+	// HasLog means that the instance holds a log from an earlier membership under this id.
+	HasLog bool
 }
 
 // JoinReply is the reply to a JoinRequest.
 type JoinReply struct {
 	// Member means that the instance is a member now.
 	Member bool
+	// Removed means that the instance was removed and must join again with an empty disk and a new id.
+	Removed bool
 	// Leader is the peer address of the leader, which the instance should ask instead, if known.
 	Leader string
 }
@@ -30,8 +34,7 @@
 
 // Quorum reads and changes the membership of the quorum; *consensus.Node implements it.
 type Quorum interface {
-	AddLearner(ctx context.Context, server consensus.Server) error
-	Remove(ctx context.Context, id string) error
+	Join(ctx context.Context, server consensus.Server, hasLog bool) error
 	Release(ctx context.Context, id string) error
 	Status() consensus.Status
 	Leader() (id, address string, term uint64)
@@ -51,32 +54,21 @@
 // membershipChangeTimeout bounds the membership changes of one request.
 const membershipChangeTimeout = time.Second
 
-// Join adds a learner. It first removes an earlier learner with the same address, which cannot return
-// because its disk is empty. An earlier voter with that address stays: the quorum replaces it once the
-// learner has caught up.
+// Join adds an instance as a learner, unless it is a member or has been one.
 func (s *JoinService) Join(request JoinRequest, reply *JoinReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), membershipChangeTimeout)
 	defer cancel()
-	status := s.quorum.Status()
-	if status.Role != consensus.Leader {
+	err := s.quorum.Join(ctx, consensus.Server{ID: request.ID, Address: request.Address}, request.HasLog)
+	switch {
+	case err == nil:
+		reply.Member = true
+	case fault.Is(err, consensus.Removed):
+		reply.Removed = true
+	case fault.Is(err, consensus.NotLeader):
 		_, reply.Leader, _ = s.quorum.Leader()
 		return nil
 	}
-	for _, m := range status.Members {
-		switch {
-		case m.ID == request.ID:
-			reply.Member = true
-			return nil
-		case m.Address == request.Address && !m.Voter:
-			if err := s.quorum.Remove(ctx, m.ID); err != nil {
-				s.logger.Info("Could not remove the learner that a joining instance replaces", zap.String("learner", m.ID), zap.Error(err))
-				return nil
-			}
-		}
-	}
-	err := s.quorum.AddLearner(ctx, consensus.Server{ID: request.ID, Address: request.Address})
 	s.logger.Info("Answered an instance that joins", zap.String("id", request.ID), zap.String("address", request.Address), zap.Error(err))
-	reply.Member = err == nil
 	return nil
 }
 
@@ -101,18 +93,27 @@
 	callTimeout       = 700 * time.Millisecond
 	// membershipCheckInterval is the time between two checks that the instance is still a member.
 	membershipCheckInterval = 2 * time.Second
+	// leaderTimeout is the time since the last request of a leader after which an instance asks whether it is still
+	// a member.
+	leaderTimeout = time.Second
 )
 
-// Join asks to be added until the instance is a member, and again whenever it is no longer one, until ctx
-// is done.
+// Join keeps the instance a member until ctx is done. It asks to be added whenever the instance is not a member, and
+// whether it still is one whenever it does not hear from a leader: nobody tells a removed instance that was away. The
+// kind of an error is Removed if the instance must join again with an empty disk and a new id.
 func Join(ctx context.Context, config JoinConfig) error {
 	for ctx.Err() == nil {
-		if isMember(config.Quorum.Status(), config.ID) {
+		status := config.Quorum.Status()
+		if status.LeaderID != "" && status.SinceLeader < leaderTimeout && isMember(status, config.ID) {
 			task.Pause(ctx, membershipCheckInterval)
 			continue
 		}
 		for _, address := range config.Peers() {
-			if requestJoin(ctx, config, address) {
+			reply := requestJoin(ctx, config, address, status)
+			if reply.Removed {
+				return fault.New("join the quorum", Removed, "the members have removed %q", config.ID)
+			}
+			if reply.Member {
 				break
 			}
 		}
@@ -130,18 +131,17 @@
 	return false
 }
 
-// requestJoin asks an instance, or the leader that it names, to add this instance. It reports whether this
-// instance is a member now.
-func requestJoin(ctx context.Context, config JoinConfig, address string) bool {
-	reply, err := ask[JoinReply](ctx, config.Caller, address, "Join", JoinRequest{ID: config.ID, Address: config.Address})
+// requestJoin asks an instance, or the leader that it names, to add this instance.
+func requestJoin(ctx context.Context, config JoinConfig, address string, status consensus.Status) JoinReply {
+	request := JoinRequest{ID: config.ID, Address: config.Address, HasLog: status.LastIndex > 0}
+	reply, err := ask[JoinReply](ctx, config.Caller, address, "Join", request)
 	if err != nil {
 		config.Logger.Debug("Could not ask to join", zap.String("address", address), zap.Error(err))
-		return false
 	}
-	if reply.Member {
+	if reply.Member && !isMember(status, config.ID) {
 		config.Logger.Info("Joined the quorum as a learner", zap.String("id", config.ID), zap.String("asked", address))
 	}
-	return reply.Member
+	return reply
 }
 
 // reply is the reply of a JoinService.
@@ -152,7 +152,7 @@
 	leader() string
 }
 
-func (r JoinReply) final() bool    { return r.Member }
+func (r JoinReply) final() bool    { return r.Member || r.Removed }
 func (r JoinReply) leader() string { return r.Leader }
 
 // ask calls a method of JoinService at one instance, and then at the leader that it names.
@@ -174,5 +174,5 @@
 
 // NeedsNewIdentity reports whether a node that stopped with err must restart with an empty disk and a new id.
 func NeedsNewIdentity(err error) bool {
-	return fault.Is(err, consensus.Removed) || fault.Is(err, consensus.IdentityLost) || fault.Is(err, consensus.Corrupt)
+	return fault.Is(err, Removed) || fault.Is(err, consensus.Removed) || fault.Is(err, consensus.IdentityLost) || fault.Is(err, consensus.Corrupt)
 }
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -45,8 +45,10 @@
 	// has lost its files. It must rejoin as a learner with a new ID.
 	IdentityLost Kind = "identity lost"
 	// Removed means that the node was removed from the membership. It may rejoin as a learner with
-	// a new ID.
+	// a new ID and an empty directory.
 	Removed Kind = "removed"
+	// AlreadyMember means that the committed membership holds the member.
+	AlreadyMember Kind = "already a member"
 	// NotMember means that the committed membership does not hold the member.
 	NotMember Kind = "not a member"
 	// NoSuccessor means that a voter must keep its place, because no learner can take it.
@@ -209,5 +211,7 @@
 	AppliedIndex  uint64
 	LastIndex     uint64
 	SnapshotIndex uint64
-	Members       []MemberStatus
+	// SinceLeader is the time since the last request of a leader, or 0 on the leader.
+	SinceLeader time.Duration
+	Members     []MemberStatus
 }
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -100,11 +100,12 @@
 	return request.TakeOver || c.now >= c.lastLeaderContact+c.timing.ElectionMin
 }
 
-// senderRemoved reports whether a committed membership that the sender does not know yet excludes
-// it. If it is not told, the sender campaigns forever.
+// senderRemoved reports whether a committed membership excludes the sender and the sender knows no
+// later one. If it is not told, the sender campaigns forever. It may hold the membership itself
+// without knowing that it is committed.
 func (c *core) senderRemoved(request *VoteRequest) bool {
 	_, member := c.membership().find(request.From)
-	return !member && c.membershipRecorded() && c.membershipIndex() <= c.log.commitIndex && request.MembershipIndex < c.membershipIndex()
+	return !member && c.membershipRecorded() && c.membershipIndex() <= c.log.commitIndex && request.MembershipIndex <= c.membershipIndex()
 }
 
 func (c *core) grantsVote(request *VoteRequest) bool {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -383,6 +383,9 @@
 		ID: c.id, Role: c.role, Voter: m.voter(c.id), Term: c.state.Term, LeaderID: c.leaderID,
 		CommitIndex: c.log.commitIndex, AppliedIndex: n.applier.appliedIndex(), LastIndex: c.log.lastIndex(), SnapshotIndex: c.log.snapshot.Index,
 	}
+	if c.role != Leader {
+		s.SinceLeader = n.config.Now() - c.lastLeaderContact
+	}
 	for _, o := range m.Members {
 		member := MemberStatus{Server: Server{ID: o.ID, Address: o.Address, Observer: o.Observer}, Voter: o.Voter}
 		if p := c.peers[o.ID]; p != nil {
--- a/internal/consensus/release.go
+++ b/internal/consensus/release.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"github.com/dandelionpier/dandelionpier/internal/fault"
-	"github.com/dandelionpier/dandelionpier/internal/task"
 )
 
 // releaseMember makes the next change towards a membership without a member that is about to stop.
@@ -48,25 +46,10 @@
 	})
 }
 
-// releaseRetryInterval is the time between two attempts to make a change that is not possible yet.
-const releaseRetryInterval = 20 * time.Millisecond
-
 // Release removes a member that is about to stop, without a loss of tolerance: a learner is promoted
 // first where the number of voters is odd. It returns nil once the membership without the member is
 // committed. The kind of an error is NotLeader, NoSuccessor (the voter keeps its place), Stopped, or
 // OutcomeUnknown if ctx ends first.
 func (n *Node) Release(ctx context.Context, id string) error {
-	const op = "release member"
-	for {
-		err := n.changeMembership(ctx, op, func() (uint64, error) { return n.core.releaseMember(id) })
-		switch {
-		case fault.Is(err, NotMember):
-			return nil
-		case err != nil && !fault.Is(err, Refused):
-			return err
-		}
-		if task.Pause(ctx, releaseRetryInterval); ctx.Err() != nil {
-			return fault.Wrap(ctx.Err(), op, OutcomeUnknown, "wait for the next change")
-		}
-	}
+	return n.changeUntil(ctx, "release member", NotMember, func() (uint64, error) { return n.core.releaseMember(id) })
 }
