Replace a voter without its files as soon as its instance is back

Cause: a voter was given up only for its silence. A learner at the same address proves that the voter cannot return.

Change: the leader replaces a voter at once when another member replies from its address.

TestWipedVoterIsReplacedOnceItIsBack fails before for 3 and for 5 voters (ReplaceAfter a minute).

--- a/internal/consensus/replacement.go
+++ b/internal/consensus/replacement.go
@@ -1,15 +1,17 @@
 package consensus
 
-import "iter"
+import (
+	"iter"
+	"slices"
+)
 
 // An odd number of voters bears as many lost voters as the next even number, with a smaller quorum.
 // The leader of a cluster with a target therefore keeps the number of voters odd: it promotes
 // learners in pairs, and it removes an absent voter at once when the number is even. With an odd
 // number it promotes a learner first.
 
-// replaceLostVoters removes voters that have been unreachable for too long, or promotes learners
-// that take their place. It makes at most one membership change; a refused one is retried at the
-// next heartbeat.
+// replaceLostVoters removes absent voters, or promotes learners that take their place. It makes at
+// most one membership change; a refused one is retried at the next heartbeat.
 func (c *core) replaceLostVoters() {
 	if c.timing.ReplaceAfter < 0 || c.log.commitIndex < c.termStartIndex || c.membershipIndex() > c.log.commitIndex {
 		return
@@ -19,8 +21,8 @@
 		c.completeReplacement(m)
 		return
 	}
-	if lost := c.lostVoter(); lost != "" {
-		c.replaceVoter(m, lost)
+	if absent := c.absentVoter(m); absent != "" {
+		c.replaceVoter(m, absent)
 		return
 	}
 	c.growQuorum(m)
@@ -30,7 +32,7 @@
 // is lost before it has caught up and the other one still replies, the replacement is cancelled.
 func (c *core) completeReplacement(m Membership) {
 	id := m.Replaced
-	if c.unreachableTooLong(m.Fresh) && !c.unreachableTooLong(m.Replaced) && c.peers[m.Fresh].matchIndex < c.membershipIndex() {
+	if c.absent(m, m.Fresh) && !c.absent(m, m.Replaced) && c.peers[m.Fresh].matchIndex < c.membershipIndex() {
 		id = m.Fresh
 	}
 	_, _ = c.removeMember(id)
@@ -98,9 +100,14 @@
 	return p != nil && c.now > p.lastReplyAt+c.timing.ReplaceAfter
 }
 
-// lostVoter returns the voter that has been unreachable for the longest time, if that is too long,
-// and otherwise an empty string.
-func (c *core) lostVoter() string {
+// absentVoter returns the voter whose place a learner should take, or an empty string: one whose
+// files are known to be lost, otherwise the one that has been unreachable for the longest time.
+func (c *core) absentVoter(m Membership) string {
+	for _, o := range m.Members {
+		if o.Voter && c.superseded(m, o.ID) {
+			return o.ID
+		}
+	}
 	longest := ""
 	for id := range c.lostVoters() {
 		if longest == "" || c.peers[id].lastReplyAt < c.peers[longest].lastReplyAt {
@@ -110,6 +117,27 @@
 	return longest
 }
 
+func (c *core) absent(m Membership, id string) bool {
+	return c.unreachableTooLong(id) || c.superseded(m, id)
+}
+
+// superseded reports whether another member replies from the address of a member. That member has
+// lost its files then, because its instance has started without them.
+func (c *core) superseded(m Membership, id string) bool {
+	member, ok := m.find(id)
+	p := c.peers[id]
+	if !ok || p == nil {
+		return false
+	}
+	return slices.ContainsFunc(m.Members, func(o Member) bool {
+		if o.ID == id || o.Address != member.Address {
+			return false
+		}
+		q := c.peers[o.ID]
+		return o.ID == c.id || q != nil && q.repliedThisTerm && q.lastReplyAt > p.lastReplyAt
+	})
+}
+
 // lostVoters yields the voters that have been unreachable for too long.
 func (c *core) lostVoters() iter.Seq[string] {
 	return func(yield func(string) bool) {
--- a/internal/consensus/replacement_test.go
+++ b/internal/consensus/replacement_test.go
@@ -280,3 +280,30 @@
 		})
 	}
 }
+
+// Guards against a voter without its files that keeps its place until it has been unreachable for long, although its
+// successor at the same address shows that it never returns.
+func TestWipedVoterIsReplacedOnceItIsBack(t *testing.T) {
+	for name, voters := range map[string]int{"3 voters": 3, "5 voters": 5} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(51, voters, 0)
+			s.setReplaceAfter(time.Minute)
+			l := s.awaitLeader()
+			wiped := s.otherThan(l.id)[0]
+			s.wipe(wiped)
+			s.retired[wiped] = true
+			successor := wiped + "/1"
+			s.startAt(successor, wiped)
+			_, err := l.core.joinMember(Server{ID: successor, Address: wiped}, false)
+			is.NoErr(err)
+			s.processOutput(l)
+			s.advance(2 * time.Second)
+			m := s.awaitLeader().core.membership()
+			is.Equal(m.voters(), voters)
+			is.True(m.voter(successor))
+			is.True(!m.voter(wiped))
+			is.Equal(s.violation, "")
+		})
+	}
+}
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -18,6 +18,8 @@
 type simulation struct {
 	// targetVoters is Config.TargetVoters of all nodes.
 	targetVoters int
+	// replaceAfter is Timing.ReplaceAfter of all nodes.
+	replaceAfter time.Duration
 	now          time.Duration
 	nodes        map[string]*simulatedNode
 	order        []string
@@ -29,6 +31,9 @@
 	requesterByToken map[uint64]string
 	lastToken        uint64
 	servers          []Server
+	// nodeAtAddress holds the id of the node that receives the requests to an address. The address of a node is its
+	// id unless startAt sets another one.
+	nodeAtAddress map[string]string
 	// retired holds the nodes that have stopped for good.
 	retired map[string]bool
 
@@ -52,6 +57,7 @@
 // simulatedNode is one node with its disk.
 type simulatedNode struct {
 	id, incarnation string
+	address         string
 	core            *core
 	disk            journal.Contents
 	up, frozen      bool
@@ -78,9 +84,10 @@
 
 func newSimulation(seed uint64, voters, learners int) *simulation {
 	s := &simulation{
+		replaceAfter: 3 * time.Second,
 		nodes: make(map[string]*simulatedNode), random: rand.New(rand.NewPCG(seed, 1)),
 		cutLinks: make(map[[2]string]bool), requestLossLinks: make(map[[2]string]bool),
-		retired: make(map[string]bool), requesterByToken: make(map[uint64]string), leaderByTerm: make(map[uint64]string),
+		nodeAtAddress: make(map[string]string), retired: make(map[string]bool), requesterByToken: make(map[uint64]string), leaderByTerm: make(map[uint64]string),
 		entryChecksums: make(map[[2]uint64][2]uint64), committed: make(map[uint64]journal.Entry), minReadIndexes: make(map[uint64]uint64),
 	}
 	for i := range voters {
@@ -102,21 +109,38 @@
 	return n.clockOffset + time.Duration(float64(s.now)*n.clockRate)
 }
 
-// start starts a node from its disk. A new node gets a clock that runs up to 4 % fast or slow.
+// startAt starts a node from its disk at an address.
+func (s *simulation) startAt(id, address string) {
+	if n := s.nodes[id]; n != nil {
+		n.address = address
+		s.start(id)
+		return
+	}
+	s.nodes[id] = s.newNode(id, address)
+	s.start(id)
+}
+
+// newNode returns a node without files, with a clock that runs up to 4 % fast or slow.
+func (s *simulation) newNode(id, address string) *simulatedNode {
+	s.order = append(s.order, id)
+	return &simulatedNode{id: id, address: address, clockRate: 0.96 + 0.08*s.random.Float64(), clockOffset: time.Hour}
+}
+
+// start starts a node from its disk.
 func (s *simulation) start(id string) *simulatedNode {
 	n := s.nodes[id]
 	if n == nil {
-		n = &simulatedNode{id: id, clockRate: 0.96 + 0.08*s.random.Float64(), clockOffset: time.Hour}
+		n = s.newNode(id, id)
 		s.nodes[id] = n
-		s.order = append(s.order, id)
 	}
+	s.nodeAtAddress[n.address] = id
 	if n.disk.Identity.ID == "" {
 		n.incarnation = fmt.Sprintf("%s-%d", id, n.wipeCount)
 		n.disk.Identity = journal.Identity{ID: id, Incarnation: n.incarnation}
 	}
 	disk := n.disk
 	disk.Entries = slices.Clone(n.disk.Entries)
-	config := Config{ID: id, Address: id, Bootstrap: s.servers, Timing: Timing{ReplaceAfter: 3 * time.Second}, TargetVoters: s.targetVoters}
+	config := Config{ID: id, Address: n.address, Bootstrap: s.servers, Timing: Timing{ReplaceAfter: s.replaceAfter}, TargetVoters: s.targetVoters}
 	c, err := newCore(config, &disk, s.random, s.clock(n))
 	if err != nil {
 		panic(err)
@@ -144,6 +168,14 @@
 	return string(rune('a' + len(s.order)))
 }
 
+// setReplaceAfter sets Timing.ReplaceAfter, now and at later starts.
+func (s *simulation) setReplaceAfter(d time.Duration) {
+	s.replaceAfter = d
+	for _, n := range s.nodes {
+		n.core.timing.ReplaceAfter = d
+	}
+}
+
 func (s *simulation) crash(id string) {
 	s.nodes[id].up = false
 }
@@ -265,8 +297,10 @@
 		} else {
 			s.lastToken++
 			m.token = s.lastToken
+			m.to = s.nodeAtAddress[m.address]
 			if r, ok := m.body.(*SnapshotRequest); ok {
 				if r.Meta.Index != n.disk.Meta.Index {
+					n.core.onCallFailure(&callFailure{peer: r.To, sequence: r.Sequence}) // The snapshot cannot be read.
 					continue
 				}
 				r.Data = n.disk.Snapshot[r.Offset:min(r.Offset+3, uint64(len(n.disk.Snapshot)))]
