Remove a dead voter while the learner promoted in its place is behind

What users would see: the quorum is larger by one, and bears one loss less, for as long as the successor of a dead voter needs to catch up, or for replace-after if it is lost as well.

Cause: no change but the removal of the successor was allowed until that had caught up, although the removal of a dead voter lowers the number of votes that are needed and costs nothing.

Change: the removal of an absent voter is allowed too. One that still lives, and stops by plan, waits until its successor holds the log.

TestLossOfSuccessorKeepsDeadVoter fails before: six voters, two of them gone, where five should be.

--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -1,6 +1,8 @@
 package consensus
 
 import (
+	"slices"
+
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 )
 
@@ -46,14 +48,12 @@
 
 // checkChange refuses a membership whose quorum could not commit entries now. While the most
 // recently promoted voter is catching up, it also refuses every change except the removal of that
-// voter.
+// voter or of an absent one.
 func (c *core) checkChange(next Membership) error {
 	const op = "change membership"
 	promotedVoter := c.membership().Fresh
-	if p := c.peers[promotedVoter]; p != nil && p.matchIndex < c.membershipIndex() && !c.unreachableTooLong(promotedVoter) {
-		if _, stays := next.find(promotedVoter); stays {
-			return fault.New(op, Refused, "voter %q has not caught up yet", promotedVoter)
-		}
+	if c.catchingUp(promotedVoter) && next.voter(promotedVoter) && !c.removesAbsentVoter(next) {
+		return fault.New(op, Refused, "voter %q has not caught up yet", promotedVoter)
 	}
 	reachable := 0
 	for _, m := range next.Members {
@@ -67,6 +67,21 @@
 	return nil
 }
 
+// catchingUp reports whether a promoted voter may not hold its own promotion yet and may still
+// reply.
+func (c *core) catchingUp(id string) bool {
+	p := c.peers[id]
+	return p != nil && p.matchIndex < c.membershipIndex() && !c.unreachableTooLong(id)
+}
+
+func (c *core) removesAbsentVoter(next Membership) bool {
+	m := c.membership()
+	return slices.ContainsFunc(m.Members, func(o Member) bool {
+		_, stays := next.find(o.ID)
+		return o.Voter && !stays && c.absent(m, o.ID)
+	})
+}
+
 // reachableAndCaughtUp reports whether a member replies and its log is close to the end of the
 // leader's.
 func (c *core) reachableAndCaughtUp(id string) bool {
--- a/internal/consensus/replacement_test.go
+++ b/internal/consensus/replacement_test.go
@@ -307,3 +307,27 @@
 		})
 	}
 }
+
+// Guards against a dead voter that stays, and with it a quorum that is larger by one, because the learner promoted in
+// its place is lost before it has caught up.
+func TestLossOfSuccessorKeepsDeadVoter(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(52, 5, 1)
+	l := s.awaitLeader()
+	s.join("f")
+	s.advance(time.Second)
+	dead := s.otherThan(l.id)[0]
+	s.crash(dead)
+	for range 1000 {
+		s.advance(5 * time.Millisecond)
+		if s.leader().core.membership().Replaced == dead {
+			break
+		}
+	}
+	s.crash("f")
+	s.advance(time.Second) // less than ReplaceAfter
+	m := s.awaitLeader().core.membership()
+	is.Equal(m.voters(), 5)
+	is.True(!m.voter(dead))
+	is.Equal(s.violation, "")
+}
