--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -85,7 +85,7 @@
 func newSimulation(seed uint64, voters, learners int) *simulation {
 	s := &simulation{
 		replaceAfter: 3 * time.Second,
-		nodes: make(map[string]*simulatedNode), random: rand.New(rand.NewPCG(seed, 1)),
+		nodes:        make(map[string]*simulatedNode), random: rand.New(rand.NewPCG(seed, 1)),
 		cutLinks: make(map[[2]string]bool), requestLossLinks: make(map[[2]string]bool),
 		nodeAtAddress: make(map[string]string), retired: make(map[string]bool), requesterByToken: make(map[uint64]string), leaderByTerm: make(map[uint64]string),
 		entryChecksums: make(map[[2]uint64][2]uint64), committed: make(map[uint64]journal.Entry), minReadIndexes: make(map[uint64]uint64),
