Record the new address of a member that has moved

What users would see: a control instance that comes back with its disk at another address runs, and counts for nothing: the quorum bears one loss less, and without a standby it stays so.

Cause: the leader sends to the address in the list of members. The instance kept its id, as its files demand, and was told that it is a member; nobody changed the address.

Change: joining with the id of a member and another address is a membership change that records the address. A leader that has moved records its own.

--- a/internal/consensus/join.go
+++ b/internal/consensus/join.go
@@ -8,8 +8,9 @@
 	"github.com/dandelionpier/dandelionpier/internal/task"
 )
 
-// joinMember makes the next change towards a membership that holds a server. An earlier learner at
-// its address is removed first; an earlier voter stays until a learner replaces it. An id that was
+// joinMember makes the next change towards a membership that holds a server at its address. An
+// earlier learner at the address is removed first; an earlier voter stays until a learner replaces
+// it. An id that was
 // removed is not added again, so that no vote or log entry of its earlier time counts: a server with
 // a log that is not a member gets an error of kind Removed. The kind of any other error is NotLeader,
 // AlreadyMember once the change is complete, or Refused if the next change is not possible yet.
@@ -19,8 +20,13 @@
 		return 0, err
 	}
 	m := c.membership()
-	if _, ok := m.find(s.ID); ok {
+	member, ok := m.find(s.ID)
+	switch {
+	case ok && member.Address == s.Address:
 		return 0, fault.New(op, AlreadyMember, "%q is a member", s.ID)
+	case ok:
+		member.Address = s.Address
+		return c.changeMembership(m.with(member))
 	}
 	if hasLog {
 		// Only while its lease is valid does this leader know the latest membership.
@@ -41,7 +47,8 @@
 // yet.
 const changeRetryInterval = 20 * time.Millisecond
 
-// Join adds a server as a learner, unless it is a member. hasLog tells whether the server holds a
+// Join adds a server as a learner, unless it is a member, and records its address if that has
+// changed. hasLog tells whether the server holds a
 // log from an earlier membership. Join returns nil once a committed membership holds the server. The
 // kind of an error is Removed (the server must start with an empty directory and a new id),
 // NotLeader, Stopped, or OutcomeUnknown if ctx ends first.
--- a/internal/consensus/replacement.go
+++ b/internal/consensus/replacement.go
@@ -10,13 +10,19 @@
 // learners in pairs, and it removes an absent voter at once when the number is even. With an odd
 // number it promotes a learner first.
 
-// replaceLostVoters removes absent voters, or promotes learners that take their place. It makes at
-// most one membership change; a refused one is retried at the next heartbeat.
+// replaceLostVoters removes absent voters, or promotes learners that take their place, and records
+// the leader's own address. It makes at most one membership change; a refused one is retried at the
+// next heartbeat.
 func (c *core) replaceLostVoters() {
 	if c.timing.ReplaceAfter < 0 || c.log.commitIndex < c.termStartIndex || c.membershipIndex() > c.log.commitIndex {
 		return
 	}
 	m := c.membership()
+	if own, ok := m.find(c.id); ok && own.Address != c.address {
+		own.Address = c.address
+		_, _ = c.changeMembership(m.with(own))
+		return
+	}
 	if m.Replaced != "" && m.voter(m.Replaced) {
 		c.completeReplacement(m)
 		return
--- a/internal/consensus/replacement_test.go
+++ b/internal/consensus/replacement_test.go
@@ -331,3 +331,55 @@
 	is.True(!m.voter(dead))
 	is.Equal(s.violation, "")
 }
+
+// Guards against a voter that returns with its files at another address and never hears from the leader, which sends
+// to the old one.
+func TestMovedVoterStaysUnreachable(t *testing.T) {
+	for name, voters := range map[string]int{"3 voters": 3, "5 voters": 5} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(61, voters, 0)
+			l := s.awaitLeader()
+			moved := s.otherThan(l.id)[0]
+			s.crash(moved)
+			delete(s.nodeAtAddress, moved)
+			s.propose(l, "while it is away")
+			s.startAt(moved, "z")
+			s.advance(time.Second)
+			l = s.awaitLeader()
+			_, err := l.core.joinMember(Server{ID: moved, Address: "z"}, true)
+			is.NoErr(err)
+			s.processOutput(l)
+			s.advance(2 * time.Second)
+			l = s.awaitLeader()
+			is.Equal(l.core.membership().voters(), voters)
+			is.Equal(s.nodes[moved].core.log.commitIndex, l.core.log.commitIndex)
+			is.Equal(s.violation, "")
+		})
+	}
+}
+
+// Guards against a leader at another address than before that nobody can call: the only node that can win the
+// election is the one that has moved.
+func TestMovedLeaderKeepsItsOldAddress(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(62, 3, 0)
+	l := s.awaitLeader()
+	s.advance(time.Second)
+	others := s.otherThan(l.id)
+	moved, behind := others[0], others[1]
+	s.partition([]string{behind}, true, true)
+	s.propose(l, "only the leader and the node that will move hold this")
+	s.advance(time.Second)
+	s.crash(l.id)
+	s.crash(moved)
+	delete(s.nodeAtAddress, moved)
+	s.heal()
+	s.startAt(moved, "z")
+	l = s.awaitLeader()
+	s.advance(time.Second)
+	is.Equal(l.id, moved)
+	member, _ := l.core.membership().find(moved)
+	is.Equal(member.Address, "z")
+	is.Equal(s.violation, "")
+}
