Drop members that are gone for good although no learner takes their place

What users would see: after planned changes of many instances, or with standbys that are replaced without a plan, the list of members grows with each instance that ever stood by, and voters that are gone keep the quorum large: three of five live, and no further one may be lost.

Cause: only a learner that took its place removed a voter, and nothing removed a learner but its own return at the same address.

Change: a member that has been unreachable for 20 times replace-after leaves the list, down to three voters, where the number of voters is kept by the leader. An instance that returns later joins again.

TestGoneMembersStayForEver fails before for learners and for one and two of five voters.

--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -159,7 +159,8 @@
 	Timing       Timing
 	// TargetVoters is the number of voters up to which a leader promotes learners automatically; 0
 	// disables this. It promotes only while all voters are reachable and only up to an odd number,
-	// and it removes an unreachable voter of an even number.
+	// and it removes an unreachable voter of an even number. Members that have been unreachable for
+	// 20 times ReplaceAfter are removed as well, down to three voters.
 	TargetVoters int
 	// SnapshotEvery is the number of applied entries between snapshots; 0 means 10,000.
 	SnapshotEvery int
--- a/internal/consensus/replacement.go
+++ b/internal/consensus/replacement.go
@@ -3,8 +3,13 @@
 import (
 	"iter"
 	"slices"
+	"time"
 )
 
+// abandonFactor times ReplaceAfter is how long a member must be unreachable before it is removed
+// although no learner takes its place.
+const abandonFactor = 20
+
 // An odd number of voters bears as many lost voters as the next even number, with a smaller quorum.
 // The leader of a cluster with a target therefore keeps the number of voters odd: it promotes
 // learners in pairs, and it removes an absent voter at once when the number is even. With an odd
@@ -32,6 +37,7 @@
 		return
 	}
 	c.growQuorum(m)
+	c.dropLearners(m)
 }
 
 // completeReplacement removes the voter that the most recently promoted one replaces. If that one
@@ -45,9 +51,10 @@
 }
 
 // replaceVoter removes an absent voter, or promotes a learner to take its place. Without a learner
-// an odd number of voters stays as it is, because the voter may return with its files.
+// an odd number of voters stays as it is until the voter is unlikely to return with its files.
 func (c *core) replaceVoter(m Membership, absent string) {
-	if voters := m.voters(); c.targetVoters > 0 && voters > minVoters && voters%2 == 0 {
+	mayRemove := c.targetVoters > 0 && m.voters() > minVoters
+	if mayRemove && m.voters()%2 == 0 {
 		_, _ = c.removeMember(absent)
 		return
 	}
@@ -55,6 +62,9 @@
 		_, _ = c.promoteLearner(standby, absent)
 		return
 	}
+	if mayRemove && c.unreachableFor(absent, abandonFactor*c.timing.ReplaceAfter) {
+		_, _ = c.removeMember(absent)
+	}
 }
 
 // growQuorum promotes a learner while there are fewer voters than targetVoters, so that more voters
@@ -89,6 +99,16 @@
 	}
 }
 
+// dropLearners removes a learner that is unlikely to return. It can join again.
+func (c *core) dropLearners(m Membership) {
+	for _, o := range m.Members {
+		if c.targetVoters > 0 && !o.Voter && !o.Observer && c.unreachableFor(o.ID, abandonFactor*c.timing.ReplaceAfter) {
+			_, _ = c.removeMember(o.ID)
+			return
+		}
+	}
+}
+
 // standbys yields the learners that may be promoted now.
 func (c *core) standbys(m Membership) iter.Seq[string] {
 	return func(yield func(string) bool) {
@@ -102,8 +122,12 @@
 
 // unreachableTooLong reports whether a member has been unreachable for longer than ReplaceAfter.
 func (c *core) unreachableTooLong(id string) bool {
+	return c.unreachableFor(id, c.timing.ReplaceAfter)
+}
+
+func (c *core) unreachableFor(id string, d time.Duration) bool {
 	p := c.peers[id]
-	return p != nil && c.now > p.lastReplyAt+c.timing.ReplaceAfter
+	return p != nil && c.now > p.lastReplyAt+d
 }
 
 // absentVoter returns the voter whose place a learner should take, or an empty string: one whose
--- a/internal/consensus/replacement_test.go
+++ b/internal/consensus/replacement_test.go
@@ -383,3 +383,44 @@
 	is.Equal(member.Address, "z")
 	is.Equal(s.violation, "")
 }
+
+// Guards against members that are gone for good and stay in the list without end, because no learner takes their
+// place: a list that grows with each one, and a quorum that counts them.
+func TestGoneMembersStayForEver(t *testing.T) {
+	for name, test := range map[string]struct {
+		voters, learners, target int
+		goneVoters, goneLearners int
+		wantVoters, wantLearners int
+	}{
+		"learners":                 {3, 2, 3, 0, 2, 3, 0},
+		"learners, no target":      {3, 2, 0, 0, 2, 3, 2},
+		"1 of 5 voters":            {5, 0, 5, 1, 0, 4, 0},
+		"2 of 5 voters":            {5, 0, 5, 2, 0, 3, 0},
+		"2 of 5 voters, no target": {5, 0, 0, 2, 0, 5, 0},
+		"1 of 3 voters":            {3, 0, 5, 1, 0, 3, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(71, test.voters, test.learners)
+			s.setTargetVoters(test.target)
+			l := s.awaitLeader()
+			for i := range test.learners {
+				s.join(s.order[test.voters+i])
+			}
+			others := s.otherThan(l.id)
+			for _, id := range others[:test.goneVoters] {
+				s.crash(id)
+			}
+			for _, id := range others[len(others)-test.goneLearners:] {
+				s.crash(id)
+			}
+			s.advance(10 * time.Second)
+			is.Equal(s.awaitLeader().core.membership().voters(), test.voters) // they may return
+			s.advance(60 * time.Second)
+			m := s.awaitLeader().core.membership()
+			is.Equal(m.voters(), test.wantVoters)
+			is.Equal(len(m.Members)-m.voters(), test.wantLearners)
+			is.Equal(s.violation, "")
+		})
+	}
+}
