Remove a voter without its files before its successor is promoted

What users would see: an instance that loses its disk twice within a second or two costs the quorum two places; with a second lost disk, three of six voters are left and nobody leads again.

Cause: the successor of a wiped voter was promoted while the wiped one still counted. If the disk is lost again in between, one instance has two dead places in an even number of voters.

Change: where the quorum grows by itself, a voter whose files are known to be lost is removed first. That costs no tolerance, since it can never vote again, and the successor is promoted next.

TestDiskLostTwiceCostsTwoVoters fails before for 3 and for 5 voters, 20 seeds each.

--- a/internal/consensus/replacement.go
+++ b/internal/consensus/replacement.go
@@ -51,8 +51,14 @@
 }
 
 // replaceVoter removes an absent voter, or promotes a learner to take its place. Without a learner
-// an odd number of voters stays as it is until the voter is unlikely to return with its files.
+// an odd number of voters stays as it is until the voter is unlikely to return with its files. A
+// voter without its files is removed before its successor is promoted, so that one instance never
+// counts twice; the quorum grows again afterwards.
 func (c *core) replaceVoter(m Membership, absent string) {
+	if c.targetVoters >= m.voters() && c.superseded(m, absent) {
+		_, _ = c.changeMembership(m.without(absent))
+		return
+	}
 	mayRemove := c.targetVoters > 0 && m.voters() > minVoters
 	if mayRemove && m.voters()%2 == 0 {
 		_, _ = c.removeMember(absent)
--- a/internal/consensus/replacement_test.go
+++ b/internal/consensus/replacement_test.go
@@ -424,3 +424,40 @@
 		})
 	}
 }
+
+// Guards against two places in the quorum that one instance takes and loses: its disk is lost again while its
+// successor has been promoted and the first place is still counted.
+func TestDiskLostTwiceCostsTwoVoters(t *testing.T) {
+	for name, test := range map[string]struct{ voters, lostDisks int }{"3 voters": {3, 1}, "5 voters": {5, 2}} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				is := is.New(t)
+				s := newSimulation(seed, test.voters, 0)
+				s.setTargetVoters(5)
+				l := s.awaitLeader()
+				s.advance(time.Second)
+				wiped := s.otherThan(l.id)[0]
+				s.wipe(wiped)
+				s.retired[wiped] = true
+				successor := wiped + "/1"
+				s.startAt(successor, wiped)
+				for range 400 {
+					if _, ok := l.core.membership().find(successor); !ok {
+						_, _ = l.core.joinMember(Server{ID: successor, Address: wiped}, false)
+						s.processOutput(l)
+					}
+					if l.core.membership().voter(successor) {
+						break
+					}
+					s.advance(5 * time.Millisecond)
+				}
+				is.True(l.core.membership().voter(successor))
+				others := s.otherThan(wiped)
+				s.darken(append([]string{successor}, others[:test.lostDisks-1]...)...)
+				l = s.awaitLeader()
+				is.True(l != nil)
+				is.Equal(s.violation, "")
+			}
+		})
+	}
+}
