Remove the identity first when a member's files are discarded

What users would see: nothing yet. A member whose log is damaged discards its files and joins again under a new id. If it loses power in between, the names of removed files may be back in any combination, and its identity with an older log would make it vote in its old place without what it had stored since.

Cause: the files were removed in the order of their names with one sync at the end.

Change: the identity is removed and synced before the rest; what is left without an identity counts as damage and is discarded at the next start.

TestDiscardRemovesTheIdentityFirst fails before: a discard that stops at a file leaves the identity.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -10,6 +10,7 @@
 package journal
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"sync"
@@ -152,9 +153,16 @@
 	return c.Identity, err == nil && !c.New, err
 }
 
-// Discard removes all files of a directory that no process uses, so that a member can return under a new ID.
+// Discard removes all files of a directory that no process uses, so that a member can return under a new ID. The
+// identity goes first: after a crash in between, the rest must not count as the state of the old member.
 func Discard(directory string) error {
 	const op = "discard journal"
+	if err := os.Remove(filepath.Join(directory, identityName)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fault.Wrap(err, op, Disk, identityName)
+	}
+	if err := syncDirectory(directory, (*os.File).Sync); err != nil {
+		return err
+	}
 	files, err := os.ReadDir(directory)
 	if err != nil {
 		return fault.Wrap(err, op, Disk, directory)
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -334,3 +334,20 @@
 	}
 	_ = j.Close()
 }
+
+// Guards against a directory that keeps its identity without its log, or with an older one, when it is discarded only
+// in part: the member would vote again without what it has stored.
+func TestDiscardRemovesTheIdentityFirst(t *testing.T) {
+	is := is.New(t)
+	directory, _ := createLog(t)
+	is.NoErr(os.MkdirAll(filepath.Join(directory, "a", "b"), 0o700)) // cannot be removed, and is listed first
+	is.True(fault.Is(Discard(directory), Disk))
+	_, hasStored, err := StoredIdentity(directory)
+	is.NoErr(err)
+	is.True(!hasStored)
+	is.NoErr(os.RemoveAll(filepath.Join(directory, "a")))
+	is.NoErr(Discard(directory))
+	files, err := os.ReadDir(directory)
+	is.NoErr(err)
+	is.Equal(len(files), 0)
+}
