--- a/entryd/internal/cli/gateway.go
+++ b/entryd/internal/cli/gateway.go
@@ -117,12 +117,13 @@
 // reportCrashTimeout limits the call that reports a request whose endpoint crashed.
 const reportCrashTimeout = 3 * time.Second
 
-func (e *gatewayEntry) reportCrash(fingerprint uint64, endpoint string) {
+func (e *gatewayEntry) reportCrash(crash gateway.Crash) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportCrashTimeout)
 	defer cancel()
-	e.logger.Info("An endpoint died while it ran a request", zap.String(logging.Endpoint, endpoint), zap.Uint64("fingerprint", fingerprint))
-	if _, err := e.control.Suspect(ctx, control.SuspectRequest{Fingerprint: fingerprint, Endpoint: endpoint}); err != nil {
-		e.logger.Warn("Could not report a request whose endpoint died", zap.Uint64("fingerprint", fingerprint), zap.Error(err))
+	e.logger.Info("An endpoint died while it ran a request", zap.String(logging.RequestID, crash.RequestID), zap.String(logging.Endpoint, crash.Endpoint),
+		zap.Uint64("fingerprint", crash.Fingerprint), zap.Bool("begun", crash.Begun), zap.Strings("parts", crash.Parts))
+	if _, err := e.control.Suspect(ctx, control.SuspectRequest{Fingerprint: crash.Fingerprint, Endpoint: crash.Endpoint}); err != nil {
+		e.logger.Warn("Could not report a request whose endpoint died", zap.Uint64("fingerprint", crash.Fingerprint), zap.Error(err))
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -20,6 +20,8 @@
 	grant placement.Grant
 	// reservation is nil when the attempt reserves no engine memory.
 	reservation *memoryReservation
+	// begun is set once the endpoint has sent the first event of a stream.
+	begun bool
 }
 
 // nextAttempt selects an endpoint for the next attempt. It returns a refusal if there is none.
@@ -139,13 +141,13 @@
 		})
 	}
 	if kind == BadResponse && !callerLeft {
-		g.reportIfCrashed(x, a.outgoing)
+		g.reportIfCrashed(x, a)
 	}
 }
 
 func (g *Gateway) logFailure(x *exchange, a *attempt, faultyEndpoint string, err error) {
 	x.log.Info("An attempt failed", zap.String(logging.AttemptID, a.dispatchID()), zap.String(logging.Endpoint, faultyEndpoint), zap.String("address", a.outgoing.Address),
-		zap.Int("sent", x.possibleRuns), zap.Duration("after", time.Since(a.started)), zap.Error(err))
+		zap.Int("sent", x.possibleRuns), zap.Bool("begun", a.begun), zap.Strings("parts", x.call.Prompt.Parts), zap.Duration("after", time.Since(a.started)), zap.Error(err))
 }
 
 // errorKind returns the kind of an error from sending a request or reading its response. It is empty for nil.
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -8,13 +8,17 @@
 
 // reportIfCrashed checks whether the endpoint of a failed request has crashed, and reports the request if so. If the
 // endpoint still runs, the failed connection is no evidence against the request.
-func (g *Gateway) reportIfCrashed(x *exchange, outgoing EndpointRequest) {
+func (g *Gateway) reportIfCrashed(x *exchange, a *attempt) {
 	if g.config.ReportCrash == nil {
 		return
 	}
+	crash := Crash{
+		RequestID: x.call.ID, Fingerprint: x.fingerprint, Endpoint: a.outgoing.Endpoint, Parts: x.call.Prompt.Parts, Begun: a.begun,
+	}
+	address := a.outgoing.Address
 	time.AfterFunc(crashCheckDelay, func() {
-		if !acceptsConnections(outgoing.Address) {
-			g.config.ReportCrash(x.fingerprint, outgoing.Endpoint)
+		if !acceptsConnections(address) {
+			g.config.ReportCrash(crash)
 		}
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,9 @@
 	// MaxOutput is the caller's limit on the output; LikelyOutput is its estimate, 0 if it gave none.
 	MaxOutput    int
 	LikelyOutput int
+	// Parts are the ids of the parts of the prompt, in order. Prompts share parts; the last one belongs to the request
+	// or its session.
+	Parts []string
 }
 
 // Call is a request as received from its caller.
@@ -121,8 +124,20 @@
 	Report(e placement.Event)
 }
 
-// CrashReporter reports the fingerprint of a request whose endpoint crashed.
-type CrashReporter func(fingerprint uint64, endpoint string)
+// Crash describes a request whose endpoint crashed.
+type Crash struct {
+	RequestID   string
+	Fingerprint uint64
+	// Endpoint is the id of the endpoint's incarnation that crashed.
+	Endpoint string
+	// Parts are the ids of the parts of the prompt.
+	Parts []string
+	// Begun means that the endpoint had sent the first event of the response.
+	Begun bool
+}
+
+// CrashReporter reports a request whose endpoint crashed.
+type CrashReporter func(crash Crash)
 
 // Config configures a Gateway.
 type Config struct {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -103,6 +103,7 @@
 			return pauses.UndisturbedPause(), err
 		}
 		if first := pauses.RecordEvent(time.Now()); first {
+			a.begun = true
 			g.recordFirstEvent(x, a)
 		}
 		watch.reset()
