Ask the other cell again before a prompt is refused as too large

Cause: a cell without an engine for the prompt refuses it for good once it has waited for one, and the entry passed that on although it had not heard from the other cells. What held their estimates up at that moment is still not known; any estimate that is lost or late has the same effect.

Change: the refusal counts only for that cell. The entry asks the cells that are left, for a second at most, and refuses for good only when none is left. If none replies the request is refused as unreachable (503, did not run).

--- a/entryd/internal/cell/choice.go
+++ b/entryd/internal/cell/choice.go
@@ -4,11 +4,14 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
+	"github.com/dandelionpier/dandelionpier/internal/refusal"
+	"github.com/dandelionpier/dandelionpier/internal/task"
 )
 
 // cellsToCompare is the number of cells that are asked for an estimate of a request. The better of two
@@ -57,6 +60,32 @@
 	return next, ok
 }
 
+const (
+	// largerCellWait is how long a request that is too large for a cell waits for a reply of another one.
+	largerCellWait = time.Second
+	// largerCellInterval is the time between two questions.
+	largerCellInterval = 100 * time.Millisecond
+)
+
+// awaitLargerCell returns the request with a cell outside avoidCells, all of which are too small for it, and a new
+// attempt ID. It returns tooLarge if no other cell is left, and otherwise waits for the dispatcher of one.
+func (c *Client) awaitLargerCell(ctx context.Context, request dispatch.ReserveRequest, avoidCells []string, newAttemptID func() string, tooLarge refusal.Error) (dispatch.ReserveRequest, error) {
+	view, _ := c.config.View()
+	for waitUntil := time.Now().Add(largerCellWait); ; task.Pause(ctx, largerCellInterval) {
+		next, ok := c.selectOtherCell(ctx, request, avoidCells, newAttemptID)
+		switch {
+		case ok:
+			return next, nil
+		case len(avoidCells) >= view.Cells(request.Cell):
+			return next, tooLarge
+		case ctx.Err() != nil:
+			return next, contextError(ctx)
+		case !time.Now().Before(waitUntil):
+			return next, unreachableError(request.Cell)
+		}
+	}
+}
+
 // bestEstimate asks the cells concurrently and returns the one with the best estimate.
 func (c *Client) bestEstimate(ctx context.Context, request dispatch.ReserveRequest, cells []string) (string, dispatch.Estimate) {
 	estimates := make([]dispatch.Estimate, len(cells))
--- a/entryd/internal/cell/choice_test.go
+++ b/entryd/internal/cell/choice_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -15,6 +18,7 @@
 	"github.com/dandelionpier/dandelionpier/entryd/internal/stream"
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
+	"github.com/dandelionpier/dandelionpier/internal/refusal"
 	"github.com/dandelionpier/dandelionpier/internal/session"
 )
 
@@ -24,6 +28,10 @@
 	mu        sync.Mutex
 	replicas  int
 	estimates map[string]dispatch.Estimate
+	// tooLarge holds the cells that queue a request and then refuse it as too large. The first refusal makes the
+	// cells in later reply.
+	tooLarge map[string]bool
+	later    map[string]dispatch.Estimate
 	// estimateCalls and reserveCalls hold the called cells in order; eventCells holds the cells of the reported events.
 	estimateCalls, reserveCalls, eventCells []string
 }
@@ -49,6 +57,10 @@
 		*reply.(*dispatch.ReserveReply) = dispatch.ReserveReply{
 			Status: dispatch.Granted, Grant: dispatch.Grant{ID: request.AttemptID},
 		}
+		if r.tooLarge[request.Cell] {
+			*reply.(*dispatch.ReserveReply) = dispatch.ReserveReply{Status: dispatch.Refused, Reason: dispatch.TooLarge}
+			maps.Copy(r.estimates, r.later)
+		}
 		if estimate.Status == dispatch.Refused {
 			*reply.(*dispatch.ReserveReply) = dispatch.ReserveReply{Status: dispatch.Refused, Reason: estimate.Reason}
 		}
@@ -131,6 +143,49 @@
 	}
 }
 
+// Guards against refusing a prompt for good that is too large for one cell, while the dispatcher of a larger cell has
+// not replied to the first estimate, or replies again only later.
+func TestTooLargeForOneCellOnly(t *testing.T) {
+	twoCells := request
+	twoCells.Fingerprint = 5
+	order := dispatch.CandidateCells(twoCells, 2)
+	queued := dispatch.Estimate{Status: dispatch.Queued}
+	for name, test := range map[string]struct {
+		tooLarge, later []int
+		reserved        []int
+		status          int
+	}{
+		"the other cell replies again":  {tooLarge: []int{0}, later: []int{1}, reserved: []int{0, 1}},
+		"too large for both":            {tooLarge: []int{0, 1}, later: []int{1}, reserved: []int{0, 1}, status: http.StatusRequestEntityTooLarge},
+		"the other cell does not reply": {tooLarge: []int{0}, reserved: []int{0}, status: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := &cellDispatchers{
+					replicas: 33, estimates: map[string]dispatch.Estimate{order[0]: queued},
+					tooLarge: map[string]bool{}, later: map[string]dispatch.Estimate{},
+				}
+				for _, i := range test.tooLarge {
+					r.tooLarge[order[i]] = true
+				}
+				for _, i := range test.later {
+					r.later[order[i]] = queued
+				}
+				_, err := r.client().Reserve(t.Context(), twoCells, attemptIDs())
+				var refused refusal.Error
+				is.Equal(errors.As(err, &refused), test.status != 0)
+				is.Equal(refused.Status, test.status)
+				var reserved []int
+				for _, name := range r.reserveCalls {
+					reserved = append(reserved, slices.Index(order, name))
+				}
+				is.Equal(reserved, test.reserved)
+			})
+		})
+	}
+}
+
 // Guards against a retry in a cell that does not know yet that the request may have crashed an endpoint.
 func TestRetryAsksTheCellOfTheLastAttempt(t *testing.T) {
 	is := is.New(t)
--- a/entryd/internal/cell/client.go
+++ b/entryd/internal/cell/client.go
@@ -150,10 +150,19 @@
 		case dispatch.Granted:
 			return reply.Grant, nil
 		case dispatch.Refused:
-			if reply.Reason != dispatch.NoEndpoint {
+			avoidCells = append(avoidCells, cellRequest.Cell)
+			switch reply.Reason {
+			case dispatch.NoEndpoint:
+			case dispatch.TooLarge:
+				next, err := c.awaitLargerCell(ctx, request, avoidCells, newAttemptID, refusedError(reply))
+				if err != nil {
+					return dispatch.Grant{}, err
+				}
+				cellRequest = next
+				continue
+			default:
 				return dispatch.Grant{}, refusedError(reply)
 			}
-			avoidCells = append(avoidCells, cellRequest.Cell)
 			if next, ok := c.selectOtherCell(ctx, request, avoidCells, newAttemptID); ok {
 				cellRequest = next
 				continue
