Send no more requests to an endpoint that has said in a response that it leaves

Change: package availability holds what endpoints have said about further requests, by incarnation. Each entry records it from any response of the request path (success, refusal, failure, head of a stream, also one that is cut off later) and leaves the endpoint out of plain picks, of the engines that its jobs may get and of grants that were decided before. A new incarnation is not held to it. The dispatcher of a service learns it with the first event or the end of the job and gives the engine to no entry. Only platform/ knows the name of the field. Other entries learn of plain services' endpoints by their own responses or by the check-in; telling them all would cost a message to each.

With the recording switched off TestLeavingEndpointGetsNoMoreRequests (8 of 8 cases), TestNewIncarnationOfLeavingEndpoint and TestOutdatedGrantIsDeclined fail; with it they pass under the race detector.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,6 +21,8 @@
 	grant placement.Grant
 	// reservation is nil when the attempt reserves no engine memory.
 	reservation *memoryReservation
+	// leaving is set if the response says that the endpoint is leaving.
+	leaving bool
 	// begun is set once the endpoint has sent the first event of a stream.
 	begun bool
 }
@@ -33,12 +36,13 @@
 	if x.engine != nil {
 		return g.placeAtEngines(ctx, x, a)
 	}
+	now := time.Now()
 	records, _ := g.config.Fleet.Endpoints(x.service)
-	record, ok := g.balancer.pick(time.Now(), records, x.tried)
+	record, ok := g.balancer.pick(now, g.availableRecords(now, records), x.tried)
 	if !ok {
-		return nil, pointer(notRun("no endpoint of the service takes work", startupRetryAfter))
+		return nil, pointer(notRun("no endpoint of the service takes work", g.pauseLeft(now, records, startupRetryAfter)))
 	}
-	a.outgoing.Endpoint, a.outgoing.Address = record.ID, record.Address
+	a.outgoing.Endpoint, a.outgoing.Started, a.outgoing.Address = record.ID, record.Started, record.Address
 	return a, nil
 }
 
@@ -51,9 +55,29 @@
 	return a.job.ID
 }
 
-// placeAtEngines asks the dispatcher for engines. It stops waiting in the dispatcher's queue when ctx ends.
+// placeAtEngines asks the dispatcher for engines until it grants some that are all available. It stops waiting in the
+// dispatcher's queue when ctx ends.
 func (g *Gateway) placeAtEngines(ctx context.Context, x *exchange, a *attempt) (*attempt, *Refusal) {
+	for {
+		refusal := g.reserveEngines(ctx, x, a)
+		if refusal != nil {
+			return nil, refusal
+		}
+		// An engine may have become unavailable to this entry while the job waited for its grant.
+		unavailable, ok := g.firstUnavailable(time.Now(), a.grant)
+		if !ok {
+			a.outgoing.setEngines(a.grant, a.job.ID)
+			return a, nil
+		}
+		g.config.Placer.Report(placement.Event{Type: placement.Declined, Job: *a.job, Endpoint: unavailable})
+	}
+}
+
+// reserveEngines obtains one grant for an attempt.
+func (g *Gateway) reserveEngines(ctx context.Context, x *exchange, a *attempt) *Refusal {
 	now := time.Now()
+	records, _ := g.config.Fleet.Endpoints(x.service)
+	unavailable := g.unavailableEngines(now, x.service, records)
 	output := x.call.Prompt.LikelyOutput
 	if output <= 0 {
 		output = x.engine.UsualOutput
@@ -62,27 +86,35 @@
 		ID: g.newAttemptID(), Service: x.service, Prompt: x.call.Prompt.Tokens, Output: min(output, x.call.Prompt.MaxOutput),
 		Bound: x.call.Prompt.MaxOutput, Objective: x.route.Objective, MaxPause: x.route.MaxPause,
 		Waited: now.Sub(x.arrived), Left: x.timeLeft(now), Priority: x.workspace.Priority,
-		DataCentre: g.config.DataCentre, Exclude: x.tried,
+		DataCentre: g.config.DataCentre, Exclude: slices.Concat(x.tried, unavailable),
 	}
 	x.attemptID = a.job.ID
 	reply, err := g.config.Placer.Reserve(ctx, *a.job)
 	if err != nil {
-		return nil, pointer(g.timeLimitRefusal(ctx, x))
+		return pointer(g.timeLimitRefusal(ctx, x))
 	}
 	if reply.Status != placement.Granted {
-		return nil, pointer(notRun(reply.Reason, reply.After))
+		after := reply.After
+		if len(unavailable) >= len(records) {
+			after = g.pauseLeft(now, records, after)
+		}
+		return pointer(notRun(reply.Reason, after))
 	}
 	a.grant = reply.Grant
-	primary := reply.Grant.Members[0]
-	a.outgoing.Endpoint, a.outgoing.Address, a.outgoing.Urgency = primary.Endpoint, primary.Address, reply.Grant.Urgency
-	for _, m := range reply.Grant.Members[1:] {
+	return nil
+}
+
+// setEngines sets the engines of a request to those of a grant.
+func (r *EndpointRequest) setEngines(grant placement.Grant, reservationID string) {
+	primary := grant.Members[0]
+	r.Endpoint, r.Started, r.Address, r.Urgency = primary.Endpoint, primary.Started, primary.Address, grant.Urgency
+	for _, m := range grant.Members[1:] {
 		helper := Helper{Address: m.Address}
 		if m.Hold > 0 {
-			helper.ReservationID = a.job.ID
+			helper.ReservationID = reservationID
 		}
-		a.outgoing.Helpers = append(a.outgoing.Helpers, helper)
+		r.Helpers = append(r.Helpers, helper)
 	}
-	return a, nil
 }
 
 // timeLimitRefusal returns the refusal for a request that got no response before its caller left or its time limit
@@ -108,6 +140,7 @@
 	}
 	a.outgoing.TimeLeft = x.timeLeft(time.Now())
 	resp, err := g.send(ctx, a.outgoing)
+	g.recordAvailability(x, a, resp)
 	if !fault.Is(err, NotRun) && !fault.Is(err, Unreached) {
 		x.possibleRuns++
 	}
@@ -141,6 +174,7 @@
 	} else {
 		g.config.Placer.Report(placement.Event{
 			Type: eventType(kind, callerLeft), Job: *a.job, Endpoint: faultyEndpoint, Elapsed: time.Since(a.started), Pause: eventPause,
+			Started: a.outgoing.Started, Leaving: a.leaving && faultyEndpoint == a.outgoing.Endpoint,
 		})
 	}
 	if kind == BadResponse && !callerLeft {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -50,8 +50,10 @@
 }
 
 func (endpointCodec) Decode(response *http.Response) gateway.ResponseInfo {
+	pause, _ := time.ParseDuration(response.Header.Get("Pause"))
 	return gateway.ResponseInfo{
 		RequestID: response.Header.Get("Id"), Genuine: response.Header.Get("Proof") != "", NotRun: response.Header.Get("Not-Run") != "",
+		Leaving: response.Header.Get("Leaving") != "", Pause: pause,
 	}
 }
 
@@ -67,14 +69,19 @@
 	members []placement.Member
 	// helpers are added to each grant.
 	helpers []placement.Member
-	events  []placement.EventType
+	// outdated is the number of grants that disregard the excluded endpoints.
+	outdated int
+	events   []placement.EventType
+	// leaving has the endpoints that were reported as leaving.
+	leaving []string
 }
 
 func (p *fakePlacer) Reserve(_ context.Context, job placement.Job) (placement.ReserveReply, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.members {
-		if !contains(job.Exclude, m.Endpoint) {
+		if !contains(job.Exclude, m.Endpoint) || p.outdated > 0 {
+			p.outdated--
 			return placement.ReserveReply{Status: placement.Granted, Grant: placement.Grant{Members: append([]placement.Member{m}, p.helpers...)}}, nil
 		}
 	}
@@ -85,6 +92,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.events = append(p.events, e.Type)
+	if e.Leaving {
+		p.leaving = append(p.leaving, e.Endpoint)
+	}
 }
 
 // fakeWitness records what it is told.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,9 @@
 	Call *Call
 	// Endpoint is the id of the endpoint's incarnation that the request is meant for.
 	Endpoint string
-	Address  string
+	// Started is the start of that incarnation in Unix milliseconds.
+	Started int64
+	Address string
 	// Workspace is the owner of the caller's API key. It is empty on public routes.
 	Workspace string
 	// TimeLeft is the time until the request's deadline.
@@ -102,6 +104,10 @@
 	NotRun bool
 	// FaultyEndpoint is the id of the endpoint that caused the failure, if the response names it.
 	FaultyEndpoint string
+	// Leaving reports whether the endpoint says that it is about to stop and takes no more requests.
+	Leaving bool
+	// Pause is the time for which the endpoint wants no more requests from this entry, or 0.
+	Pause time.Duration
 }
 
 // CallerCodec decodes the requests of callers and encodes refusals for them.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -15,6 +15,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/dandelionpier/dandelionpier/internal/availability"
 	"github.com/dandelionpier/dandelionpier/internal/crash"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
 	"github.com/dandelionpier/dandelionpier/internal/routing"
@@ -25,6 +26,7 @@
 	config       Config
 	transport    http.RoundTripper
 	balancer     *balancer
+	availability *availability.Tracker
 	retryBudgets *retryBudgets
 	stopping     atomic.Bool
 	attemptCount atomic.Uint64
@@ -44,7 +46,7 @@
 // New returns a gateway. For declarationWait from now, its requests wait for the first declaration.
 func New(config Config) *Gateway {
 	return &Gateway{
-		config: config, transport: newTransport(), balancer: newBalancer(),
+		config: config, transport: newTransport(), balancer: newBalancer(), availability: availability.NewTracker(),
 		retryBudgets:   newRetryBudgets(config.Retries, func() int { return len(config.Fleet.Members()) }),
 		attemptPrefix:  strconv.FormatUint(rand.Uint64(), 36) + "-",
 		inFlight:       config.Metrics.Counter("gateway_requests_in_flight"),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -135,7 +135,9 @@
 		zap.Int("prompt", x.call.Prompt.Tokens), zap.Duration("took", took), zap.Duration("expected", a.grant.First),
 		zap.Duration("after", time.Since(x.arrived)))
 	if a.job != nil {
-		g.config.Placer.Report(placement.Event{Type: placement.FirstEvent, Job: *a.job, Endpoint: a.outgoing.Endpoint, Elapsed: took})
+		g.config.Placer.Report(placement.Event{
+			Type: placement.FirstEvent, Job: *a.job, Endpoint: a.outgoing.Endpoint, Elapsed: took, Started: a.outgoing.Started, Leaving: a.leaving,
+		})
 	}
 }
 
--- a/internal/placement/replica.go
+++ b/internal/placement/replica.go
@@ -35,6 +35,9 @@
 	// consecutiveUnreached counts consecutive failures to reach the engine; until avoidedUntil it gets no work.
 	consecutiveUnreached int
 	avoidedUntil         time.Time
+	// leaving says that the engine has announced in a response that it takes no more requests. Its registration may
+	// still say that it is ready.
+	leaving bool
 }
 
 // jobPart is the part of a job at one engine.
@@ -68,7 +71,7 @@
 }
 
 func (r *replica) usable(now time.Time) bool {
-	return r.record.State == registration.Ready && !now.Before(r.avoidedUntil)
+	return r.record.State == registration.Ready && !r.leaving && !now.Before(r.avoidedUntil)
 }
 
 // decoding returns the number of requests that are decoding here, and the length of their context in tokens.
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -107,7 +107,7 @@
 			prefillTime: s.prefillTimeAt(r, j.Prompt, parts),
 		}
 		r.add(now, part)
-		grant.Members = append(grant.Members, Member{Endpoint: r.record.ID, Address: r.record.Address, Hold: c.reserved[i]})
+		grant.Members = append(grant.Members, Member{Endpoint: r.record.ID, Started: r.record.Started, Address: r.record.Address, Hold: c.reserved[i]})
 	}
 	s.markMissedObjectives(now, c.replicas)
 	count, context := c.replicas[0].decoding()
@@ -144,6 +144,9 @@
 func (s *Scheduler) Report(now time.Time, entry string, e Event) {
 	s.lastHeard[entry] = now
 	s.expireJobs(now)
+	if e.Leaving {
+		s.markLeaving(e)
+	}
 	if e.Type == Adopted {
 		s.adopt(now, e)
 		if placed := s.jobs[e.Job.ID]; placed != nil {
@@ -166,6 +169,13 @@
 	s.endJob(now, j)
 }
 
+// markLeaving takes the engine that an event names out of use, unless it has started anew since.
+func (s *Scheduler) markLeaving(e Event) {
+	if r := s.replicas[e.Endpoint]; r != nil && r.record.Started == e.Started {
+		r.leaving = true
+	}
+}
+
 func (s *Scheduler) adopt(now time.Time, e Event) {
 	if s.jobs[e.Job.ID] != nil || e.Job.Left <= 0 {
 		return
--- a/internal/placement/wire.go
+++ b/internal/placement/wire.go
@@ -50,7 +50,9 @@
 // Member is an engine that takes part in a request.
 type Member struct {
 	Endpoint string
-	Address  string
+	// Started identifies the incarnation of the engine by its start in Unix milliseconds.
+	Started int64
+	Address string
 	// Hold is the memory in tokens that the engine reserves before the request arrives; 0 for none.
 	Hold int
 }
@@ -138,6 +140,10 @@
 	Reading bool
 	// Endpoint is the engine that ran the job.
 	Endpoint string
+	// Started identifies the incarnation of that engine by its start in Unix milliseconds.
+	Started int64
+	// Leaving says that the engine has announced in a response that it takes no more requests.
+	Leaving bool
 	// Elapsed is the time since the request was sent to the engine.
 	Elapsed time.Duration
 	// Pause is the pause between two events of an ended stream while its engine prefilled no prompts; 0 if it is unknown.
