--- a/internal/gateway/available_test.go
+++ b/internal/gateway/available_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -20,6 +21,14 @@
 	}
 }
 
+// pausing makes an endpoint refuse requests and ask for a pause.
+func pausing(pause string) endpointBehaviour {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Pause", pause)
+		notRun(w, r)
+	}
+}
+
 func oneEvent(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, encodeEvents(1, 1)) }
 
 // reachedBy calls a path until the endpoint has had one request, makes ten more calls and returns its requests.
@@ -106,6 +115,35 @@
 	}
 }
 
+// Guards against requests to an endpoint within the pause that it has asked for, and against requests that wait for the
+// end of the pause instead of going elsewhere.
+func TestPausedEndpointGetsNoRequests(t *testing.T) {
+	for _, path := range []string{"/read/x", "/file/x", "/ask/x", "/tell/x"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			d := deploy(t, map[string]endpointBehaviour{"busy": pausing("50s"), "sound": oneEvent})
+			d.placer.putFirst("busy")
+			is.Equal(d.reachedBy(t, path, "busy"), 1)
+			is.Equal(d.call(t, http.MethodGet, path, "", nil).StatusCode, http.StatusOK)
+		})
+	}
+}
+
+// Guards against a refusal that names a time at which the only endpoint still wants no requests.
+func TestRefusalNamesTheEndOfThePause(t *testing.T) {
+	for _, path := range []string{"/read/x", "/ask/x"} {
+		is := is.New(t)
+		d := deploy(t, map[string]endpointBehaviour{"busy": pausing("50s")})
+		is.Equal(d.call(t, http.MethodGet, path, "", nil).StatusCode, http.StatusServiceUnavailable)
+		response := d.call(t, http.MethodGet, path, "", nil)
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		after, err := time.ParseDuration(response.Header.Get("Retry-After"))
+		is.NoErr(err)
+		is.True(after > 30*time.Second && after <= 50*time.Second)
+		is.Equal(d.requestsAt("busy"), 1)
+	}
+}
+
 // Guards against the use of a grant for an engine that became unavailable while the job waited for it, as primary or as
 // helper.
 func TestOutdatedGrantIsDeclined(t *testing.T) {
