Check whose response it is before an engine's refusal is believed

Cause: the status was looked at before the ids of request and attempt, and the ids only with status 200.

Change: a response with other ids is a mismatch whatever its status, and so is one without ids on a connection that was used before. The attempt is cancelled at the engine and made elsewhere within the retry budget. A refusal without ids on a new connection is still believed: no earlier response can be on it.

--- a/entryd/internal/completion/attempt.go
+++ b/entryd/internal/completion/attempt.go
@@ -108,8 +108,8 @@
 // send sends the request to the engine and returns a response with status 200 that belongs to the attempt.
 func (a *attempt) send() (*http.Response, error) {
 	c := a.call
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	connected, reused := false, false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected, reused = true, info.Reused }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(a.ctx, trace), http.MethodPost,
 		endpoint.URL(c.server.config.TLS, a.grant.Members[0].Address, c.path), c.engineBody())
 	if err != nil {
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, a.connectionFailure(err, connected)
 	}
-	if err := a.checkResponseHeader(response); err != nil {
+	if err := a.checkResponseHeader(response, reused); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
@@ -171,17 +171,19 @@
 // maxErrorBytes bounds how much of an engine's error response is read.
 const maxErrorBytes = 4 << 10
 
-func (a *attempt) checkResponseHeader(response *http.Response) error {
+// checkResponseHeader returns a failure unless the header is that of a response with status 200 to this attempt. On a
+// connection that was used before, the response may be a late copy of an earlier one.
+func (a *attempt) checkResponseHeader(response *http.Response, reusedConnection bool) error {
 	status := response.StatusCode
 	h := response.Header
 	switch {
+	case !a.isIdentified(h, reusedConnection || status == http.StatusOK):
+		return &failure{event: dispatch.Failed, cancel: true, err: fault.New("send request", stream.Mismatched, "the response is of another request or attempt")}
 	case isRequestError(status):
 		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 		return &failure{event: dispatch.Finished, final: true, err: rejectionError(status, text)}
 	case status != http.StatusOK:
 		return &failure{event: dispatch.Failed, cancel: status < http.StatusBadRequest, err: fault.New("send request", stream.EngineError, "the engine responded with status %d", status)}
-	case h.Get(endpoint.HeaderRequestID) != a.call.exchange.RequestID || h.Get(endpoint.HeaderAttemptID) != a.grant.ID:
-		return &failure{event: dispatch.Failed, cancel: true, err: fault.New("send request", stream.Mismatched, "the response is of another request or attempt")}
 	}
 	want := "application/json"
 	if a.call.streaming {
@@ -193,6 +195,16 @@
 	return nil
 }
 
+// isIdentified reports whether the header of a response carries the ids of this attempt, or none where they are not
+// required.
+func (a *attempt) isIdentified(h http.Header, required bool) bool {
+	requestID, attemptID := h.Get(endpoint.HeaderRequestID), h.Get(endpoint.HeaderAttemptID)
+	if requestID == "" && attemptID == "" && !required {
+		return true
+	}
+	return requestID == a.call.exchange.RequestID && attemptID == a.grant.ID
+}
+
 // isRequestError reports whether another engine would refuse the request as well. An engine that lacks the
 // model or the memory responds with another status.
 func isRequestError(status int) bool {
