Use a new connection for each call to a plain service

Cause: calls that may be repeated used kept connections, and a response without an id was accepted.

Change: one transport for all calls to services, with a new connection each, as calls that may run once have had. The price is a connection for each repeatable call; nothing else tells a copy from an answer where the service names no id.

TestLateCopyOfServiceAnswer fails before ("/stock/0" instead of "/stock/1") and passes now.

--- a/entryd/internal/cli/late_test.go
+++ b/entryd/internal/cli/late_test.go
@@ -105,3 +105,19 @@
 		})
 	}
 }
+
+// Guards against the answer of an earlier call to a plain service that does not repeat the ids of requests.
+func TestLateCopyOfServiceAnswer(t *testing.T) {
+	is := is.New(t)
+	service := &lateCopier{respond: func(w io.Writer, request *http.Request) {
+		writeResponse(w, request, false, http.StatusOK, request.URL.Path)
+	}}
+	s := startEntry(t, startListener(t, service.serve))
+	for i := range 5 {
+		path := fmt.Sprintf("/stock/%d", i)
+		response := s.send(t, http.MethodGet, "/v1/services/counter"+path, "")
+		is.Equal(response.status, http.StatusOK)
+		is.Equal(response.body, path)
+	}
+	is.Equal(service.copies, 0)
+}
--- a/entryd/internal/service/dispatch.go
+++ b/entryd/internal/service/dispatch.go
@@ -37,30 +37,23 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// newOnceTransport returns a transport that uses a new connection for each request, because http.Transport
-// sends a request again on its own when a kept-alive connection breaks.
-func newOnceTransport(config *tls.Config) *http.Transport {
+// newTransport returns a transport that uses a new connection for each request. On a kept-alive connection, a late copy
+// of an earlier response could be taken for the response to a call, since services need not repeat its id; and
+// http.Transport sends a request again on its own when such a connection breaks.
+func newTransport(config *tls.Config) *http.Transport {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return endpoint.SecureTransport(&http.Transport{
 		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}, config)
 }
 
-func newRepeatableTransport(config *tls.Config) *http.Transport {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return endpoint.SecureTransport(&http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 16,
-		IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes,
-	}, config)
-}
-
 // forwardedHeaders are the caller's headers that the service receives. The bearer key and the headers that
 // make http.Transport retry a request are not among them.
 var forwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language"}
 
 // dispatch sends the call to an endpoint, once. connected reports whether any byte of it may have been
 // written: it is set before the transport writes to the connection.
-func (s *Server) dispatch(ctx context.Context, x *exchange.Exchange, call Call, transport http.RoundTripper, grant dispatch.Grant) (response Response, connected bool, err error) {
+func (s *Server) dispatch(ctx context.Context, x *exchange.Exchange, call Call, grant dispatch.Grant) (response Response, connected bool, err error) {
 	const op = "call service"
 	var mayHaveWritten atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { mayHaveWritten.Store(true) }}
@@ -75,7 +68,7 @@
 		request.ContentLength = int64(len(call.Body))
 	}
 	setHeaders(request.Header, x, call, grant)
-	httpResponse, err := transport.RoundTrip(request)
+	httpResponse, err := s.transport.RoundTrip(request)
 	if err != nil {
 		return Response{}, mayHaveWritten.Load() && !certificate.ClientCertificateRejected(err), fault.Wrap(err, op, NoResponse, grant.Members[0].Endpoint)
 	}
--- a/entryd/internal/service/once.go
+++ b/entryd/internal/service/once.go
@@ -47,7 +47,7 @@
 	// The call continues when the caller disconnects, because stopping it would leave its outcome unknown.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.Deadline)
 	defer cancel()
-	response, connected, err := s.attempt(ctx, x, call, s.onceTransport, &reservation)
+	response, connected, err := s.attempt(ctx, x, call, &reservation)
 	settlement := claim.SettleRequest{Key: claimKey, RequestID: x.RequestID}
 	switch {
 	case err == nil:
--- a/entryd/internal/service/service.go
+++ b/entryd/internal/service/service.go
@@ -57,16 +57,15 @@
 
 // Server serves calls to plain services. It is safe for concurrent use.
 type Server struct {
-	config              Config
-	onceTransport       http.RoundTripper
-	repeatableTransport http.RoundTripper
+	config    Config
+	transport http.RoundTripper
 	// pendingSettlements counts the claims whose settlement the quorum has not confirmed yet.
 	pendingSettlements sync.WaitGroup
 }
 
 // New returns a server.
 func New(config Config) *Server {
-	return &Server{config: config, onceTransport: newOnceTransport(config.TLS), repeatableTransport: newRepeatableTransport(config.TLS)}
+	return &Server{config: config, transport: newTransport(config.TLS)}
 }
 
 // Wait returns when every claim has been settled or given up. No call may be in flight.
@@ -139,7 +138,7 @@
 	reservation := s.newReserveRequest(x, call)
 	reached := false
 	for {
-		response, connected, err := s.attempt(ctx, x, call, s.repeatableTransport, &reservation)
+		response, connected, err := s.attempt(ctx, x, call, &reservation)
 		reached = reached || connected
 		if err == nil {
 			return response, nil
@@ -184,7 +183,7 @@
 
 // attempt reserves an endpoint, checks the lease and dispatches the call. connected reports whether any byte
 // may have reached the endpoint.
-func (s *Server) attempt(ctx context.Context, x *exchange.Exchange, call Call, transport http.RoundTripper, reservation *dispatch.ReserveRequest) (response Response, connected bool, err error) {
+func (s *Server) attempt(ctx context.Context, x *exchange.Exchange, call Call, reservation *dispatch.ReserveRequest) (response Response, connected bool, err error) {
 	grant, err := s.config.Cells.Reserve(ctx, *reservation, func() string {
 		return fmt.Sprintf("%s-%d", x.RequestID, len(x.Attempts)+1)
 	})
@@ -201,7 +200,7 @@
 	x.Attempts = append(x.Attempts, grant.ID)
 	x.Endpoint = member.Endpoint
 	reservation.Exclude = append(reservation.Exclude, member.Endpoint)
-	response, connected, err = s.dispatch(ctx, x, call, transport, grant)
+	response, connected, err = s.dispatch(ctx, x, call, grant)
 	activeGrant.End(eventType(ctx, connected, err), stream.Usage{})
 	if err != nil {
 		s.config.Logger.Info("A call to a service failed", zap.String(logging.RequestID, x.RequestID),
