Accept peers again after a shortage of file descriptors

Cause: the peer server returned any error of Accept, and the process stops with its first component.

Change: EMFILE, ENFILE, ENOBUFS and ENOMEM are logged, and accepting goes on after 50 ms. Other errors still end it.

TestShortageOfDescriptorsPasses fails before (the server has ended, the call times out) and passes now.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -282,3 +284,33 @@
 		is.NoErr(<-end)
 	})
 }
+
+// shortOfDescriptors is a listener whose first calls of Accept find no file descriptor.
+type shortOfDescriptors struct {
+	net.Listener
+	failures int
+}
+
+func (l *shortOfDescriptors) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a server that ends, and the process with it, because the system has no file descriptor left for a moment.
+func TestShortageOfDescriptorsPasses(t *testing.T) {
+	is := is.New(t)
+	server := peer.NewServer(peer.ServerConfig{Key: key, Logger: zap.NewNop()})
+	is.NoErr(server.Register("Echo", &echo{}))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	end := task.Start(ctx, func(ctx context.Context) error { return server.Serve(ctx, &shortOfDescriptors{listener, 3}) })
+	var reply string
+	is.NoErr(newPool(t, peer.PoolConfig{Key: key}).Call(t.Context(), listener.Addr().String(), "Echo.Say", "saw", &reply))
+	is.Equal(reply, "saw")
+	cancel()
+	is.NoErr(<-end)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,10 +8,13 @@
 	"net/rpc"
 	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/task"
 )
 
 // ServerConfig configures a Server.
@@ -59,6 +62,11 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if isResourceShortage(err) {
+			s.config.Logger.Warn("Could not accept a peer connection", zap.Error(err))
+			task.Pause(ctx, acceptRetryInterval)
+			continue
+		}
 		if err != nil {
 			return fault.Wrap(err, "accept peer", Unreachable, listener.Addr().String())
 		}
@@ -66,6 +74,19 @@
 	}
 }
 
+// acceptRetryInterval is the time before the next attempt to accept a connection while the system lacks resources for it.
+const acceptRetryInterval = 50 * time.Millisecond
+
+// isResourceShortage reports whether connections can be accepted again once others have ended.
+func isResourceShortage(err error) bool {
+	for _, shortage := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, shortage) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Server) handle(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
 	s.mu.Lock()
