Fail a call that panics alone

Cause: net/rpc runs each method in a goroutine that nobody recovers.

Change: the peer server reads the requests of a connection itself, in the encoding of net/rpc, and serves each by rpc.Server.ServeRequest in a goroutine that recovers: the caller gets an error, the log the method, the cause and the stack. As before, calls of one connection run concurrently, with one goroutine for each, and arguments of another type are an error of their call alone.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -41,6 +41,12 @@
 	return nil
 }
 
+// Fail panics, as a method does that meets arguments it was not written for.
+func (e *echo) Fail(words []string, reply *string) error {
+	*reply = words[0]
+	return nil
+}
+
 const key = "0123456789abcdef"
 
 func startServer(t *testing.T, serverKey string) (address string, service *echo) {
@@ -285,6 +291,30 @@
 	})
 }
 
+// Guards against one malformed message that ends the process of the called instance, or the other calls on its
+// connection.
+func TestMalformedCallFailsAlone(t *testing.T) {
+	is := is.New(t)
+	address, service := startServer(t, key)
+	pool := newPool(t, peer.PoolConfig{Key: key})
+	held := make(chan error, 1)
+	go func() {
+		var reply int
+		held <- pool.Call(t.Context(), address, "Echo.Hold", 0, &reply)
+	}()
+	<-service.held
+	for range 3 {
+		var reply string
+		is.True(fault.Is(pool.Call(t.Context(), address, "Echo.Fail", []string{}, &reply), peer.Remote))
+		is.True(fault.Is(pool.Call(t.Context(), address, "Echo.Say", map[string]int{"a": 1}, &reply), peer.Remote))
+		is.True(fault.Is(pool.Call(t.Context(), address, "Nobody.Says", "saw", &reply), peer.Remote))
+		is.NoErr(pool.Call(t.Context(), address, "Echo.Say", "saw", &reply))
+		is.Equal(reply, "saw")
+	}
+	service.release <- struct{}{}
+	is.NoErr(<-held)
+}
+
 // shortOfDescriptors is a listener whose first calls of Accept find no file descriptor.
 type shortOfDescriptors struct {
 	net.Listener
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -108,7 +108,7 @@
 		s.config.Logger.Warn("Refused a peer connection", zap.String("peer", conn.RemoteAddr().String()), zap.Error(err))
 		return
 	}
-	s.rpc.ServeConn(&deadlineConn{Conn: secured, traffic: &s.traffic})
+	s.serveRequests(&deadlineConn{Conn: secured, traffic: &s.traffic})
 }
 
 // secure does the TLS handshake, if TLS is configured.
