--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -85,7 +85,7 @@
 	table := f.decode(old.table, view.Declaration)
 	if newEndpoints {
 		next.endpointsVersion = view.Endpoints.Version
-		next.services = byService(view.Endpoints)
+		next.services = f.byService(view.Endpoints)
 	}
 	if newMembers {
 		next.membershipVersion, next.members = view.MembershipVersion, view.Members
@@ -122,9 +122,15 @@
 	return table
 }
 
-func byService(list registration.List) map[string][]registration.Record {
+// byService returns the endpoints of each service. It leaves out records that cannot be used, which another version of
+// this software may have admitted.
+func (f *Fleet) byService(list registration.List) map[string][]registration.Record {
 	services := make(map[string][]registration.Record)
 	for _, r := range list.Records {
+		if err := r.Check(); err != nil {
+			f.config.Logger.Warn("Left out a registered endpoint", zap.Uint64("version", list.Version), zap.Error(err))
+			continue
+		}
 		services[r.Service] = append(services[r.Service], r)
 	}
 	return services
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"runtime"
 	"strings"
@@ -16,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dandelionpier/dandelionpier/internal/placement"
+	"github.com/dandelionpier/dandelionpier/internal/registration"
 	"github.com/dandelionpier/dandelionpier/internal/routing"
 )
 
@@ -333,3 +335,36 @@
 	}
 	is.Equal(d.call(t, http.MethodPost, "/file/x", body, nil).StatusCode, 200)
 }
+
+// Guards against an entry that stops following the list of endpoints, or sends requests to an unusable one, because one
+// record, which another version of this software has admitted, is odd.
+func TestOddRecordBesideSoundOnes(t *testing.T) {
+	for name, change := range map[string]func(*registration.Record){
+		"port out of range":  func(r *registration.Record) { r.Address = "127.0.0.1:70000" },
+		"port 0":             func(r *registration.Record) { r.Address = "127.0.0.1:0" },
+		"host name":          func(r *registration.Record) { r.Address = "engine:80" },
+		"no address":         func(r *registration.Record) { r.Address = "" },
+		"long id":            func(r *registration.Record) { r.ID = strings.Repeat("i", 1<<20) },
+		"control characters": func(r *registration.Record) { r.ID = "i\n1" },
+		"no UTF-8":           func(r *registration.Record) { r.ID = "i\xff" },
+		"slots":              func(r *registration.Record) { r.Slots = math.MaxInt },
+		"negative slots":     func(r *registration.Record) { r.Slots = -1 },
+		"start":              func(r *registration.Record) { r.Started = math.MaxInt64 },
+		"sequence":           func(r *registration.Record) { r.Sequence = math.MaxUint64 },
+		"state":              func(r *registration.Record) { r.State = "asleep" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := deploy(t, map[string]endpointBehaviour{"sound": respondOK})
+			odd := registration.Record{ID: "odd", Service: "desk", Address: "127.0.0.1:9", State: registration.Ready}
+			change(&odd)
+			is.True(odd.Check() != nil)
+			d.session.view.Endpoints = d.session.view.Endpoints.WithChanges(2, []registration.Change{{Record: odd}})
+			d.updateFleet(t)
+			records, _ := d.fleet.Endpoints("desk")
+			is.Equal(len(records), 1)
+			is.Equal(records[0].ID, "sound")
+			is.Equal(d.call(t, http.MethodGet, "/read/x", "", nil).StatusCode, http.StatusOK)
+		})
+	}
+}
