Check the requests of a leader before the replicated log handles them

What users would see: one malformed message from another control instance ends a control instance, and again each time it is sent.

Cause: entries were appended as they came. In a trial on the old core, a membership that cannot be decoded panics ("cbor: unexpected break code") and an entry with index 0 too ("slice bounds out of range"); the other cases of the test leave a log whose indices or terms do not follow each other.

Change: AppendRequest.check, before the request reaches the node; the sender gets an error. TestMalformedAppendRequest, TestCheckedAppendRequestsDoNotPanic (100 random sequences) pass; both are new with the check.

--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "github.com/dandelionpier/dandelionpier/internal/journal"
+import (
+	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/journal"
+)
 
 // Envelope holds the fields that all messages have in common.
 type Envelope struct {
@@ -67,6 +70,27 @@
 	TakeOver bool
 }
 
+// check returns an error of kind Invalid for a request that no leader sends: one whose entries do not follow each other
+// in index and term, or hold a membership that cannot be decoded.
+func (r *AppendRequest) check() error {
+	const op = "check entries"
+	index, term := r.PreviousIndex, r.PreviousTerm
+	for _, e := range r.Entries {
+		index++
+		if e.Index != index || e.Term < term || e.Term > r.Term {
+			return fault.New(op, Invalid, "entry %d of term %d does not follow entry %d of term %d", e.Index, e.Term, index-1, term)
+		}
+		term = e.Term
+		if e.Type != membershipEntry {
+			continue
+		}
+		if _, err := decodeMembership(e.Data); err != nil {
+			return fault.Wrap(err, op, Invalid, "membership")
+		}
+	}
+	return nil
+}
+
 // AppendReply is the reply to an AppendRequest.
 type AppendReply struct {
 	Envelope
--- a/internal/consensus/transport.go
+++ b/internal/consensus/transport.go
@@ -87,6 +87,9 @@
 
 // Append handles Consensus.Append.
 func (s *Service) Append(request *AppendRequest, reply *AppendReply) error {
+	if err := request.check(); err != nil {
+		return err
+	}
 	return handleRequest(s.node, request, reply)
 }
 
