Report an error when no control instance is known

What users would see: a process that ends with a division by zero when its settings and the leader name no control instance.

Cause: the next address was chosen among none. Change: the call fails with no-leader when its time ends, and finds addresses that come meanwhile. TestNoControlAddress panics before and passes now.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -60,7 +60,12 @@
 	var zero Reply
 	var lastErr error
 	for ctx.Err() == nil {
-		address := c.targetAddress()
+		address, ok := c.targetAddress()
+		if !ok {
+			lastErr = fault.New("find control leader", NoLeader, "no address of a control instance is known")
+			task.Pause(ctx, retryBackOff)
+			continue
+		}
 		var reply Reply
 		attempt, cancel := context.WithTimeout(ctx, timeout)
 		err := c.config.Caller.Call(attempt, address, method, request, &reply)
@@ -83,16 +88,20 @@
 	return zero, fault.Wrap(lastErr, "call control leader", NoLeader, method)
 }
 
-// targetAddress returns the address of the leader, or that of the next instance to try if the leader is unknown.
-func (c *Client) targetAddress() string {
+// targetAddress returns the address of the leader, or that of the next instance to try if the leader is unknown. It
+// returns false if no address is known.
+func (c *Client) targetAddress() (address string, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader == "" {
 		addresses := slices.Concat(c.learned, c.config.Addresses)
+		if len(addresses) == 0 {
+			return "", false
+		}
 		c.leader = addresses[c.nextIndex%len(addresses)]
 		c.nextIndex++
 	}
-	return c.leader
+	return c.leader, true
 }
 
 // SetLearnedAddresses stores the addresses of the control instances that a leader has sent. They replace those
--- a/internal/control/odd_test.go
+++ b/internal/control/odd_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"bytes"
+	"context"
 	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/dandelionpier/dandelionpier/internal/control"
+	"github.com/dandelionpier/dandelionpier/internal/fault"
 	"github.com/dandelionpier/dandelionpier/internal/registration"
+	"github.com/dandelionpier/dandelionpier/internal/session"
 )
 
 // Guards against one odd entry of the replicated log, by another writer or another version of this software, that ends the
@@ -61,3 +65,13 @@
 		})
 	}
 }
+
+// Guards against a process that ends because no control instance is known, as with an empty list of seeds.
+func TestNoControlAddress(t *testing.T) {
+	is := is.New(t)
+	client := control.NewClient(control.ClientConfig{Caller: newNetwork()})
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := client.Heartbeat(ctx, session.HeartbeatRequest{})
+	is.True(fault.Is(err, control.NoLeader))
+}
