--- a/internal/control/odd_test.go
+++ b/internal/control/odd_test.go
@@ -40,8 +40,10 @@
 		"long id":            register(func(r *registration.Record) { r.ID = strings.Repeat("i", 1<<20) }),
 		"control characters": register(func(r *registration.Record) { r.ID = "i\x00\n" }),
 		"no UTF-8":           register(func(r *registration.Record) { r.ID = "i\xff" }),
-		"numbers":            register(func(r *registration.Record) { r.Slots, r.Started, r.Sequence = math.MinInt, math.MaxInt64, math.MaxUint64 }),
-		"no fields":          register(func(r *registration.Record) { *r = registration.Record{} }),
+		"numbers": register(func(r *registration.Record) {
+			r.Slots, r.Started, r.Sequence = math.MinInt, math.MaxInt64, math.MaxUint64
+		}),
+		"no fields": register(func(r *registration.Record) { *r = registration.Record{} }),
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -69,7 +71,7 @@
 // Guards against a process that ends because no control instance is known, as with an empty list of seeds.
 func TestNoControlAddress(t *testing.T) {
 	is := is.New(t)
-	client := control.NewClient(control.ClientConfig{Caller: newNetwork()})
+	client := control.NewClient(control.ClientConfig{Caller: node{network: newNetwork(), name: "entry"}})
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
 	_, err := client.Heartbeat(ctx, session.HeartbeatRequest{})
