Bound the time of request bodies and the memory of response bodies

A faulty endpoint whose bodies have no end could take 32 MiB for each request, and an instance has 136 MiB.

Change: a body has to arrive within the caller's timeout, 30 s at most; after that the caller gets 408, which says that the request did not run. Responses that are read as a whole have at most 8 MiB, and together with all others 32 MiB beyond the first 64 KiB of each, so that endless ones fail and short ones do not. The reading of bodies is in a file of its own.

TestStalledBodyEnds does not end with the deadline switched off and passes with it. TestBodiesWithoutEndShareABudget is new with the budget. TestBodiesInMemoryAreBounded holds as it was.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -48,7 +48,7 @@
 	var r *bufferedResponse
 	if err == nil {
 		r = &bufferedResponse{endpoint: a.outgoing.Endpoint, status: resp.StatusCode, header: resp.Header}
-		r.body, err = resp.readAll(a.outgoing)
+		r.body, err = g.readResponse(x, resp, a.outgoing)
 	}
 	if err == nil && r.status < http.StatusMultipleChoices {
 		g.config.Witness.RecordWritten(x.parts)
--- a/internal/gateway/endpoint_request.go
+++ b/internal/gateway/endpoint_request.go
@@ -23,7 +23,7 @@
 	unackedTimeout = 1200 * time.Millisecond
 	// maxResponseHeaderBytes and maxResponseBytes limit the header and the buffered body of an endpoint's response.
 	maxResponseHeaderBytes = 64 << 10
-	maxResponseBytes       = 32 << 20
+	maxResponseBytes       = 8 << 20
 )
 
 // newTransport returns a transport that opens a new connection for each request. A reused connection may deliver a
@@ -139,11 +139,11 @@
 	}
 }
 
-// readAll reads the body of a response.
-func (r *endpointResponse) readAll(outgoing EndpointRequest) ([]byte, error) {
+// readResponse reads the body of a response to a request.
+func (g *Gateway) readResponse(x *exchange, r *endpointResponse, outgoing EndpointRequest) ([]byte, error) {
 	const op = "read answer"
 	defer r.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(x.holdBody(r.Body, &g.responseBytes), maxResponseBytes+1))
 	if err != nil {
 		return nil, fault.Wrap(err, op, BadResponse, outgoing.Endpoint)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,8 @@
 	// BadResponse means that the response is missing, incomplete or belongs to another request. The request may
 	// have run.
 	BadResponse Kind = "broken"
+	// OutOfMemory means that too many large bodies are held.
+	OutOfMemory Kind = "out-of-memory"
 	// Disconnected means that the caller has closed its connection.
 	Disconnected Kind = "gone"
 )
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -29,6 +29,11 @@
 	return Refusal{Status: http.StatusRequestEntityTooLarge, Message: "the body is larger than the limit"}
 }
 
+// bodyTimedOut refuses a request whose body did not arrive in time.
+func bodyTimedOut() Refusal {
+	return Refusal{Status: http.StatusRequestTimeout, Message: "the body of the request did not arrive in time"}
+}
+
 func noRoute() Refusal {
 	return Refusal{Status: http.StatusNotFound, Message: "no route matches"}
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -33,8 +33,9 @@
 	// attemptPrefix makes attempt ids unique in the deployment.
 	attemptPrefix string
 	inFlight      gometrics.Counter
-	// bodyBytes is the total size of the request bodies held in memory.
-	bodyBytes atomic.Int64
+	// requestBytes is the total size of the request bodies held in memory, responseBytes that of the response bodies.
+	requestBytes  atomic.Int64
+	responseBytes byteBudget
 	// declarationDue is the time until which requests wait for the first declaration.
 	declarationDue time.Time
 }
@@ -50,6 +51,7 @@
 		retryBudgets:   newRetryBudgets(config.Retries, func() int { return len(config.Fleet.Members()) }),
 		attemptPrefix:  strconv.FormatUint(rand.Uint64(), 36) + "-",
 		inFlight:       config.Metrics.Counter("gateway_requests_in_flight"),
+		responseBytes:  byteBudget{limit: maxResponseBytesHeld},
 		declarationDue: time.Now().Add(declarationWait),
 	}
 }
@@ -80,23 +82,23 @@
 	attemptID string
 	// longestPause is the longest time between two events of a stream.
 	longestPause time.Duration
-	log          *zap.Logger
+	// responseBodies are the readers of the bodies of the responses.
+	responseBodies []*budgetedReader
+	log            *zap.Logger
 }
 
-// defaultMaxBodyBytes limits the size of a request body if no declaration sets a limit.
-const defaultMaxBodyBytes = 8 << 20
-
 // ServeHTTP admits a request and forwards it to an endpoint.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Inc(1)
 	defer g.inFlight.Dec(1)
 	size := bodySize(r)
-	defer g.bodyBytes.Add(-size)
-	if g.bodyBytes.Add(size) > maxBodyBytesHeld {
+	defer g.requestBytes.Add(-size)
+	if g.requestBytes.Add(size) > maxRequestBytesHeld {
 		g.shed(w, r)
 		return
 	}
 	x, refusal := g.admit(w, r)
+	defer x.releaseBodies()
 	if refusal != nil {
 		g.refuse(w, x, *refusal)
 		return
@@ -112,31 +114,6 @@
 	g.serveBuffered(ctx, w, x)
 }
 
-const (
-	// maxBodyBytesHeld limits the total size of the request bodies that an instance holds in memory. The smallest
-	// instances have 136 MiB.
-	maxBodyBytesHeld = 32 << 20
-	// unknownBodySize is the assumed size of a body without a Content-Length.
-	unknownBodySize = 256 << 10
-)
-
-func bodySize(r *http.Request) int64 {
-	if r.ContentLength < 0 {
-		return unknownBodySize
-	}
-	return r.ContentLength
-}
-
-// shed refuses a request whose body would exceed maxBodyBytesHeld. It reads and discards the body first, because the
-// caller would not see the response if the connection were closed with unread bytes.
-func (g *Gateway) shed(w http.ResponseWriter, r *http.Request) {
-	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxBodyBytesHeld)); err != nil {
-		g.config.Logger.Debug("Could not read the body of a refused request", zap.Error(err))
-	}
-	x := &exchange{arrived: time.Now(), table: g.config.Fleet.Table(), log: g.config.Logger}
-	g.refuse(w, x, notRun("too many large requests at a time", shortRetryAfter))
-}
-
 // writeGrace is the time to finish writing a response after the deadline of its request.
 const writeGrace = time.Second
 
@@ -145,25 +122,34 @@
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*exchange, *Refusal) {
 	x := &exchange{arrived: time.Now(), log: g.config.Logger}
 	x.table = g.config.Fleet.Table()
-	body, tooBig, err := readBody(w, r, x.table)
-	if err != nil {
+	call, callErr := g.config.CallerCodec.Decode(r)
+	if callErr == nil {
+		x.call = call
+		x.log = g.config.Logger.With(zap.String(logging.RequestID, call.ID))
+	}
+	body, err := g.readBody(w, r, x)
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		// Checked again below: an instance without a declaration does not know the limit.
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return x, pointer(bodyTimedOut())
+	case err != nil:
 		// The caller has disconnected or does not send valid HTTP; it would not read a response.
 		panic(http.ErrAbortHandler)
+	case callErr != nil:
+		return x, pointer(malformed(callErr))
 	}
-	call, err := g.config.CallerCodec.Decode(r)
-	if err != nil {
-		return x, pointer(malformed(err))
+	if callErr != nil {
+		return x, pointer(malformed(callErr))
 	}
-	x.call = call
 	call.Body = body
-	x.log = g.config.Logger.With(zap.String(logging.RequestID, call.ID))
 	if x.table == nil {
 		x.table = g.awaitFirstTable(r.Context(), x)
 	}
 	switch {
 	case x.table == nil:
 		return x, pointer(noDeclaration())
-	case tooBig:
+	case err != nil:
 		return x, pointer(tooLarge())
 	}
 	return x, g.resolve(x)
@@ -231,22 +217,6 @@
 	return digest.Sum64()
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, table *routing.Table) (body []byte, tooBig bool, err error) {
-	limit := int64(defaultMaxBodyBytes)
-	if table != nil && table.Limits().MaxBodyBytes > 0 {
-		limit = table.Limits().MaxBodyBytes
-	}
-	if r.ContentLength == 0 {
-		return nil, false, nil
-	}
-	body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, true, nil
-	}
-	return body, false, err
-}
-
 // deadline returns the time by which the caller gets a response: after the caller's timeout or the route's, whichever
 // is shorter.
 func (x *exchange) deadline() time.Time {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -117,7 +117,7 @@
 // relayBuffered forwards a response that is not a stream. It returns an error if the caller has already received
 // events, or if the request may be retried after a server error.
 func (g *Gateway) relayBuffered(x *exchange, a *attempt, resp *endpointResponse, caller *callerStream) error {
-	body, err := resp.readAll(a.outgoing)
+	body, err := g.readResponse(x, resp, a.outgoing)
 	if err != nil {
 		return err
 	}
