Divide the engines of a large service into cells, each with its own dispatcher

Cause: one dispatcher decided for all 195 engines of a service. Entries went on to the next dispatcher and to what they knew themselves.

Weighed: package dispatch has cells, but its policy is for engines that report memory and hold queues; placement has the policy for declared engines. Giving placement cells needs only a name for a part of a service, since it decides by name; making it a policy of dispatch would have been a rewrite of both (docs/decisions.md).

CellCount and CellOf, cellChoice, assignDispatchers and followCells are each a file or function without I/O. Entries send the list of their running jobs only to the dispatchers that need it, because there are more of them now; a dispatcher that did not answer gets it again. Sites with fewer than 80 engines of a service have one cell.

Tests: TestCells, TestCellChoice, TestDispatchersShareTheCells, TestJobsFollowTheNumberOfCells, TestBucket.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 
 	"go.uber.org/zap"
@@ -10,7 +11,6 @@
 	"github.com/dandelionpier/dandelionpier/internal/declaration"
 	"github.com/dandelionpier/dandelionpier/internal/placement"
 	"github.com/dandelionpier/dandelionpier/internal/registration"
-	"github.com/dandelionpier/dandelionpier/internal/rendezvous"
 	"github.com/dandelionpier/dandelionpier/internal/routing"
 	"github.com/dandelionpier/dandelionpier/internal/session"
 )
@@ -48,9 +48,11 @@
 	services          map[string][]registration.Record
 	membershipVersion uint64
 	members           []session.Member
-	dispatchers       map[string][]placement.Dispatcher
-	quarantined       map[uint64]bool
-	blames            crash.Blames
+	// cells are those of all services with engines.
+	cells       []placement.Cell
+	dispatchers map[placement.Cell][]placement.Dispatcher
+	quarantined map[uint64]bool
+	blames      crash.Blames
 }
 
 // NewFleet returns an empty fleet. Run keeps it up to date.
@@ -90,9 +92,10 @@
 	if newMembers {
 		next.membershipVersion, next.members = view.MembershipVersion, view.Members
 	}
-	if table != old.table || newMembers {
-		next.table = table
-		next.dispatchers = assignDispatchers(table, next.members)
+	cells := cellsOf(table, next.services)
+	if table != old.table || newMembers || !slices.Equal(cells, old.cells) {
+		next.table, next.cells = table, cells
+		next.dispatchers = assignDispatchers(cells, next.members)
 	}
 	if newMembers || newEndpoints || table != old.table {
 		next.version++
@@ -185,46 +188,7 @@
 	return s.services[service], s.version
 }
 
-const (
-	// dispatchersPerService is the number of instances that may dispatch for a service: the first choice and its
-	// substitutes.
-	dispatchersPerService = 3
-	// minDispatcherCapacity is the processor time, in thousandths of a core, that an instance needs to be
-	// preferred as a dispatcher. Smaller instances dispatch only if fewer than dispatchersPerService have it.
-	minDispatcherCapacity = 200
-)
-
-// Dispatchers returns the instances that dispatch for a service, in order of preference.
-func (f *Fleet) Dispatchers(service string) []placement.Dispatcher {
-	return f.state.Load().dispatchers[service]
-}
-
-// assignDispatchers selects the dispatchers of each service among the live instances by rendezvous hashing.
-func assignDispatchers(table *routing.Table, members []session.Member) map[string][]placement.Dispatcher {
-	if table == nil {
-		return nil
-	}
-	byName := make(map[string]session.Member)
-	var names, largeInstances []string
-	for _, m := range members {
-		if m.Draining {
-			continue
-		}
-		byName[m.Instance] = m
-		names = append(names, m.Instance)
-		if m.Capacity >= minDispatcherCapacity {
-			largeInstances = append(largeInstances, m.Instance)
-		}
-	}
-	if len(largeInstances) >= dispatchersPerService {
-		names = largeInstances
-	}
-	assigned := make(map[string][]placement.Dispatcher)
-	for _, service := range table.Services() {
-		ranked := rendezvous.Rank(service, names)
-		for _, name := range ranked[:min(dispatchersPerService, len(ranked))] {
-			assigned[service] = append(assigned[service], placement.Dispatcher{Instance: name, Address: byName[name].Peer})
-		}
-	}
-	return assigned
+// Dispatchers returns the instances that dispatch for a cell, in order of preference.
+func (f *Fleet) Dispatchers(cell placement.Cell) []placement.Dispatcher {
+	return f.state.Load().dispatchers[cell]
 }
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -28,8 +28,8 @@
 type ClientConfig struct {
 	// Instance is the name of this instance.
 	Instance string
-	// Dispatchers returns the instances that can dispatch for a service, in order of preference.
-	Dispatchers func(service string) []Dispatcher
+	// Dispatchers returns the instances that can dispatch for a cell, in order of preference.
+	Dispatchers func(cell Cell) []Dispatcher
 	// Local is the dispatcher in this process.
 	Local  *Service
 	Fleet  Fleet
@@ -61,8 +61,8 @@
 	running  map[string]*runningJob
 	pending  []pendingEvent
 	backOffs map[string]backOff
-	// active is the dispatcher of each service that replied last, with its incarnation.
-	active map[string]activeDispatcher
+	// active is the dispatcher of each cell that replied last, with its incarnation.
+	active map[Cell]activeDispatcher
 	// needsFullReport has the dispatchers that have not yet received the list of all running jobs.
 	needsFullReport map[Dispatcher]bool
 	// syncedSince has the dispatchers that receive the list of all running jobs, with the time of the first one.
@@ -78,7 +78,9 @@
 }
 
 type runningJob struct {
-	job        Job
+	job Job
+	// cells are those of its engines: one, or several after the number of cells has changed.
+	cells      []Cell
 	grant      Grant
 	deadline   time.Time
 	prefilling bool
@@ -99,53 +101,84 @@
 func NewClient(config ClientConfig) *Client {
 	return &Client{
 		config: config, fallback: newSchedulers(config.Fleet), running: make(map[string]*runningJob),
-		backOffs: make(map[string]backOff), active: make(map[string]activeDispatcher), needsFullReport: make(map[Dispatcher]bool), syncedSince: make(map[Dispatcher]time.Time), wake: make(chan struct{}, 1),
+		backOffs: make(map[string]backOff), active: make(map[Cell]activeDispatcher), needsFullReport: make(map[Dispatcher]bool), syncedSince: make(map[Dispatcher]time.Time), wake: make(chan struct{}, 1),
 	}
 }
 
-// Reserve places a job, and waits as long as the dispatcher asks it to. After Granted, the end of the job must be
-// reported with Report. The status of the reply is Granted or Rejected; the error is that of ctx.
+// Reserve places a job, and waits as long as the dispatchers ask it to. After Granted, the end of the job must be reported
+// with Report. The status of the reply is Granted or Rejected; the error is that of ctx.
 func (c *Client) Reserve(ctx context.Context, job Job) (ReserveReply, error) {
 	started := time.Now()
+	choice := c.chooseCells(job.Service)
 	for {
 		j := job
+		j.Cell = choice.next()
 		j.Waited += time.Since(started)
 		j.Left -= time.Since(started)
 		reply, decidedBy := c.requestPlacement(ctx, j)
-		if ctx.Err() != nil {
-			c.Report(Event{Type: Left, Job: job})
+		switch {
+		case ctx.Err() != nil:
+			c.leave(j, choice.cells)
 			return reply, ctx.Err()
-		}
-		if reply.Status == Wait {
-			task.Pause(ctx, reply.After)
-			continue
-		}
-		if reply.Status == Granted {
+		case reply.Status == Granted:
 			c.startJob(j, reply.Grant, decidedBy)
+			c.leave(j, choice.others())
+			return reply, nil
+		case reply.Status == Rejected:
+			if choice.reject(reply) {
+				return choice.rejection, nil
+			}
+		default:
+			task.Pause(ctx, choice.wait(reply.After))
+		}
+		if c.cellCount(job.Service) != choice.next().Count {
+			choice = c.chooseCells(job.Service)
 		}
-		return reply, nil
 	}
 }
 
-// requestPlacement asks the dispatchers in turn, and decides locally when none replies. It returns the instance that
-// decided, empty for a local decision.
+func (c *Client) chooseCells(service string) *cellChoice {
+	records, _ := c.config.Fleet.Endpoints(service)
+	return newCellChoice(service, records)
+}
+
+// cellCount returns the number of cells of a service.
+func (c *Client) cellCount(service string) int {
+	records, _ := c.config.Fleet.Endpoints(service)
+	return CellCount(len(records))
+}
+
+// leave gives up the places that a job holds in the queues of cells.
+func (c *Client) leave(job Job, cells []Cell) {
+	for _, cell := range cells {
+		job.Cell = cell
+		e := Event{Type: Left, Job: job}
+		c.fallback.withScheduler(cell, func(now time.Time, s *Scheduler) { s.Report(now, c.config.Instance, e) })
+		c.mu.Lock()
+		c.enqueue(pendingEvent{Event: e})
+		c.mu.Unlock()
+	}
+}
+
+// requestPlacement asks the dispatchers of a job's cell in turn, and decides locally when none replies. It returns the
+// instance that decided, empty for a local decision.
 func (c *Client) requestPlacement(ctx context.Context, job Job) (reply ReserveReply, decidedBy string) {
-	for _, d := range c.dispatchersByPreference(job.Service) {
+	for _, d := range c.dispatchersByPreference(job.Cell) {
 		reply, err := c.reserve(ctx, d, job)
 		if ctx.Err() != nil {
 			return reply, d.Instance
 		}
-		c.recordReachable(d.Instance, err == nil)
+		c.recordReachable(d, err == nil)
 		if err != nil {
 			c.config.Logger.Info("A dispatcher did not answer", zap.String("dispatcher", d.Instance),
-				zap.String(logging.AttemptID, job.ID), zap.Error(err))
+				zap.Stringer("cell", job.Cell), zap.String(logging.AttemptID, job.ID), zap.Error(err))
 			continue
 		}
-		c.setActive(job.Service, d, reply.Life)
+		c.setActive(job.Cell, d, reply.Life)
 		return reply, d.Instance
 	}
 	reply = ReserveReply{Status: Rejected, After: minRetryAfter, Reason: "the service has no engines"}
-	c.fallback.withScheduler(job.Service, func(now time.Time, s *Scheduler) { reply = s.Reserve(now, c.config.Instance, job) })
+	c.fallback.withScheduler(job.Cell, func(now time.Time, s *Scheduler) { reply = s.Reserve(now, c.config.Instance, job) })
 	return reply, ""
 }
 
@@ -168,15 +201,15 @@
 // replies. All entries report to it within that time.
 const syncTime = 2 * time.Second
 
-// dispatchersByPreference returns the dispatchers of a service that are not in back-off, in the order in which they are
-// asked. The active one stays first until a preferred one knows all running jobs.
-func (c *Client) dispatchersByPreference(service string) []Dispatcher {
+// dispatchersByPreference returns the dispatchers of a cell that are not in back-off, in the order in which they are asked.
+// The active one stays first until a preferred one knows all running jobs.
+func (c *Client) dispatchersByPreference(cell Cell) []Dispatcher {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	var first, later []Dispatcher
-	current := c.active[service].dispatcher
-	for _, d := range c.config.Dispatchers(service) {
+	current := c.active[cell].dispatcher
+	for _, d := range c.config.Dispatchers(cell) {
 		since, synced := c.syncedSince[d]
 		switch {
 		case now.Before(c.backOffs[d.Instance].until):
@@ -189,64 +222,81 @@
 	return slices.Concat(first, later)
 }
 
-func (c *Client) recordReachable(instance string, replied bool) {
+// recordReachable records whether a dispatcher replied. One that did not may count a job whose grant was lost, so it is sent
+// the list of running jobs when it replies again.
+func (c *Client) recordReachable(d Dispatcher, replied bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if replied {
-		delete(c.backOffs, instance)
+		delete(c.backOffs, d.Instance)
 		return
 	}
-	length := min(maxDispatcherBackOff, max(minDispatcherBackOff, 2*c.backOffs[instance].length))
-	c.backOffs[instance] = backOff{until: time.Now().Add(length), length: length}
+	delete(c.syncedSince, d)
+	length := min(maxDispatcherBackOff, max(minDispatcherBackOff, 2*c.backOffs[d.Instance].length))
+	c.backOffs[d.Instance] = backOff{until: time.Now().Add(length), length: length}
 }
 
 // setActive records the dispatcher that replied, and reports all running jobs to it if it is new.
-func (c *Client) setActive(service string, d Dispatcher, incarnation uint64) {
+func (c *Client) setActive(cell Cell, d Dispatcher, incarnation uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.active[service] == (activeDispatcher{d, incarnation}) {
+	if c.active[cell] == (activeDispatcher{d, incarnation}) {
 		return
 	}
-	c.active[service] = activeDispatcher{d, incarnation}
+	c.active[cell] = activeDispatcher{d, incarnation}
 	c.needsFullReport[d] = true
-	c.config.Logger.Info("Using a dispatcher", zap.String("service", service), zap.String("dispatcher", d.Instance))
-	now := time.Now()
+	c.config.Logger.Info("Using a dispatcher", zap.Stringer("cell", cell), zap.String("dispatcher", d.Instance))
 	for _, r := range c.running {
-		if r.job.Service != service {
-			continue
+		if slices.Contains(r.cells, cell) {
+			c.enqueueAdopted(r, cell)
 		}
-		j := r.job
-		j.Left = r.deadline.Sub(now)
-		c.enqueue(pendingEvent{Event: Event{Type: Adopted, Job: j, Grant: r.grant, Reading: r.prefilling}})
 	}
 }
 
+// enqueueAdopted reports a running job to a cell. The caller must hold c.mu.
+func (c *Client) enqueueAdopted(r *runningJob, cell Cell) {
+	j := r.job
+	j.Cell = cell
+	j.Left = time.Until(r.deadline)
+	c.enqueue(pendingEvent{Event: Event{Type: Adopted, Job: j, Grant: r.grant, Reading: r.prefilling}})
+}
+
 // startJob records a job that an instance has placed. The standby dispatcher is told at once, so that it knows what runs
 // when the active one is lost.
 func (c *Client) startJob(job Job, grant Grant, decidedBy string) {
 	adopted := Event{Type: Adopted, Job: job, Grant: grant, Reading: true}
-	c.fallback.withScheduler(job.Service, func(now time.Time, s *Scheduler) { s.Report(now, c.config.Instance, adopted) })
+	c.fallback.withScheduler(job.Cell, func(now time.Time, s *Scheduler) { s.Report(now, c.config.Instance, adopted) })
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.enqueue(pendingEvent{Event: adopted, knownBy: decidedBy})
-	c.running[job.ID] = &runningJob{job: job, grant: grant, deadline: time.Now().Add(job.Left), prefilling: true}
+	c.running[job.ID] = &runningJob{job: job, cells: []Cell{job.Cell}, grant: grant, deadline: time.Now().Add(job.Left), prefilling: true}
 }
 
-// Report records an event of a job and queues it for the dispatchers.
+// Report records an event of a job and queues it for the dispatchers of the cells of its engines.
 func (c *Client) Report(e Event) {
-	c.fallback.withScheduler(e.Job.Service, func(now time.Time, s *Scheduler) { s.Report(now, c.config.Instance, e) })
-	c.addEvent(e)
+	for _, cell := range c.recordEvent(e) {
+		e.Job.Cell = cell
+		c.fallback.withScheduler(cell, func(now time.Time, s *Scheduler) { s.Report(now, c.config.Instance, e) })
+		c.mu.Lock()
+		c.enqueue(pendingEvent{Event: e})
+		c.mu.Unlock()
+	}
 }
 
-func (c *Client) addEvent(e Event) {
+// recordEvent updates the running jobs and returns the cells that an event concerns.
+func (c *Client) recordEvent(e Event) []Cell {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r := c.running[e.Job.ID]
 	if e.Type != FirstEvent {
 		delete(c.running, e.Job.ID)
-	} else if r := c.running[e.Job.ID]; r != nil {
+	} else if r != nil {
 		r.prefilling = false
 	}
-	c.enqueue(pendingEvent{Event: e})
+	if r == nil {
+		return []Cell{CellOf(e.Job.Service, e.Endpoint, c.cellCount(e.Job.Service))}
+	}
+	return r.cells
 }
 
 // enqueue adds an event to the pending ones. The caller must hold c.mu.
--- a/internal/placement/client_test.go
+++ b/internal/placement/client_test.go
@@ -21,7 +21,29 @@
 
 func (f fakeFleet) Engine(string) (routing.Engine, bool) { return testEngine(), true }
 
-func (f fakeFleet) Endpoints(string) ([]registration.Record, uint64) { return f.records, 1 }
+func (f fakeFleet) Endpoints(string) ([]registration.Record, uint64) {
+	return f.records, uint64(len(f.records))
+}
+
+// growingFleet is a fleet whose engines change.
+type growingFleet struct {
+	mu      sync.Mutex
+	current fakeFleet
+}
+
+func (f *growingFleet) Engine(string) (routing.Engine, bool) { return testEngine(), true }
+
+func (f *growingFleet) Endpoints(service string) ([]registration.Record, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current.Endpoints(service)
+}
+
+func (f *growingFleet) set(count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current.records = engines(count)
+}
 
 // network calls dispatchers by address; those that are down do not reply.
 type network struct {
@@ -58,7 +80,7 @@
 func startClient(t *testing.T, instance string, n *network, fleet Fleet) *Client {
 	c := NewClient(ClientConfig{
 		Instance: instance, Local: NewService(ServiceConfig{Fleet: fleet, Logger: zap.NewNop()}), Fleet: fleet, Caller: n, Logger: zap.NewNop(),
-		Dispatchers: func(string) []Dispatcher { return []Dispatcher{{"a", "a"}, {"b", "b"}} },
+		Dispatchers: func(Cell) []Dispatcher { return []Dispatcher{{"a", "a"}, {"b", "b"}} },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	end := make(chan error, 1)
@@ -116,7 +138,7 @@
 		time.Sleep(3 * time.Second)
 		is.Equal(jobsAt(n.services["a"]), 5)
 		is.Equal(jobsAt(n.services["b"]), 5)
-		is.Equal(entries[0].active["model"].dispatcher.Instance, "a")
+		is.Equal(entries[0].active[Cell{Service: "model", Count: 1}].dispatcher.Instance, "a")
 	})
 }
 
@@ -138,3 +160,54 @@
 		is.Equal(time.Since(started), time.Duration(0)) // both are skipped during back-off
 	})
 }
+
+// runningByCell returns the number of jobs that the schedulers of a number of cells count.
+func runningByCell(s *Service, count int) (jobs int) {
+	s.schedulers.mu.Lock()
+	defer s.schedulers.mu.Unlock()
+	for cell, versioned := range s.schedulers.byCell {
+		if cell.Count == count {
+			jobs += versioned.scheduler.Running()
+		}
+	}
+	return jobs
+}
+
+// Guards against cells that place jobs as if nothing were running after the number of cells has changed, and against jobs
+// whose end only the cells of before learn.
+func TestJobsFollowTheNumberOfCells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := &growingFleet{current: fakeFleet{engines(70)}}
+		dispatcher := func() *Service { return NewService(ServiceConfig{Fleet: fleet, Logger: zap.NewNop()}) }
+		n := &network{services: map[string]*Service{"a": dispatcher(), "b": dispatcher()}, down: map[string]bool{}}
+		entry := startClient(t, "entry", n, fleet)
+		jobs := make([]Job, 0, 12)
+		for i := range 12 {
+			j := short(fmt.Sprint("j", i))
+			if i < 2 {
+				j = long(fmt.Sprint("j", i), 300_000)
+			}
+			j.Left = time.Minute
+			reply, err := entry.Reserve(t.Context(), j)
+			is.NoErr(err)
+			is.Equal(reply.Status, Granted)
+			jobs = append(jobs, j)
+		}
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(runningByCell(n.services["a"], 1), 12)
+		for _, count := range []int{170, 70} {
+			fleet.set(count)
+			time.Sleep(2 * fullReportInterval)
+			cells := CellCount(count)
+			is.True(runningByCell(n.services["a"], cells) >= 12) // a divided prompt may count in several cells
+			is.True(runningByCell(n.services["b"], cells) >= 12) // the standby
+		}
+		for _, j := range jobs {
+			entry.Report(Event{Type: Finished, Job: j, Endpoint: "e00"})
+		}
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(runningByCell(n.services["a"], 1), 0)
+		is.Equal(runningByCell(n.services["b"], 1), 0)
+	})
+}
--- a/internal/placement/presence.go
+++ b/internal/placement/presence.go
@@ -83,8 +83,8 @@
 
 // entryQuery is an entry that is to be asked for its jobs.
 type entryQuery struct {
-	service string
-	entry   string
+	cell  Cell
+	entry string
 }
 
 // maxQueries bounds the queued queries.
@@ -133,7 +133,7 @@
 	refused := errors.Is(err, syscall.ECONNREFUSED)
 	s.config.Logger.Info("Asked a silent entry for its jobs", zap.String("entry", q.entry), zap.Int("running", len(reply.IDs)),
 		zap.Bool("refused", refused), zap.Error(err))
-	s.schedulers.withScheduler(q.service, func(now time.Time, scheduler *Scheduler) {
+	s.schedulers.withScheduler(q.cell, func(now time.Time, scheduler *Scheduler) {
 		switch {
 		case err == nil:
 			scheduler.RetainRunning(now, q.entry, reply.IDs)
--- a/internal/placement/reporting.go
+++ b/internal/placement/reporting.go
@@ -28,6 +28,7 @@
 		case <-c.wake:
 		}
 		task.Pause(ctx, batchDelay)
+		c.followCells()
 		c.flush(ctx, full)
 	}
 }
@@ -50,7 +51,7 @@
 		}
 		c.config.Logger.Info("Could not report to a dispatcher", zap.String("dispatcher", d.Instance), zap.Bool("in-use", b.toActive),
 			zap.Int("events", len(b.request.Events)), zap.Error(err))
-		c.recordReachable(d.Instance, false)
+		c.recordReachable(d, false)
 		if b.toActive {
 			c.requeue(b.request.Events)
 		}
@@ -70,39 +71,81 @@
 	}
 }
 
-// batches removes the pending events and returns them, with lists of running jobs where due, by dispatcher: the active
-// one and the standby one of each service.
-func (c *Client) batches(full bool) map[Dispatcher]*batch {
-	standby := make(map[string]Dispatcher)
+// followCells assigns the running jobs to the cells of their engines after the number of cells has changed, and reports
+// them to the new ones.
+func (c *Client) followCells() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for service, s := range c.active {
-		for _, d := range c.config.Dispatchers(service) {
-			if d != s.dispatcher && !time.Now().Before(c.backOffs[d.Instance].until) {
-				standby[service] = d
-				break
-			}
+	counts := make(map[string]int)
+	for _, r := range c.running {
+		service := r.job.Service
+		if counts[service] == 0 {
+			counts[service] = c.cellCount(service)
+		}
+		if r.cells[0].Count == counts[service] {
+			continue
+		}
+		r.cells = cellsOf(r.grant, service, counts[service])
+		for _, cell := range r.cells {
+			c.assumeActive(cell)
+			c.enqueueAdopted(r, cell)
+		}
+	}
+	for cell := range c.active {
+		if cell.Count != c.cellCount(cell.Service) {
+			delete(c.active, cell)
 		}
 	}
+}
+
+// assumeActive takes the preferred dispatcher of a cell for the active one if none has replied yet. The caller must hold
+// c.mu.
+func (c *Client) assumeActive(cell Cell) {
+	if _, ok := c.active[cell]; ok {
+		return
+	}
+	if dispatchers := c.config.Dispatchers(cell); len(dispatchers) > 0 {
+		c.active[cell] = activeDispatcher{dispatcher: dispatchers[0]}
+	}
+}
+
+// cellsOf returns the cells of the engines of a grant, without repetitions.
+func cellsOf(grant Grant, service string, count int) []Cell {
+	var cells []Cell
+	for _, m := range grant.Members {
+		if cell := CellOf(service, m.Endpoint, count); !slices.Contains(cells, cell) {
+			cells = append(cells, cell)
+		}
+	}
+	return cells
+}
+
+// batches removes the pending events and returns them, with lists of running jobs where due, by dispatcher: the active
+// one and the standby one of each cell.
+func (c *Client) batches(full bool) map[Dispatcher]*batch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	standby := c.standbys()
 	batches := make(map[Dispatcher]*batch)
 	for _, e := range c.pending {
-		service := e.Job.Service
-		if s, ok := c.active[service]; ok && s.dispatcher.Instance != e.knownBy {
+		cell := e.Job.cell()
+		if s, ok := c.active[cell]; ok && s.dispatcher.Instance != e.knownBy {
 			addToBatch(batches, s.dispatcher, e.Event).toActive = true
 		}
-		if d, ok := standby[service]; ok && d.Instance != e.knownBy {
+		if d, ok := standby[cell]; ok && d.Instance != e.knownBy {
 			addToBatch(batches, d, e.Event)
 		}
 	}
 	c.pending = nil
 	ids := slices.Collect(maps.Keys(c.running))
-	for service, s := range c.active {
-		if full || batches[s.dispatcher] != nil && c.needsFullReport[s.dispatcher] {
+	busy := c.busyCells()
+	for cell, s := range c.active {
+		if full && c.owesFullReport(s.dispatcher, busy[cell]) || batches[s.dispatcher] != nil && c.needsFullReport[s.dispatcher] {
 			delete(c.needsFullReport, s.dispatcher)
 			b := addToBatch(batches, s.dispatcher)
 			b.toActive, b.request.Whole, b.request.Running = true, true, ids
 		}
-		if d, ok := standby[service]; ok && full {
+		if d, ok := standby[cell]; ok && full && c.owesFullReport(d, busy[cell]) {
 			b := addToBatch(batches, d)
 			b.request.Whole, b.request.Running = true, ids
 		}
@@ -110,6 +153,38 @@
 	return batches
 }
 
+// standbys returns the standby dispatcher of each cell in use. The caller must hold c.mu.
+func (c *Client) standbys() map[Cell]Dispatcher {
+	standby := make(map[Cell]Dispatcher)
+	for cell, s := range c.active {
+		for _, d := range c.config.Dispatchers(cell) {
+			if d != s.dispatcher && !time.Now().Before(c.backOffs[d.Instance].until) {
+				standby[cell] = d
+				break
+			}
+		}
+	}
+	return standby
+}
+
+// busyCells returns the cells with running jobs. The caller must hold c.mu.
+func (c *Client) busyCells() map[Cell]bool {
+	busy := make(map[Cell]bool)
+	for _, r := range c.running {
+		for _, cell := range r.cells {
+			busy[cell] = true
+		}
+	}
+	return busy
+}
+
+// owesFullReport reports whether a dispatcher is to receive the list of running jobs: one that has not received it yet, or
+// one of a cell in which this entry runs jobs. The caller must hold c.mu.
+func (c *Client) owesFullReport(d Dispatcher, busy bool) bool {
+	_, synced := c.syncedSince[d]
+	return busy || !synced
+}
+
 // runningIDs returns the ids of all running jobs.
 func (c *Client) runningIDs() []string {
 	c.mu.Lock()
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -23,53 +23,69 @@
 	Endpoints(service string) (records []registration.Record, version uint64)
 }
 
-// schedulers holds a scheduler for each service. It is safe for concurrent use.
+// schedulers holds a scheduler for each cell. It is safe for concurrent use.
 type schedulers struct {
-	fleet     Fleet
-	mu        sync.Mutex
-	byService map[string]*versionedScheduler
+	fleet  Fleet
+	mu     sync.Mutex
+	byCell map[Cell]*versionedScheduler
 }
 
 // versionedScheduler is a scheduler with the version of the fleet that it was last updated to.
 type versionedScheduler struct {
 	scheduler *Scheduler
 	version   uint64
+	lastUse   time.Time
 }
 
+// unusedSchedulerLife is how long the scheduler of a cell is kept that nobody asks, as after a change of the number of
+// cells. Its jobs have ended or are known to the new cells by then.
+const unusedSchedulerLife = 10 * time.Second
+
 func newSchedulers(fleet Fleet) *schedulers {
-	return &schedulers{fleet: fleet, byService: make(map[string]*versionedScheduler)}
+	return &schedulers{fleet: fleet, byCell: make(map[Cell]*versionedScheduler)}
 }
 
-// withScheduler updates the scheduler of a service to the fleet and runs f on it. It returns false for a service
-// without engines.
-func (m *schedulers) withScheduler(service string, f func(now time.Time, s *Scheduler)) bool {
-	engine, ok := m.fleet.Engine(service)
+// withScheduler updates the scheduler of a cell to the fleet and runs f on it. It returns false for a service without
+// engines.
+func (m *schedulers) withScheduler(cell Cell, f func(now time.Time, s *Scheduler)) bool {
+	engine, ok := m.fleet.Engine(cell.Service)
 	if !ok {
 		return false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	versioned := m.byService[service]
+	versioned := m.byCell[cell]
 	if versioned == nil {
+		m.dropUnused(now)
 		versioned = &versionedScheduler{scheduler: NewScheduler(engine)}
-		m.byService[service] = versioned
+		m.byCell[cell] = versioned
 	}
-	if records, version := m.fleet.Endpoints(service); version != versioned.version {
+	versioned.lastUse = now
+	if records, version := m.fleet.Endpoints(cell.Service); version != versioned.version {
 		versioned.scheduler.UseEngine(engine)
-		versioned.scheduler.Update(now, records)
+		versioned.scheduler.Update(now, cell.filter(records))
 		versioned.version = version
 	}
 	f(now, versioned.scheduler)
 	return true
 }
 
+// dropUnused removes the schedulers that nobody has asked for a while. The caller must hold m.mu.
+func (m *schedulers) dropUnused(now time.Time) {
+	for cell, versioned := range m.byCell {
+		if now.Sub(versioned.lastUse) > unusedSchedulerLife {
+			delete(m.byCell, cell)
+		}
+	}
+}
+
 // forEach runs f on all schedulers.
 func (m *schedulers) forEach(f func(now time.Time, s *Scheduler)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	for _, versioned := range m.byService {
+	for _, versioned := range m.byCell {
 		f(now, versioned.scheduler)
 	}
 }
@@ -100,9 +116,9 @@
 
 // Reserve places a job.
 func (s *Service) Reserve(request ReserveRequest, reply *ReserveReply) error {
-	ok := s.schedulers.withScheduler(request.Job.Service, func(now time.Time, scheduler *Scheduler) {
+	ok := s.schedulers.withScheduler(request.Job.cell(), func(now time.Time, scheduler *Scheduler) {
 		*reply = scheduler.Reserve(now, request.Entry, request.Job)
-		if reply.Full && s.querySilentEntries(now, scheduler, request.Job.Service) {
+		if reply.Full && s.querySilentEntries(now, scheduler, request.Job.cell()) {
 			*reply = ReserveReply{Status: Wait, After: recheckDelay, Reason: "entries that may be gone hold slots"}
 		}
 	})
@@ -110,18 +126,18 @@
 		*reply = ReserveReply{Status: Rejected, After: minRetryAfter, Reason: "this instance knows no such service"}
 	}
 	reply.Life = s.incarnation
-	s.config.Logger.Debug("Decided on a job", zap.String(logging.AttemptID, request.Job.ID), zap.Int("prompt", request.Job.Prompt),
+	s.config.Logger.Debug("Decided on a job", zap.String(logging.AttemptID, request.Job.ID), zap.Stringer("cell", request.Job.cell()), zap.Int("prompt", request.Job.Prompt),
 		zap.Duration("waited", request.Job.Waited), zap.String("status", string(reply.Status)), zap.String("reason", reply.Reason),
 		zap.Strings("engines", reply.Grant.endpoints()), zap.Duration("expected", reply.Grant.First), zap.Duration("after", reply.After))
 	return nil
 }
 
 // querySilentEntries queues queries to the silent entries and reports whether replies are outstanding.
-func (s *Service) querySilentEntries(now time.Time, scheduler *Scheduler, service string) bool {
+func (s *Service) querySilentEntries(now time.Time, scheduler *Scheduler, cell Cell) bool {
 	entries, expected := scheduler.EntriesToQuery(now)
 	for _, entry := range entries {
 		select {
-		case s.queries <- entryQuery{service, entry}:
+		case s.queries <- entryQuery{cell, entry}:
 		default:
 			return false
 		}
@@ -132,7 +148,7 @@
 // Report applies events of jobs.
 func (s *Service) Report(request ReportRequest, reply *ReportReply) error {
 	for _, e := range request.Events {
-		s.schedulers.withScheduler(e.Job.Service, func(now time.Time, scheduler *Scheduler) { scheduler.Report(now, request.Entry, e) })
+		s.schedulers.withScheduler(e.Job.cell(), func(now time.Time, scheduler *Scheduler) { scheduler.Report(now, request.Entry, e) })
 	}
 	if request.Whole {
 		s.schedulers.forEach(func(now time.Time, scheduler *Scheduler) {
--- a/internal/placement/wire.go
+++ b/internal/placement/wire.go
@@ -1,5 +1,6 @@
 // Package placement chooses the engines of a request: the primary, which decodes the response, and the helpers, which
-// prefill parts of a long prompt. One dispatcher for each service sees all requests of the deployment. While none
+// prefill parts of a long prompt. The engines of a large service are divided into
+// cells; one dispatcher for each cell sees all requests to its engines. While none
 // replies, an entry, which is a process that serves callers, decides with what it knows itself. Scheduler makes the
 // decisions and does no I/O.
 package placement
@@ -28,6 +29,8 @@
 	// ID is new for each attempt of a request.
 	ID      string
 	Service string
+	// Cell has the engines that may serve the job.
+	Cell Cell
 	// Prompt is the length of the prompt and Output the expected length of the response, in tokens. Bound is the maximum
 	// length of the response.
 	Prompt int
--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -113,3 +113,24 @@
 	total := float64(len(entries) * len(cells))
 	return float64(moves) / total, float64(maxLoad) * float64(len(entries)) / float64(len(cells))
 }
+
+// Guards against buckets of very different size, and against keys that move although their bucket stays.
+func TestBucket(t *testing.T) {
+	is := is.New(t)
+	const keys = 4000
+	for _, buckets := range []int{1, 4, 5, 75} {
+		sizes := make([]int, buckets)
+		moved := 0
+		for _, name := range names("engine", keys) {
+			bucket := rendezvous.Bucket(name, buckets)
+			sizes[bucket]++
+			if rendezvous.Bucket(name, buckets+1) != bucket {
+				moved++
+			}
+		}
+		is.True(slices.Min(sizes)*2 > keys/buckets)
+		is.True(slices.Max(sizes) < 2*keys/buckets)
+		is.True(moved < 2*keys/(buckets+1))
+	}
+	is.Equal(rendezvous.Bucket("engine", 0), 0)
+}
