--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -400,3 +400,63 @@
 		}
 	}
 }
+
+// Guards against a stream that never ends because its endpoint sends a byte now and then, and against one that is cut
+// although its slow endpoint sends events.
+func TestTrickledStream(t *testing.T) {
+	trickle := func(text func(i int) string, count int) endpointBehaviour {
+		return func(w http.ResponseWriter, r *http.Request) {
+			ticker := time.NewTicker(10 * time.Millisecond)
+			defer ticker.Stop()
+			for i := 1; i <= count && r.Context().Err() == nil; i++ {
+				_, _ = io.WriteString(w, text(i))
+				_ = http.NewResponseController(w).Flush()
+				<-ticker.C
+			}
+		}
+	}
+	limit := func(timeout time.Duration) func(*routing.Config) {
+		return func(c *routing.Config) {
+			for i := range c.Routes {
+				c.Routes[i].Timeout = timeout
+			}
+		}
+	}
+	t.Run("a byte now and then", func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, map[string]endpointBehaviour{"stalled": trickle(func(int) string { return "x" }, 1<<20)}, limit(300*time.Millisecond))
+		is.Equal(d.call(t, http.MethodGet, "/tell/x", "", nil).StatusCode, http.StatusGatewayTimeout)
+	})
+	t.Run("slow but sound", func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, map[string]endpointBehaviour{"slow": trickle(func(i int) string { return encodeEvents(i, i) }, 120)}, limit(time.Minute))
+		body, err := io.ReadAll(d.call(t, http.MethodGet, "/tell/x", "", nil).Body)
+		is.NoErr(err)
+		is.Equal(string(body), encodeEvents(1, 120))
+	})
+}
+
+// Guards against running work that is given up or started again elsewhere, because its endpoint is silent for a while and
+// drops out of the list.
+func TestSilentEndpointKeepsItsWork(t *testing.T) {
+	is := is.New(t)
+	begun, dropped := make(chan struct{}), make(chan struct{})
+	work := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, encodeEvents(1, 1))
+		_ = http.NewResponseController(w).Flush()
+		close(begun)
+		<-dropped
+		_, _ = io.WriteString(w, encodeEvents(2, 2))
+	}
+	d := deploy(t, map[string]endpointBehaviour{"silent": work})
+	go func() {
+		<-begun
+		d.session.view.Endpoints = registration.List{Version: 2, Records: map[string]registration.Record{}}
+		d.updateFleet(t)
+		close(dropped)
+	}()
+	body, err := io.ReadAll(d.call(t, http.MethodGet, "/ask/x", "", nil).Body)
+	is.NoErr(err)
+	is.Equal(string(body), encodeEvents(1, 2))
+	is.Equal(d.requestCount(), 1)
+}
