Keep the member list of the term before until a new leader knows all members

Cause: a new leader starts without sessions, and entries took over its list as it grew. Each heartbeat of an entry to the new leader was news to all others as well.

Evidence: lines `Using a dispatcher` by second and cell; late short prompts at one engine ended at one moment, behind long prompts that their dispatcher did not know.

Change: the version of a member list is the sum of the digests of its members, so it says the same at every leader. During the first lease of a term an entry that holds a list of an earlier term keeps it, and is told only who drains or has left; after that it gets the list, unless its own is the same. An entry without a list gets what there is.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -182,7 +182,7 @@
 	reply.Term = term
 	reply.Lease = session.LeaseDuration
 	s.addRevisions(request, reply)
-	s.registry.FillMembers(request.MembershipVersion, reply)
+	s.registry.FillMembers(request.MembershipVersion, now, reply)
 	reply.News = s.config.Machine.updateFor(request.Known, s.controlAddresses())
 	quarantined := s.config.Machine.Quarantined(now.UnixMilli())
 	if session.QuarantineVersion(quarantined) != request.QuarantineVersion {
@@ -265,7 +265,7 @@
 	machine := s.config.Machine
 	return machine.Configuration().Revision != request.Revision ||
 		machine.stateVersions(s.controlAddresses()) != request.Known ||
-		s.registry.Version() != request.MembershipVersion ||
+		s.registry.HasNews(request.MembershipVersion, time.Now()) ||
 		session.QuarantineVersion(machine.Quarantined(time.Now().UnixMilli())) != request.QuarantineVersion ||
 		s.blamesDiffer(request)
 }
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -39,7 +39,7 @@
 type View struct {
 	Configuration configuration.Configuration
 	Members       []Member
-	// MembershipVersion is the version of Members.
+	// MembershipVersion changes whenever Members do. It counts the changes that this process has seen.
 	MembershipVersion uint64
 	Term              uint64
 	// Quarantined are the fingerprints of requests that crash endpoints.
@@ -270,13 +270,12 @@
 // applyMembers updates the member list to the version of the reply and reports whether it changed. It
 // copies the list because older views share it. The caller holds c.mu.
 func (c *Client) applyMembers(reply HeartbeatReply) bool {
-	c.membershipVersion = reply.MembershipVersion
-	c.view.MembershipVersion = reply.MembershipVersion
+	members := c.view.Members
 	switch {
 	case reply.AllMembers:
-		c.view.Members = reply.Members
+		members = reply.Members
 	case len(reply.MemberChanges) > 0:
-		members := slices.Clone(c.view.Members)
+		members = slices.Clone(members)
 		for _, change := range reply.MemberChanges {
 			members = slices.DeleteFunc(members, func(m Member) bool { return m.Instance == change.Member.Instance })
 			if !change.Removed {
@@ -284,10 +283,15 @@
 			}
 		}
 		sortMembers(members)
-		c.view.Members = members
-	default:
+	}
+	if slices.Equal(members, c.view.Members) {
 		return false
 	}
+	c.view.Members = members
+	c.view.MembershipVersion++
+	// The version is that of the list that this entry holds, which may differ from the leader's in the first lease of a
+	// term.
+	c.membershipVersion = membersVersion(members)
 	return true
 }
 
--- a/internal/session/registry.go
+++ b/internal/session/registry.go
@@ -16,8 +16,7 @@
 	// replaced are sessions of earlier incarnations whose lease may still be valid: a restarted process
 	// may run at the same time as its predecessor, which may be partitioned or frozen.
 	replaced []*entrySession
-	// version increases with each change of the member list. It starts at the time of the election, so
-	// that versions of different leaders differ.
+	// version is membersVersion of the members, so that equal lists of different leaders have equal versions.
 	version uint64
 	term    uint64
 	// authoritativeFrom is when all leases granted by earlier leaders have expired.
@@ -26,8 +25,16 @@
 	// One channel for both would wake every watch at every heartbeat that reports a new revision.
 	membersChanged  chan struct{}
 	revisionApplied chan struct{}
-	// recentChanges lead from version-len(recentChanges) to version.
-	recentChanges []MemberChange
+	// recentChanges are the last changes of the member list in this term.
+	recentChanges []versionedChange
+	// left has the members that ended their sessions in the first lease of this term.
+	left []Member
+}
+
+// versionedChange is a change of the member list and the version that it changed.
+type versionedChange struct {
+	MemberChange
+	before uint64
 }
 
 // maxRecentChanges limits the member changes kept for entries that lag behind. They save sending the whole
@@ -56,8 +63,8 @@
 	r.term = term
 	r.sessions = make(map[string]*entrySession)
 	r.replaced = nil
-	r.version = uint64(now.UnixNano())
-	r.recentChanges = nil
+	r.version = 0
+	r.recentChanges, r.left = nil, nil
 	r.authoritativeFrom = now.Add(LeaseDuration + SkewAllowance)
 	r.wakeWatches()
 }
@@ -71,7 +78,10 @@
 	if request.Leave {
 		if s != nil && s.member.Incarnation == request.Member.Incarnation {
 			delete(r.sessions, name)
-			r.recordChange(MemberChange{Member: s.member, Removed: true})
+			r.recordChange(MemberChange{Member: s.member, Removed: true}, s.member.digest())
+		}
+		if now.Before(r.authoritativeFrom) {
+			r.left = append(r.left, request.Member)
 		}
 		return
 	}
@@ -80,12 +90,16 @@
 			r.replaced = append(r.replaced, s)
 			s = nil
 		}
+		var replaced uint64
+		if old := r.sessions[name]; old != nil {
+			replaced = old.member.digest()
+		}
 		if s == nil {
 			s = &entrySession{}
 			r.sessions[name] = s
 		}
 		s.member = request.Member
-		r.recordChange(MemberChange{Member: s.member})
+		r.recordChange(MemberChange{Member: s.member}, replaced)
 	}
 	if request.Revision > s.revision {
 		s.revision = request.Revision
@@ -103,15 +117,19 @@
 	for name, s := range r.sessions {
 		if now.After(s.leaseEnd) {
 			delete(r.sessions, name)
-			r.recordChange(MemberChange{Member: s.member, Removed: true})
+			r.recordChange(MemberChange{Member: s.member, Removed: true}, s.member.digest())
 		}
 	}
 }
 
-// recordChange adds a change of the member list. The caller holds r.mu.
-func (r *Registry) recordChange(change MemberChange) {
-	r.version++
-	r.recentChanges = append(r.recentChanges, change)
+// recordChange adds a change of the member list, which replaces a member with the given digest, or none if it is 0. The
+// caller holds r.mu.
+func (r *Registry) recordChange(change MemberChange, replaced uint64) {
+	r.recentChanges = append(r.recentChanges, versionedChange{change, r.version})
+	r.version -= replaced
+	if !change.Removed {
+		r.version += change.Member.digest()
+	}
 	if len(r.recentChanges) > maxRecentChanges {
 		r.recentChanges = slices.Clone(r.recentChanges[len(r.recentChanges)-maxRecentChanges/2:])
 	}
@@ -138,28 +156,74 @@
 	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
 }
 
-// FillMembers adds to the reply the changes of the member list since the given version, or the whole list
-// when they are no longer kept.
-func (r *Registry) FillMembers(version uint64, reply *HeartbeatReply) {
+// FillMembers adds to the reply the changes of the member list since the given version, or the whole list when they are
+// not known. During the first lease of a term the list lacks the members that have not sent a heartbeat to this leader yet,
+// so an entry keeps the list of the term before. It receives only those that drain or have left.
+func (r *Registry) FillMembers(version uint64, now time.Time, reply *HeartbeatReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reply.MembershipVersion = r.version
-	missing := r.version - version
+	changes, known := r.changesSince(version)
 	switch {
-	case missing == 0:
-	case version < r.version && missing <= uint64(len(r.recentChanges)):
-		reply.MemberChanges = slices.Clone(r.recentChanges[uint64(len(r.recentChanges))-missing:])
+	case known:
+		reply.MembershipVersion, reply.MemberChanges = r.version, changes
+	case r.keepsEarlierList(version, now):
+		reply.MembershipVersion, reply.MemberChanges = version, r.departures()
 	default:
+		reply.MembershipVersion = r.version
 		reply.AllMembers = true
 		reply.Members = r.members()
 	}
 }
 
-// Version returns the version of the member list.
-func (r *Registry) Version() uint64 {
+// changesSince returns the changes of this term since a version, and false if the version is not one of this term or too
+// old. The caller holds r.mu.
+func (r *Registry) changesSince(version uint64) (changes []MemberChange, known bool) {
+	if version == r.version {
+		return nil, true
+	}
+	for i := len(r.recentChanges) - 1; i >= 0; i-- {
+		changes = append(changes, r.recentChanges[i].MemberChange)
+		if r.recentChanges[i].before == version && version != 0 {
+			slices.Reverse(changes)
+			return changes, true
+		}
+	}
+	return nil, false
+}
+
+// keepsEarlierList reports whether an entry with an unknown version keeps its list. The caller holds r.mu.
+func (r *Registry) keepsEarlierList(version uint64, now time.Time) bool {
+	return version != 0 && now.Before(r.authoritativeFrom)
+}
+
+// departures returns the members that drain, and those that have left in this term. The caller holds r.mu.
+func (r *Registry) departures() []MemberChange {
+	var changes []MemberChange
+	for _, m := range r.left {
+		if r.sessions[m.Instance] == nil {
+			changes = append(changes, MemberChange{Member: m, Removed: true})
+		}
+	}
+	for _, s := range r.sessions {
+		if s.member.Draining {
+			changes = append(changes, MemberChange{Member: s.member})
+		}
+	}
+	return changes
+}
+
+// HasNews reports whether the member list differs from the version that an entry knows, as far as the entry should know.
+func (r *Registry) HasNews(version uint64, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.version
+	if version == r.version {
+		return false
+	}
+	if !r.keepsEarlierList(version, now) {
+		return true
+	}
+	_, known := r.changesSince(version)
+	return known
 }
 
 // HasSession reports whether the entry, as instance/incarnation, has a session. During the first lease of a
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -3,8 +3,11 @@
 package session
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dandelionpier/dandelionpier/internal/configuration"
 	"github.com/dandelionpier/dandelionpier/internal/crash"
 	"github.com/dandelionpier/dandelionpier/internal/declaration"
@@ -51,6 +54,28 @@
 	Incarnation string `json:"incarnation"`
 }
 
+// digest returns a hash of the member.
+func (m Member) digest() uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, text := range []string{
+		m.Instance, m.DataCentre, m.Region, m.Caller, m.Platform, m.Peer, strconv.FormatBool(m.Draining), strconv.Itoa(m.Capacity), m.Incarnation,
+	} {
+		_, _ = digest.WriteString(text)
+		_, _ = digest.Write([]byte{0})
+	}
+	return digest.Sum64()
+}
+
+// membersVersion returns the version of a member list: the sum of the digests.
+func membersVersion(members []Member) uint64 {
+	var version uint64
+	for _, m := range members {
+		version += m.digest()
+	}
+	return version
+}
+
 // MemberChange adds, replaces or removes one member.
 type MemberChange struct {
 	Member  Member
