Tell new dispatchers of a cell what runs, and move few cells when instances leave

Cause: when the dispatchers of a cell were replaced, an entry told the new ones of its running jobs with its next request to the cell, which takes seconds on an instance with one request a second. And all cells moved when the number of preferred instances fell below the number of cells, because the small ones then counted as equal.

Change: entries look for replaced dispatchers five times a second and report their jobs to the successors. Preferred instances stay ahead of the small ones, which join only when each of the others has two cells.

--- a/internal/gateway/dispatchers.go
+++ b/internal/gateway/dispatchers.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+
 	"github.com/dandelionpier/dandelionpier/internal/placement"
 	"github.com/dandelionpier/dandelionpier/internal/registration"
 	"github.com/dandelionpier/dandelionpier/internal/rendezvous"
@@ -11,9 +13,10 @@
 const (
 	// dispatchersPerCell is the number of instances that may dispatch for a cell: the first choice and its substitutes.
 	dispatchersPerCell = 3
-	// minDispatcherCapacity is the processor time, in thousandths of a core, that an instance needs to be preferred as a
-	// dispatcher. Smaller instances dispatch only if there are fewer of the others than dispatchersPerCell or than cells.
-	minDispatcherCapacity = 200
+	// largeCapacity is the processor time, in thousandths of a core, of an instance that is preferred as a dispatcher.
+	largeCapacity = 200
+	// maxCellsOfLarge is the number of cells of which each preferred instance is the first choice before others are.
+	maxCellsOfLarge = 2
 )
 
 // cellsOf returns the cells of all services with engines, in a fixed order.
@@ -34,16 +37,23 @@
 	return cells
 }
 
-// assignDispatchers selects the dispatchers of each cell among the live instances by rendezvous hashing. No instance is the
-// first choice of more cells than its even share.
+// assignDispatchers selects the dispatchers of each cell among the live instances by rendezvous hashing. An instance that has
+// its share of first choices is passed over. When an instance joins or leaves, few other cells move.
 func assignDispatchers(cells []placement.Cell, members []session.Member) map[placement.Cell][]placement.Dispatcher {
-	byName, names := dispatcherCandidates(members, len(cells))
-	share := (len(cells) + max(1, len(names)) - 1) / max(1, len(names))
+	byName, large, small := dispatcherCandidates(members)
 	firstChoices := make(map[string]int)
+	share := 1
+	hasRoom := func(name string) bool { return firstChoices[name] < share }
 	assigned := make(map[placement.Cell][]placement.Dispatcher)
 	for _, cell := range cells {
-		ranked := rendezvous.Rank(cell.String(), names)
-		moveFirstWithinShare(ranked, firstChoices, share)
+		ranked := rendezvous.Rank(cell.String(), large)
+		if len(large) < dispatchersPerCell || maxCellsOfLarge*len(large) < len(cells) {
+			ranked = append(ranked, rendezvous.Rank(cell.String(), small)...)
+		}
+		if len(ranked) > 0 && !slices.ContainsFunc(ranked, hasRoom) {
+			share++
+		}
+		moveToFront(ranked, slices.IndexFunc(ranked, hasRoom))
 		for _, name := range ranked[:min(dispatchersPerCell, len(ranked))] {
 			assigned[cell] = append(assigned[cell], placement.Dispatcher{Instance: name, Address: byName[name].Peer})
 		}
@@ -54,34 +64,28 @@
 	return assigned
 }
 
-// dispatcherCandidates returns the live instances that may dispatch for a number of cells.
-func dispatcherCandidates(members []session.Member, cells int) (byName map[string]session.Member, names []string) {
+// dispatcherCandidates returns the live instances, the preferred ones and the smaller ones apart.
+func dispatcherCandidates(members []session.Member) (byName map[string]session.Member, large, small []string) {
 	byName = make(map[string]session.Member)
-	var large []string
 	for _, m := range members {
-		if m.Draining {
+		switch {
+		case m.Draining:
 			continue
-		}
-		byName[m.Instance] = m
-		names = append(names, m.Instance)
-		if m.Capacity >= minDispatcherCapacity {
+		case m.Capacity >= largeCapacity:
 			large = append(large, m.Instance)
+		default:
+			small = append(small, m.Instance)
 		}
+		byName[m.Instance] = m
 	}
-	if len(large) >= max(dispatchersPerCell, cells) {
-		return byName, large
-	}
-	return byName, names
+	return byName, large, small
 }
 
-// moveFirstWithinShare moves the first instance that has not its share of first choices yet to the front; the order of the
-// others stays.
-func moveFirstWithinShare(ranked []string, firstChoices map[string]int, share int) {
-	for i, name := range ranked {
-		if firstChoices[name] < share {
-			copy(ranked[1:i+1], ranked[:i])
-			ranked[0] = name
-			return
-		}
+// moveToFront moves an element to the front; the order of the others stays. An index below 0 changes nothing.
+func moveToFront(names []string, index int) {
+	if index > 0 {
+		name := names[index]
+		copy(names[1:index+1], names[:index])
+		names[0] = name
 	}
 }
--- a/internal/placement/reporting.go
+++ b/internal/placement/reporting.go
@@ -11,24 +11,32 @@
 	"github.com/dandelionpier/dandelionpier/internal/task"
 )
 
-// fullReportInterval is the time between two reports of all running jobs.
-const fullReportInterval = time.Second
+const (
+	// fullReportInterval is the time between two reports of all running jobs.
+	fullReportInterval = time.Second
+	// followInterval is the time after which a change of the cells or their dispatchers is noticed at the latest.
+	followInterval = 200 * time.Millisecond
+)
 
 // Run reports events until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
-	ticker := time.NewTicker(fullReportInterval)
+	ticker := time.NewTicker(followInterval)
 	defer ticker.Stop()
+	lastFull := time.Now()
 	for {
-		full := false
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			full = true
 		case <-c.wake:
+			task.Pause(ctx, batchDelay)
 		}
-		task.Pause(ctx, batchDelay)
 		c.followCells()
+		c.followDispatchers()
+		full := time.Since(lastFull) >= fullReportInterval
+		if full {
+			lastFull = time.Now()
+		}
 		c.flush(ctx, full)
 	}
 }
@@ -98,6 +106,25 @@
 	}
 }
 
+// followDispatchers replaces the active dispatchers that dispatch for their cells no more, and reports the running jobs to
+// their successors. Without it a successor would learn of the jobs of an entry only with the entry's next request.
+func (c *Client) followDispatchers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for cell, s := range c.active {
+		dispatchers := c.config.Dispatchers(cell)
+		if len(dispatchers) == 0 || slices.Contains(dispatchers, s.dispatcher) {
+			continue
+		}
+		c.active[cell] = activeDispatcher{dispatcher: dispatchers[0]}
+		for _, r := range c.running {
+			if slices.Contains(r.cells, cell) {
+				c.enqueueAdopted(r, cell)
+			}
+		}
+	}
+}
+
 // assumeActive takes the preferred dispatcher of a cell for the active one if none has replied yet. The caller must hold
 // c.mu.
 func (c *Client) assumeActive(cell Cell) {
