Know for each cell which dispatchers are told of its jobs

Cause: an entry noted that a dispatcher receives its running jobs, not for which cell. An instance stands by for one cell and is the first choice of another; an entry that had reported to it preferred it for any cell, so up to a fourth of the entries asked the substitute of a cell, which did not know what the first choice placed.

Change: the note is kept for each cell and dispatcher.

TestEachCellHasItsDispatcher fails before (d0 decides for the cell of d2).

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -65,8 +65,8 @@
 	active map[Cell]activeDispatcher
 	// needsFullReport has the dispatchers that have not yet received the list of all running jobs.
 	needsFullReport map[Dispatcher]bool
-	// syncedSince has the dispatchers that receive the list of all running jobs, with the time of the first one.
-	syncedSince map[Dispatcher]time.Time
+	// syncedSince has the dispatchers of each cell that know its running jobs, with the time of the first full report.
+	syncedSince map[cellDispatcher]time.Time
 	wake        chan struct{}
 }
 
@@ -91,6 +91,12 @@
 	length time.Duration
 }
 
+// cellDispatcher is a dispatcher of a cell. An instance may dispatch for several cells.
+type cellDispatcher struct {
+	cell       Cell
+	dispatcher Dispatcher
+}
+
 // activeDispatcher is a dispatcher and its incarnation, by which a restart is detected.
 type activeDispatcher struct {
 	dispatcher  Dispatcher
@@ -101,7 +107,7 @@
 func NewClient(config ClientConfig) *Client {
 	return &Client{
 		config: config, fallback: newSchedulers(config.Fleet), running: make(map[string]*runningJob),
-		backOffs: make(map[string]backOff), active: make(map[Cell]activeDispatcher), needsFullReport: make(map[Dispatcher]bool), syncedSince: make(map[Dispatcher]time.Time), wake: make(chan struct{}, 1),
+		backOffs: make(map[string]backOff), active: make(map[Cell]activeDispatcher), needsFullReport: make(map[Dispatcher]bool), syncedSince: make(map[cellDispatcher]time.Time), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -129,7 +135,9 @@
 				return choice.rejection, nil
 			}
 		default:
-			task.Pause(ctx, choice.wait(reply.After))
+			pause, left := choice.wait(reply.After)
+			c.leave(j, left)
+			task.Pause(ctx, pause)
 		}
 		if c.cellCount(job.Service) != choice.next().Count {
 			choice = c.chooseCells(job.Service)
@@ -210,7 +218,7 @@
 	var first, later []Dispatcher
 	current := c.active[cell].dispatcher
 	for _, d := range c.config.Dispatchers(cell) {
-		since, synced := c.syncedSince[d]
+		since, synced := c.syncedSince[cellDispatcher{cell, d}]
 		switch {
 		case now.Before(c.backOffs[d.Instance].until):
 		case d == current, synced && now.Sub(since) >= syncTime:
@@ -231,7 +239,11 @@
 		delete(c.backOffs, d.Instance)
 		return
 	}
-	delete(c.syncedSince, d)
+	for key := range c.syncedSince {
+		if key.dispatcher == d {
+			delete(c.syncedSince, key)
+		}
+	}
 	length := min(maxDispatcherBackOff, max(minDispatcherBackOff, 2*c.backOffs[d.Instance].length))
 	c.backOffs[d.Instance] = backOff{until: time.Now().Add(length), length: length}
 }
--- a/internal/placement/client_test.go
+++ b/internal/placement/client_test.go
@@ -217,6 +217,38 @@
 	})
 }
 
+// Guards against an entry that asks the dispatcher of one cell for engines of another one, where it only stands by, because
+// it already reports to it.
+func TestEachCellHasItsDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := fakeFleet{engines(100)}
+		n := &network{services: make(map[string]*Service), down: map[string]bool{}}
+		for _, name := range []string{"d0", "d1", "d2"} {
+			n.services[name] = NewService(ServiceConfig{Fleet: fleet, Logger: zap.NewNop()})
+		}
+		entry := startClientOf(t, "entry", n, fleet, func(cell Cell) []Dispatcher {
+			if cell.Index == 0 {
+				return []Dispatcher{{"d0", "d0"}, {"d1", "d1"}}
+			}
+			return []Dispatcher{{"d2", "d2"}, {"d0", "d0"}}
+		})
+		for i := range 8 {
+			job := short(fmt.Sprint("j", i))
+			job.Cell = Cell{Service: "model", Index: 0, Count: 2}
+			entry.requestPlacement(t.Context(), job)
+			time.Sleep(time.Second) // long enough for d0 and d1 to know all jobs of the first cell
+		}
+		job := short("k")
+		job.Cell = Cell{Service: "model", Index: 1, Count: 2}
+		_, decidedBy := entry.requestPlacement(t.Context(), job)
+		is.Equal(decidedBy, "d2")
+		job.ID, job.Cell.Index = "l", 0
+		_, decidedBy = entry.requestPlacement(t.Context(), job)
+		is.Equal(decidedBy, "d0")
+	})
+}
+
 // Guards against a dispatcher that replaces the others of its cell, as after a cut between instances, and places jobs as if
 // nothing were running, because entries tell it only with their next request.
 func TestJobsFollowTheDispatchers(t *testing.T) {
--- a/internal/placement/reporting.go
+++ b/internal/placement/reporting.go
@@ -44,8 +44,10 @@
 // batch is the next report to one dispatcher.
 type batch struct {
 	request ReportRequest
-	// toActive says that the dispatcher is the active one of a service; the others are on standby.
+	// toActive says that the dispatcher is the active one of a cell; the others are on standby.
 	toActive bool
+	// cells are those for which the list of running jobs is due.
+	cells []Cell
 }
 
 // flush reports the pending events. It adds the list of all running jobs for dispatchers that are new, and for all
@@ -53,7 +55,7 @@
 func (c *Client) flush(ctx context.Context, full bool) {
 	for d, b := range c.batches(full) {
 		err := c.report(ctx, d, b.request)
-		c.recordSync(d, b.request.Whole, err == nil)
+		c.recordSync(d, b.cells, err == nil)
 		if err == nil {
 			continue
 		}
@@ -66,16 +68,19 @@
 	}
 }
 
-// recordSync records whether a dispatcher receives the list of all running jobs.
-func (c *Client) recordSync(d Dispatcher, full, replied bool) {
+// recordSync records whether a dispatcher has received the list of running jobs for some cells.
+func (c *Client) recordSync(d Dispatcher, cells []Cell, replied bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, synced := c.syncedSince[d]
-	switch {
-	case !replied:
-		delete(c.syncedSince, d)
-	case full && !synced:
-		c.syncedSince[d] = time.Now()
+	for _, cell := range cells {
+		key := cellDispatcher{cell, d}
+		_, synced := c.syncedSince[key]
+		switch {
+		case !replied:
+			delete(c.syncedSince, key)
+		case !synced:
+			c.syncedSince[key] = time.Now()
+		}
 	}
 }
 
@@ -166,15 +171,19 @@
 	c.pending = nil
 	ids := slices.Collect(maps.Keys(c.running))
 	busy := c.busyCells()
+	addFull := func(cell Cell, d Dispatcher) *batch {
+		b := addToBatch(batches, d)
+		b.request.Whole, b.request.Running = true, ids
+		b.cells = append(b.cells, cell)
+		return b
+	}
 	for cell, s := range c.active {
-		if full && c.owesFullReport(s.dispatcher, busy[cell]) || batches[s.dispatcher] != nil && c.needsFullReport[s.dispatcher] {
+		if full && c.owesFullReport(cell, s.dispatcher, busy[cell]) || batches[s.dispatcher] != nil && c.needsFullReport[s.dispatcher] {
 			delete(c.needsFullReport, s.dispatcher)
-			b := addToBatch(batches, s.dispatcher)
-			b.toActive, b.request.Whole, b.request.Running = true, true, ids
+			addFull(cell, s.dispatcher).toActive = true
 		}
-		if d, ok := standby[cell]; ok && full && c.owesFullReport(d, busy[cell]) {
-			b := addToBatch(batches, d)
-			b.request.Whole, b.request.Running = true, ids
+		if d, ok := standby[cell]; ok && full && c.owesFullReport(cell, d, busy[cell]) {
+			addFull(cell, d)
 		}
 	}
 	return batches
@@ -205,10 +214,10 @@
 	return busy
 }
 
-// owesFullReport reports whether a dispatcher is to receive the list of running jobs: one that has not received it yet, or
-// one of a cell in which this entry runs jobs. The caller must hold c.mu.
-func (c *Client) owesFullReport(d Dispatcher, busy bool) bool {
-	_, synced := c.syncedSince[d]
+// owesFullReport reports whether a dispatcher of a cell is to receive the list of running jobs: one that has not received it
+// yet, or one of a cell in which this entry runs jobs. The caller must hold c.mu.
+func (c *Client) owesFullReport(cell Cell, d Dispatcher, busy bool) bool {
+	_, synced := c.syncedSince[cellDispatcher{cell, d}]
 	return busy || !synced
 }
 
