--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -33,8 +33,7 @@
 type machine struct {
 	name, zone, ip string
 	// core machines have a disk and run the role control beside the role entry.
-	core bool
-	// controlDirect is the address at which this machine's control process is reached by other roles; empty for ip.
+	core  bool
 	seeds []string
 }
 
@@ -48,9 +47,11 @@
 
 	mu        sync.Mutex
 	processes []*exec.Cmd
-	stopped   bool
-	client    *http.Client
-	version   int
+	// byRole has the last process of each machine and role.
+	byRole  map[string]*exec.Cmd
+	stopped bool
+	client  *http.Client
+	version int
 }
 
 var zones = []string{"east", "west", "north"}
@@ -61,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{record: r, root: root, commands: map[string]string{}, client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	s := &system{record: r, root: root, commands: map[string]string{}, byRole: map[string]*exec.Cmd{}, client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	for _, role := range []string{"control", "entry"} {
 		if s.commands[role], err = readCommand(role); err != nil {
 			return nil, err
@@ -192,6 +193,7 @@
 		return err
 	}
 	s.processes = append(s.processes, process)
+	s.byRole[m.name+"/"+role] = process
 	s.record.note("started %s on %s at %s, process %d", role, m.name, m.ip, process.Process.Pid)
 	return nil
 }
