--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -35,6 +35,8 @@
 	// core machines have a disk and run the role control beside the role entry.
 	core  bool
 	seeds []string
+	// peerIP, if set, is where a proxy listens for the peers of this machine's control process.
+	peerIP string
 }
 
 // system is a deployment of the project's programs.
@@ -150,6 +152,9 @@
 	for name, value := range values {
 		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
 	}
+	if role == "control" && m.peerIP != "" {
+		text += fmt.Sprintf("advertise-peer: \"%s:%d\"\n", m.peerIP, s.port+internalPort)
+	}
 	if i := strings.Index(text, "{{"); i >= 0 {
 		return "", fmt.Errorf("placeholder without a value in %s: %.40q", template, text[i:])
 	}
