Drain a data centre: its endpoints get no new work

Cause: an operator could not ask that a data centre gets nothing more.

Change: the configuration has data centres with a drain, set by 'drain data-centre NAME' or by the platform's order, which is a command of the log without an expected revision. Entries list endpoints there as draining, decline grants of dispatchers that do not know yet, and refuse at once where a service has no others. dispatch, cell and the roll-outs of the project's own interface obey the same state. An entry without a configuration gets up to 16 revisions with its first heartbeat.

--- a/controld/internal/cli/interfaces.go
+++ b/controld/internal/cli/interfaces.go
@@ -38,6 +38,6 @@
 // servePlatform serves check-ins and declarations in the platform's format until ctx is done.
 func (d *daemon) servePlatform(ctx context.Context) error {
 	return listenHTTP(ctx, d.settings.PlatformListen, platform.NewControlHandler(platform.ControlConfig{
-		Quorum: d.controlClient, Document: d.machine.Document, Logger: d.logger,
+		Quorum: d.controlClient, Document: d.machine.Document, DataCentres: d.settings.DataCentres, Logger: d.logger,
 	}), d.logger)
 }
--- a/controld/internal/cli/relay.go
+++ b/controld/internal/cli/relay.go
@@ -45,7 +45,8 @@
 // check-ins for any service.
 func (r *relay) platformHandler() http.Handler {
 	return platform.NewControlHandler(platform.ControlConfig{
-		Quorum: r.controlClient, Document: func() declaration.Document { return declaration.Document{} }, Logger: r.logger,
+		Quorum: r.controlClient, Document: func() declaration.Document { return declaration.Document{} },
+		DataCentres: r.settings.DataCentres, Logger: r.logger,
 	})
 }
 
--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -157,6 +157,7 @@
 		Quorum:        d.node,
 		Peers:         d.peerPool,
 		Operators:     d.settings.Operators,
+		DataCentres:   d.settings.DataCentres,
 		LeaderAddress: d.settings.operatorAddress,
 		Now:           time.Now,
 		Logger:        d.logger,
--- a/controld/internal/cli/settings.go
+++ b/controld/internal/cli/settings.go
@@ -13,6 +13,7 @@
 type Settings struct {
 	Instance       string              `yaml:"instance" validate:"required" description:"Name of this instance, unique in the deployment. An instance that lost its disk returns under a new one."`
 	DataCentre     string              `yaml:"data-centre" validate:"required" description:"Data centre of this instance."`
+	DataCentres    []string            `yaml:"data-centres" validate:"dive,required" description:"Data centres of the deployment. Operators can drain only these; empty means any."`
 	DataDirectory  string              `yaml:"data-directory" validate:"required_without=PlatformListen" description:"Directory of the log and snapshots, on a disk that keeps synced files. Without one, an instance with platform-listen and seeds passes calls on to the quorum."`
 	PeerListen     string              `yaml:"peer-listen" validate:"required,listen_address" description:"Address for the other processes of the system."`
 	AdvertisePeer  string              `yaml:"advertise-peer" validate:"omitempty,hostname_port" description:"Address that other processes are told; empty means the address listened on."`
--- a/controld/internal/controller/orders.go
+++ b/controld/internal/controller/orders.go
@@ -125,7 +125,7 @@
 	}
 	engines := r.announcedEngines(views)
 	for i := range engines {
-		engines[i].drained = conf.Endpoints[engines[i].name].Drain
+		engines[i].drained = conf.Drained(engines[i].name, engines[i].dataCentre)
 	}
 	mayAssign := r.updateShortages(conf, engines, complete)
 	desired := plan(conf, roles, engines, mayAssign)
@@ -197,7 +197,7 @@
 			continue
 		}
 		engines = append(engines, engine{
-			name: a.Name, address: a.Address, region: a.Region, checksFencing: a.ChecksFencing, announcedState: a.State,
+			name: a.Name, address: a.Address, region: a.Region, dataCentre: a.DataCentre, checksFencing: a.ChecksFencing, announcedState: a.State,
 			pendingTarget: r.pendingLoads[a.Name].target,
 			state: endpoint.PlatformState{
 				Models: a.Models, Version: a.Version, Adapters: a.Adapters, Role: a.Role, Loading: r.wasLoading[a.Name],
--- a/controld/internal/controller/plan.go
+++ b/controld/internal/controller/plan.go
@@ -14,6 +14,7 @@
 	name          string
 	address       string
 	region        string
+	dataCentre    string
 	checksFencing bool
 	// announcedState comes from its announcement. state is what the engine itself reported in this round
 	// if polled is set, and otherwise comes from its announcement too.
--- a/controld/internal/operator/command.go
+++ b/controld/internal/operator/command.go
@@ -94,6 +94,9 @@
 	if invalidErr == nil {
 		invalidErr = a.checkKeys(changes)
 	}
+	if invalidErr == nil {
+		invalidErr = a.checkDataCentres(changes)
+	}
 	submitRequest.Changes = changes
 	if invalidErr != nil {
 		submitRequest.Changes = invalidChanges
--- a/controld/internal/operator/operator.go
+++ b/controld/internal/operator/operator.go
@@ -56,6 +56,8 @@
 	Peers Caller
 	// Operators lists the operators with the hashes of their keys.
 	Operators []Operator
+	// DataCentres are those of the deployment; empty means that every name is accepted.
+	DataCentres []string
 	// LeaderAddress returns the operator address (host:port) of the leader with the given peer address,
 	// or an empty string if it is not known.
 	LeaderAddress func(leader string) string
--- a/controld/internal/operator/query.go
+++ b/controld/internal/operator/query.go
@@ -68,7 +68,7 @@
 	workspace, _ := query.RequiredValue("workspace")
 	state, err := a.query(ctx, control.QueryRequest{
 		Configuration: true,
-		Members:       subject.FromEntries || name == "instances",
+		Members:       subject.FromEntries || name == "instances" || name == "data-centres",
 		Spending:      name == "costing" || name == "workspaces",
 		Quorum:        name == "quorum" || name == "revision",
 		History:       historyLimit(name),
--- a/controld/internal/operator/rows.go
+++ b/controld/internal/operator/rows.go
@@ -33,6 +33,8 @@
 		return serviceRows(state), nil
 	case "instances":
 		return instanceRows(state), nil
+	case "data-centres":
+		return dataCentreRows(state), nil
 	case "history":
 		return historyRows(state), nil
 	case "quorum":
@@ -186,6 +188,21 @@
 	return rows
 }
 
+// dataCentreRows lists the data centres that have entries with a session or settings by operators.
+func dataCentreRows(state control.QueryReply) (rows [][]any) {
+	instances := make(map[string]int64)
+	for _, m := range state.Members {
+		instances[m.DataCentre]++
+	}
+	for name := range state.Configuration.DataCentres {
+		instances[name] += 0
+	}
+	for name, count := range instances {
+		rows = append(rows, []any{name, state.Configuration.DataCentres[name].Drain, count})
+	}
+	return rows
+}
+
 // historyRows lists the newest revision first, with the lines of each revision in their original order.
 func historyRows(state control.QueryReply) (rows [][]any) {
 	for _, revision := range slices.Backward(state.History) {
--- a/entryd/internal/cell/client.go
+++ b/entryd/internal/cell/client.go
@@ -202,7 +202,7 @@
 		return dispatch.Grant{}, errSuspect
 	}
 	request.Exclude = slices.Concat(request.Exclude, c.crashes.failedEndpoints())
-	member, ok := c.endpointCache.choose(request, view.Configuration.Endpoints)
+	member, ok := c.endpointCache.choose(request, view.Configuration.Drained)
 	if !ok {
 		return dispatch.Grant{}, noEndpoint
 	}
--- a/entryd/internal/cell/endpoint_cache.go
+++ b/entryd/internal/cell/endpoint_cache.go
@@ -10,7 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/dandelionpier/dandelionpier/internal/configuration"
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
 )
@@ -119,7 +118,7 @@
 
 // choose draws two random endpoints that can run the request and returns the less loaded one
 // (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
-func (e *endpointCache) choose(request dispatch.ReserveRequest, settings map[string]configuration.EndpointSetting) (dispatch.GrantMember, bool) {
+func (e *endpointCache) choose(request dispatch.ReserveRequest, drained func(endpoint, dataCentre string) bool) (dispatch.GrantMember, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	state := e.cell(request.Cell)
@@ -128,7 +127,7 @@
 	var fresh, stale []knownEndpoint
 	for name, k := range state.endpoints {
 		a := k.announcement
-		usable := a.State == endpoint.Ready && !k.breakerOpen && !settings[name].Drain && !slices.Contains(request.Exclude, name) &&
+		usable := a.State == endpoint.Ready && !k.breakerOpen && !drained(name, a.DataCentre) && !slices.Contains(request.Exclude, name) &&
 			(request.Adapter == "" || slices.Contains(a.Adapters, request.Adapter)) &&
 			(a.Type == endpoint.Service || a.Memory >= tokens)
 		switch age := now.Sub(k.reportedAt); {
--- a/entryd/internal/cli/connect.go
+++ b/entryd/internal/cli/connect.go
@@ -142,9 +142,9 @@
 				config.Logger.Error("Could not record a quarantined request", zap.Error(err))
 			}
 		},
-		EndpointDrained: func(endpoint string) bool {
+		EndpointDrained: func(endpoint, dataCentre string) bool {
 			view, _ := sessionClient.View()
-			return view.Configuration.Endpoints[endpoint].Drain
+			return view.Configuration.Drained(endpoint, dataCentre)
 		},
 	})
 	return dispatcher
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -33,6 +33,13 @@
 	Models     map[string]Model           `cbor:"4,keyasint" json:"models"`
 	Endpoints  map[string]EndpointSetting `cbor:"5,keyasint" json:"endpoints"`
 	Instances  map[string]InstanceSetting `cbor:"6,keyasint" json:"instances"`
+	// DataCentres has the data centres for which operators have made settings, not all of them.
+	DataCentres map[string]DataCentreSetting `cbor:"7,keyasint,omitempty" json:"data-centres,omitempty"`
+}
+
+// Drained reports whether operators have asked that an endpoint in a data centre gets no new work.
+func (c Configuration) Drained(endpoint, dataCentre string) bool {
+	return c.Endpoints[endpoint].Drain || c.DataCentres[dataCentre].Drain
 }
 
 // Workspace is a customer, with its keys, the models and services that it may use, and its limits.
@@ -88,6 +95,13 @@
 	Drain bool   `cbor:"2,keyasint" json:"drain"`
 }
 
+// DataCentreSetting has the operators' settings for one data centre.
+type DataCentreSetting struct {
+	Name string `cbor:"1,keyasint" json:"name"`
+	// Drain means that the endpoints of the data centre get no new work; what they run ends.
+	Drain bool `cbor:"2,keyasint" json:"drain"`
+}
+
 // Change replaces or deletes one object. Exactly one field but Delete is set.
 type Change struct {
 	Workspace *Workspace       `cbor:"1,keyasint,omitempty" json:"workspace,omitempty"`
@@ -96,7 +110,8 @@
 	Endpoint  *EndpointSetting `cbor:"4,keyasint,omitempty" json:"endpoint,omitempty"`
 	Instance  *InstanceSetting `cbor:"5,keyasint,omitempty" json:"instance,omitempty"`
 	// Delete removes the object with that name instead of replacing it.
-	Delete bool `cbor:"6,keyasint,omitempty" json:"delete,omitempty"`
+	Delete     bool               `cbor:"6,keyasint,omitempty" json:"delete,omitempty"`
+	DataCentre *DataCentreSetting `cbor:"7,keyasint,omitempty" json:"data-centre,omitempty"`
 }
 
 // Revision is one accepted transaction: the changes that lead from Number-1 to Number.
@@ -154,6 +169,9 @@
 	if containsChange(changes, func(c Change) bool { return c.Instance != nil }) {
 		next.Instances = cloneOrMake(c.Instances)
 	}
+	if containsChange(changes, func(c Change) bool { return c.DataCentre != nil }) {
+		next.DataCentres = cloneOrMake(c.DataCentres)
+	}
 	for _, change := range changes {
 		if err := next.apply(change); err != nil {
 			return c, err
@@ -185,6 +203,8 @@
 		return putOrDelete(c.Endpoints, "endpoint", change.Endpoint.Name, *change.Endpoint, change.Delete)
 	case change.Instance != nil:
 		return putOrDelete(c.Instances, "instance", change.Instance.Name, *change.Instance, change.Delete)
+	case change.DataCentre != nil:
+		return putOrDelete(c.DataCentres, "data-centre", change.DataCentre.Name, *change.DataCentre, change.Delete)
 	default:
 		return fault.New("apply change", Invalid, "the change names no object")
 	}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -46,17 +46,18 @@
 // Command is one entry of the replicated log. Exactly one field besides Time is set.
 type Command struct {
 	// Time is the proposing leader's clock in Unix milliseconds.
-	Time         int64                 `cbor:"1,keyasint"`
-	Submit       *SubmitRequest        `cbor:"2,keyasint,omitempty"`
-	OpenClaim    *claim.OpenRequest    `cbor:"3,keyasint,omitempty"`
-	SettleClaim  *claim.SettleRequest  `cbor:"4,keyasint,omitempty"`
-	LeaseBudget  *ledger.LeaseRequest  `cbor:"5,keyasint,omitempty"`
-	SettleBudget *ledger.SettleRequest `cbor:"6,keyasint,omitempty"`
-	Quarantine   *QuarantineRequest    `cbor:"7,keyasint,omitempty"`
-	Declare      *DeclareRequest       `cbor:"8,keyasint,omitempty"`
-	Register     *RegisterRequest      `cbor:"9,keyasint,omitempty"`
-	Suspect      *SuspectRequest       `cbor:"10,keyasint,omitempty"`
-	ClearPart    *ClearPartRequest     `cbor:"11,keyasint,omitempty"`
+	Time            int64                 `cbor:"1,keyasint"`
+	Submit          *SubmitRequest        `cbor:"2,keyasint,omitempty"`
+	OpenClaim       *claim.OpenRequest    `cbor:"3,keyasint,omitempty"`
+	SettleClaim     *claim.SettleRequest  `cbor:"4,keyasint,omitempty"`
+	LeaseBudget     *ledger.LeaseRequest  `cbor:"5,keyasint,omitempty"`
+	SettleBudget    *ledger.SettleRequest `cbor:"6,keyasint,omitempty"`
+	Quarantine      *QuarantineRequest    `cbor:"7,keyasint,omitempty"`
+	Declare         *DeclareRequest       `cbor:"8,keyasint,omitempty"`
+	Register        *RegisterRequest      `cbor:"9,keyasint,omitempty"`
+	Suspect         *SuspectRequest       `cbor:"10,keyasint,omitempty"`
+	ClearPart       *ClearPartRequest     `cbor:"11,keyasint,omitempty"`
+	DrainDataCentre *DrainRequest         `cbor:"12,keyasint,omitempty"`
 }
 
 // Result is the recorded result of an operator's command.
@@ -160,6 +161,8 @@
 		return m.recordDeath(*command.Suspect)
 	case command.ClearPart != nil:
 		return m.clearPart(*command.ClearPart)
+	case command.DrainDataCentre != nil:
+		return m.drainDataCentre(*command.DrainDataCentre)
 	default:
 		return fault.New("apply command", Corrupt, "the command is empty")
 	}
@@ -202,11 +205,16 @@
 	if reply, ok := m.refusal(request); ok {
 		return reply
 	}
+	return m.acceptChanges(request.Author, request.Changes)
+}
+
+// acceptChanges makes changes the next revision, unless they are not valid. The caller holds m.mu.
+func (m *Machine) acceptChanges(author string, changes []configuration.Change) SubmitReply {
 	r := configuration.Revision{
 		Number:  m.configuration.Revision + 1,
-		Author:  request.Author,
+		Author:  author,
 		Time:    m.logTime,
-		Changes: request.Changes,
+		Changes: changes,
 	}
 	next, err := m.configuration.With(r.Changes)
 	if err != nil {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -194,13 +194,17 @@
 	return nil
 }
 
+// maxFirstRevisions is the number of revisions up to which an entry without a configuration is sent all of them with its
+// first heartbeat. Above it, the whole configuration is smaller.
+const maxFirstRevisions = 16
+
 // addRevisions adds the revisions that the entry lacks, or tells it to fetch the whole configuration if they
 // are no longer all kept.
 func (s *sessionService) addRevisions(request session.HeartbeatRequest, reply *session.HeartbeatReply) {
 	revisions, complete := s.config.Machine.Since(request.Revision)
 	reply.Revision = request.Revision + uint64(len(revisions))
 	current := s.config.Machine.Configuration().Revision
-	if !complete || request.Revision == 0 && current > 0 {
+	if !complete || request.Revision == 0 && current > maxFirstRevisions {
 		reply.FetchSnapshot = true
 		reply.Revision = current
 		return
--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -316,7 +316,7 @@
 		if r.moved {
 			continue
 		}
-		r.drained = c.config.EndpointDrained(r.name)
+		r.drained = c.config.EndpointDrained(r.name, r.announcement.DataCentre)
 		if now.Sub(r.lastSeen) > endpoint.DeadAfter {
 			c.endpointDied(now, r, nil)
 			c.removeReplica(r)
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -43,8 +43,8 @@
 	// OnQuarantine is called in a goroutine of Run for each new quarantine; nil means that quarantines stay
 	// local to this dispatcher.
 	OnQuarantine func(fingerprint uint64)
-	// EndpointDrained reports whether an operator drains an endpoint; nil means never.
-	EndpointDrained func(endpoint string) bool
+	// EndpointDrained reports whether an operator drains an endpoint or its data centre; nil means never.
+	EndpointDrained func(endpoint, dataCentre string) bool
 	// Jitter returns a random number in [0, 1); nil means rand.Float64 of math/rand/v2.
 	Jitter func() float64
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -61,7 +61,7 @@
 		config.OnQuarantine = func(uint64) {}
 	}
 	if config.EndpointDrained == nil {
-		config.EndpointDrained = func(string) bool { return false }
+		config.EndpointDrained = func(string, string) bool { return false }
 	}
 	if config.Jitter == nil {
 		config.Jitter = rand.Float64
--- a/internal/dispatch/lifecycle.go
+++ b/internal/dispatch/lifecycle.go
@@ -54,7 +54,7 @@
 	c.refuteLosses(now, r.name)
 	r.announcement, r.announced, r.moved, r.lastSeen = a, true, false, now
 	r.announcement.CacheEvents = nil
-	r.drained = c.config.EndpointDrained(a.Name)
+	r.drained = c.config.EndpointDrained(a.Name, a.DataCentre)
 	r.connectionLostAt = time.Time{}
 	r.advancePrefill(now, c.settings)
 	r.applyLoadReport(now)
--- a/internal/dispatch/main_test.go
+++ b/internal/dispatch/main_test.go
@@ -31,7 +31,7 @@
 		Logger:          zap.NewNop(),
 		Quarantined:     func(uint64) bool { return false },
 		OnQuarantine:    func(uint64) {},
-		EndpointDrained: func(string) bool { return false },
+		EndpointDrained: func(string, string) bool { return false },
 		Jitter:          func() float64 { return 0.5 },
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,6 +46,9 @@
 
 // chooseEndpoints sets the endpoints of an attempt. It returns a refusal if there are none.
 func (g *Gateway) chooseEndpoints(ctx context.Context, x *exchange, a *attempt) *Refusal {
+	if refusal := g.refuseDrained(x); refusal != nil {
+		return refusal
+	}
 	if x.engine != nil {
 		return g.placeAtEngines(ctx, x, a)
 	}
--- a/internal/gateway/available.go
+++ b/internal/gateway/available.go
@@ -91,6 +91,10 @@
 	for _, m := range unavailable {
 		_, drains := g.config.Fleet.Withdrawn(m.Endpoint, m.Started)
 		a.declined = append(a.declined, m.Endpoint)
+		if drained := g.config.Fleet.InDrainedDataCentre(x.service); slices.Contains(drained, m.Endpoint) {
+			// The dispatcher does not know of the drain yet, so it would grant the next one.
+			a.declined = append(a.declined, drained...)
+		}
 		g.config.Placer.Report(placement.Event{Type: placement.Declined, Job: *a.job, Endpoint: m.Endpoint, Started: m.Started, Leaving: drains})
 		x.log.Info("Declined a granted engine", zap.String(logging.AttemptID, a.dispatchID()), zap.String(logging.Endpoint, m.Endpoint),
 			zap.Int64("started", m.Started), zap.Bool("drains", drains))
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -45,7 +45,11 @@
 	table   *routing.Table
 	// endpointsVersion and membershipVersion are the versions of services and members.
 	endpointsVersion uint64
-	services         map[string][]registration.Record
+	// services has the endpoints of each service. Those in drained data centres are listed as draining.
+	services map[string][]registration.Record
+	// drained has the drained data centres, inDrained the ids of the endpoints there by service.
+	drained   []string
+	inDrained map[string][]string
 	// withdrawn has the endpoints that get no new requests, by id.
 	withdrawn map[string]withdrawal
 	// draining has the ids of the draining endpoints of each service.
@@ -87,13 +91,16 @@
 	next := *old
 	next.quarantined, next.blames = view.Quarantined, view.Blames
 	newMembers := view.MembershipVersion != old.membershipVersion
-	newEndpoints := view.Endpoints.Version != old.endpointsVersion || old.services == nil
+	drained := drainedDataCentres(view.Configuration)
+	newDrains := !slices.Equal(drained, old.drained)
+	newEndpoints := view.Endpoints.Version != old.endpointsVersion || old.services == nil || newDrains
 	table := f.decode(old.table, view.Declaration)
 	if newEndpoints {
 		next.endpointsVersion = view.Endpoints.Version
-		next.services = f.byService(view.Endpoints)
-		next.withdrawn = withdrawals(old.withdrawn, old.services, next.services)
-		next.draining = drainingByService(next.services)
+		next.drained = drained
+		next.services, next.inDrained = withDrained(f.byService(view.Endpoints), drained)
+		next.withdrawn = withdrawals(old.withdrawn, old.services, next.services, drained)
+		next.draining = drainingByService(next.services, drained)
 	}
 	if newMembers {
 		next.membershipVersion, next.members = view.MembershipVersion, view.Members
@@ -107,6 +114,9 @@
 		next.version++
 	}
 	f.state.Store(&next)
+	if newDrains {
+		f.logDrained(view.Configuration.Revision, drained)
+	}
 	if old.table == nil && next.table != nil {
 		close(f.declared)
 	}
--- a/internal/language/change.go
+++ b/internal/language/change.go
@@ -15,11 +15,12 @@
 
 // object is a configuration object of any kind; only the field of its kind is used.
 type object struct {
-	workspace configuration.Workspace
-	service   configuration.Service
-	model     configuration.Model
-	endpoint  configuration.EndpointSetting
-	instance  configuration.InstanceSetting
+	workspace  configuration.Workspace
+	service    configuration.Service
+	model      configuration.Model
+	endpoint   configuration.EndpointSetting
+	instance   configuration.InstanceSetting
+	dataCentre configuration.DataCentreSetting
 }
 
 type objectKey struct {
@@ -106,6 +107,9 @@
 	case "instance":
 		o.instance, exists = c.Instances[name]
 		o.instance.Name = name
+	case "data-centre":
+		o.dataCentre, exists = c.DataCentres[name]
+		o.dataCentre.Name = name
 	}
 	return o, exists
 }
@@ -174,6 +178,7 @@
 	drain := d.Verb == "drain"
 	target.object.endpoint.Drain = drain
 	target.object.instance.Drain = drain
+	target.object.dataCentre.Drain = drain
 	return nil
 }
 
@@ -188,6 +193,8 @@
 		names = sortedKeys(b.base.Models)
 	case "endpoint":
 		names = sortedKeys(b.base.Endpoints)
+	case "data-centre":
+		names = sortedKeys(b.base.DataCentres)
 	default:
 		names = sortedKeys(b.base.Instances)
 	}
@@ -310,6 +317,8 @@
 		change.Endpoint = &o.endpoint
 	case "instance":
 		change.Instance = &o.instance
+	case "data-centre":
+		change.DataCentre = &o.dataCentre
 	}
 	return change
 }
--- a/internal/language/check.go
+++ b/internal/language/check.go
@@ -197,7 +197,7 @@
 		}
 		return checkObjectName(c.Remove.Workspace)
 	default:
-		if err := checkWord(c.Drain.Kind, "kind of object", []string{"endpoint", "instance"}); err != nil {
+		if err := checkWord(c.Drain.Kind, "kind of object", drainableKinds); err != nil {
 			return err
 		}
 		return checkObjectName(c.Drain.Name)
--- a/internal/language/describe.go
+++ b/internal/language/describe.go
@@ -36,6 +36,8 @@
 		return []string{strings.Join(append(line, "role", role), " "), drainLine(change.Endpoint.Drain, kind, name)}
 	case change.Instance != nil:
 		return []string{drainLine(change.Instance.Drain, kind, name)}
+	case change.DataCentre != nil:
+		return []string{drainLine(change.DataCentre.Drain, kind, name)}
 	default:
 		return nil
 	}
@@ -54,6 +56,8 @@
 		return "endpoint", change.Endpoint.Name
 	case change.Instance != nil:
 		return "instance", change.Instance.Name
+	case change.DataCentre != nil:
+		return "data-centre", change.DataCentre.Name
 	default:
 		return "", ""
 	}
--- a/internal/language/language_test.go
+++ b/internal/language/language_test.go
@@ -54,7 +54,7 @@
 		"add key new too workspace a":              `1:13: unexpected "too"; did you mean "to"?`,
 		"add key 12 to workspace a":                `1:9: 12 is neither new nor the SHA-256 sum of a key (64 hexadecimal digits)`,
 		"drain endpoint":                           `1:15: unexpected end of line; expected NAME`,
-		"drain model a":                            `1:7: unknown kind of object "model"; known: endpoint, instance`,
+		"drain model a":                            `1:7: unknown kind of object "model"; known: endpoint, instance, data-centre`,
 		"check":                                    `1:6: unexpected end of line; expected a command on the next line`,
 		"set model a\ncheck":                       `2:1: "check" does not belong here`,
 	} {
@@ -209,6 +209,7 @@
 		"set model ash; unset model ash; unset service counter":        {"unset service counter"},
 		"set service counter unrepeatable POST, DELETE":                {"set service counter unrepeatable POST, DELETE"},
 		"set model oak prompt-price 0.000001 adapters x, y":            {"set model oak version 1 adapters x, y replicas 4 prompt-price 0.000001 cached-price 0 output-price 0 max-context 0"},
+		"drain data-centre bilbao; undrain data-centre vitoria": {"drain data-centre bilbao", "undrain data-centre vitoria"},
 		"drain endpoint e1; drain instance i1; set endpoint e2 role b": {"set endpoint e1 role prefill", "drain endpoint e1", "drain instance i1", "set endpoint e2 role b", "undrain endpoint e2"},
 	} {
 		t.Run(text, func(t *testing.T) {
--- a/internal/language/subject.go
+++ b/internal/language/subject.go
@@ -58,6 +58,7 @@
 		text("instance"), text("data-centre"), text("region"), text("caller"), text("platform"), text("peer"),
 		flag("draining"), flag("drain"),
 	}},
+	"data-centres": {Columns: []Column{text("data-centre"), flag("drain"), sum("instances")}},
 	"models": {Columns: []Column{
 		text("model"), text("version"), list("adapters"), sum("replicas"), price("prompt-price"),
 		price("cached-price"), price("output-price"),
--- a/internal/language/words.go
+++ b/internal/language/words.go
@@ -9,7 +9,9 @@
 	verbs          = []string{"show", "check", "set", "unset", "add", "remove", "drain", "undrain"}
 	clauseKeywords = []string{"where", "and", "by", "order", "desc", "limit", "since", "until"}
 	operators      = []string{"=", "!=", "<", "<=", ">", ">=", "~"}
-	kindNames      = []string{"workspace", "service", "model", "endpoint", "instance"}
+	kindNames      = []string{"workspace", "service", "model", "endpoint", "instance", "data-centre"}
+	// drainableKinds are the kinds of object that the commands drain and undrain accept.
+	drainableKinds = []string{"endpoint", "instance", "data-centre"}
 )
 
 // objectFields lists the fields that the set command accepts, by kind of object.
@@ -19,8 +21,9 @@
 	"model": {
 		"version", "adapters", "replicas", "prompt-price", "cached-price", "output-price", "max-context",
 	},
-	"endpoint": {"role"},
-	"instance": {},
+	"endpoint":    {"role"},
+	"instance":    {},
+	"data-centre": {},
 }
 
 // listFields are the fields that take several values; all others take one.
