A cell that did not reply is not one that is too small

Cause: tryReserve kept cells that did not reply in the same list as those that replied that the prompt is too large. With both in it, no cell was left, and the refusal of the small one became final.

Change: cells that are too small are counted apart, anew when the number of cells changes. A prompt that is too large for some waits for the others for the time in which a dispatcher that has ended is replaced (a lease, its allowance and a heartbeat) instead of 1 s.

Test: TestTooLargeForOneCellOnly has two new cases, which failed before.

--- a/entryd/internal/cell/choice.go
+++ b/entryd/internal/cell/choice.go
@@ -10,7 +10,7 @@
 
 	"github.com/dandelionpier/dandelionpier/internal/dispatch"
 	"github.com/dandelionpier/dandelionpier/internal/logging"
-	"github.com/dandelionpier/dandelionpier/internal/refusal"
+	"github.com/dandelionpier/dandelionpier/internal/session"
 	"github.com/dandelionpier/dandelionpier/internal/task"
 )
 
@@ -61,23 +61,43 @@
 }
 
 const (
-	// largerCellWait is how long a request that is too large for a cell waits for a reply of another one.
-	largerCellWait = time.Second
+	// largerCellWait is how long a request that is too large for a cell waits for a reply of another one: the time in
+	// which a dispatcher that has ended is replaced, and one heartbeat that tells entries so.
+	largerCellWait = session.LeaseDuration + session.SkewAllowance + session.HeartbeatInterval
 	// largerCellInterval is the time between two questions.
 	largerCellInterval = 100 * time.Millisecond
 )
 
-// awaitLargerCell returns the request with a cell outside avoidCells, all of which are too small for it, and a new
-// attempt ID. It returns tooLarge if no other cell is left, and otherwise waits for the dispatcher of one.
-func (c *Client) awaitLargerCell(ctx context.Context, request dispatch.ReserveRequest, avoidCells []string, newAttemptID func() string, tooLarge refusal.Error) (dispatch.ReserveRequest, error) {
+// smallCells are the cells of a model that replied that a request is too large for them.
+type smallCells struct {
+	names []string
+	// count is the number of cells of the model. A change of it moves endpoints between cells.
+	count int
+}
+
+// add adds a cell and reports whether the request is too large for all cells. Cells that did not reply do not count.
+func (s *smallCells) add(name string, count int) (all bool) {
+	if s.count != count {
+		*s = smallCells{count: count}
+	}
+	s.names = append(s.names, name)
+	return len(s.names) >= count
+}
+
+// cellCount returns the number of cells of the model of a cell.
+func (c *Client) cellCount(cell string) int {
 	view, _ := c.config.View()
-	for waitUntil := time.Now().Add(largerCellWait); ; task.Pause(ctx, largerCellInterval) {
-		next, ok := c.selectOtherCell(ctx, request, avoidCells, newAttemptID)
+	return view.Cells(cell)
+}
+
+// awaitLargerCell waits until a given time for the dispatcher of a cell outside smallNames, which are too small for the
+// request. It returns the request with that cell and a new attempt ID.
+func (c *Client) awaitLargerCell(ctx context.Context, request dispatch.ReserveRequest, smallNames []string, waitUntil time.Time, newAttemptID func() string) (dispatch.ReserveRequest, error) {
+	for ; ; task.Pause(ctx, largerCellInterval) {
+		next, ok := c.selectOtherCell(ctx, request, smallNames, newAttemptID)
 		switch {
 		case ok:
 			return next, nil
-		case len(avoidCells) >= view.Cells(request.Cell):
-			return next, tooLarge
 		case ctx.Err() != nil:
 			return next, contextError(ctx)
 		case !time.Now().Before(waitUntil):
--- a/entryd/internal/cell/choice_test.go
+++ b/entryd/internal/cell/choice_test.go
@@ -32,6 +32,8 @@
 	// cells in later reply.
 	tooLarge map[string]bool
 	later    map[string]dispatch.Estimate
+	// silentReserves has the number of reservations that a cell leaves without a reply.
+	silentReserves map[string]int
 	// estimateCalls and reserveCalls hold the called cells in order; eventCells holds the cells of the reported events.
 	estimateCalls, reserveCalls, eventCells []string
 }
@@ -54,6 +56,13 @@
 			return nil
 		}
 		r.reserveCalls = append(r.reserveCalls, request.Cell)
+		if r.silentReserves[request.Cell] > 0 {
+			r.silentReserves[request.Cell]--
+			r.mu.Unlock()
+			<-ctx.Done()
+			r.mu.Lock()
+			return ctx.Err()
+		}
 		*reply.(*dispatch.ReserveReply) = dispatch.ReserveReply{
 			Status: dispatch.Granted, Grant: dispatch.Grant{ID: request.AttemptID},
 		}
@@ -144,7 +153,7 @@
 }
 
 // Guards against refusing a prompt for good that is too large for one cell, while the dispatcher of a larger cell has
-// not replied to the first estimate, or replies again only later.
+// not replied to the first estimate or to a reservation, or replies again only later.
 func TestTooLargeForOneCellOnly(t *testing.T) {
 	twoCells := request
 	twoCells.Fingerprint = 5
@@ -152,9 +161,13 @@
 	queued := dispatch.Estimate{Status: dispatch.Queued}
 	for name, test := range map[string]struct {
 		tooLarge, later []int
-		reserved        []int
-		status          int
+		// silent has the number of reservations that a cell leaves without a reply. Both cells then give estimates.
+		silent   map[int]int
+		reserved []int
+		status   int
 	}{
+		"the other cell did not reply":  {tooLarge: []int{1}, silent: map[int]int{0: 1}, reserved: []int{0, 1, 0}},
+		"it does not reply twice":       {tooLarge: []int{1}, silent: map[int]int{0: 2}, reserved: []int{0, 1, 0, 0}},
 		"the other cell replies again":  {tooLarge: []int{0}, later: []int{1}, reserved: []int{0, 1}},
 		"too large for both":            {tooLarge: []int{0, 1}, later: []int{1}, reserved: []int{0, 1}, status: http.StatusRequestEntityTooLarge},
 		"the other cell does not reply": {tooLarge: []int{0}, reserved: []int{0}, status: http.StatusServiceUnavailable},
@@ -169,6 +182,10 @@
 				for _, i := range test.tooLarge {
 					r.tooLarge[order[i]] = true
 				}
+				for i, count := range test.silent {
+					r.estimates[order[1]] = queued
+					r.silentReserves = map[string]int{order[i]: count}
+				}
 				for _, i := range test.later {
 					r.later[order[i]] = queued
 				}
--- a/entryd/internal/cell/client.go
+++ b/entryd/internal/cell/client.go
@@ -122,9 +122,12 @@
 	c.endpointCache.markUsed(request.Cell)
 	request.Entry = c.entryID()
 	request.AttemptID = newAttemptID()
+	// avoidCells did not reply or cannot run the request; those of them in small replied that it is too large.
 	var avoidCells []string
+	var small smallCells
+	var largerCellUntil time.Time
 	cellRequest, available := c.selectCell(ctx, request, avoidCells)
-	for try := 0; available && try < maxReserveTries; try++ {
+	for try := 0; available && (try < maxReserveTries || time.Now().Before(largerCellUntil)); try++ {
 		reply, err := c.reserveInCell(ctx, cellRequest)
 		if ctx.Err() != nil {
 			c.reporter.cancelReservation(cellRequest)
@@ -139,6 +142,10 @@
 			}
 			avoidCells = append(avoidCells, cellRequest.Cell)
 			next, ok := c.selectOtherCell(ctx, request, avoidCells, newAttemptID)
+			if !ok && len(small.names) > 0 {
+				next, err = c.awaitLargerCell(ctx, request, small.names, largerCellUntil, newAttemptID)
+				ok = err == nil
+			}
 			if !ok {
 				break
 			}
@@ -154,7 +161,13 @@
 			switch reply.Reason {
 			case dispatch.NoEndpoint:
 			case dispatch.TooLarge:
-				next, err := c.awaitLargerCell(ctx, request, avoidCells, newAttemptID, refusedError(reply))
+				if small.add(cellRequest.Cell, c.cellCount(request.Cell)) {
+					return dispatch.Grant{}, refusedError(reply)
+				}
+				if largerCellUntil.IsZero() {
+					largerCellUntil = time.Now().Add(largerCellWait)
+				}
+				next, err := c.awaitLargerCell(ctx, request, small.names, largerCellUntil, newAttemptID)
 				if err != nil {
 					return dispatch.Grant{}, err
 				}
