--- a/internal/gateway/drained_test.go
+++ b/internal/gateway/drained_test.go
@@ -86,7 +86,7 @@
 			is.Equal(d.requestsAt("drained")+d.requestsAt("drained-2"), 0)
 			// An outdated dispatcher is asked once more for each request. Requests that were not run count as declined, too.
 			is.True(d.placer.count(placement.Declined) <= 8+d.requestsAt("first"))
-			is.Equal(len(d.placer.leaving), 0)               // the endpoints stay known to it as sound
+			is.Equal(len(d.placer.leaving), 0) // the endpoints stay known to it as sound
 			d.setDrained(t, "bilbao", false)
 			withdrawn, _ := d.fleet.Withdrawn("drained", endpointStarted)
 			is.True(!withdrawn)
--- a/internal/language/language_test.go
+++ b/internal/language/language_test.go
@@ -209,7 +209,7 @@
 		"set model ash; unset model ash; unset service counter":        {"unset service counter"},
 		"set service counter unrepeatable POST, DELETE":                {"set service counter unrepeatable POST, DELETE"},
 		"set model oak prompt-price 0.000001 adapters x, y":            {"set model oak version 1 adapters x, y replicas 4 prompt-price 0.000001 cached-price 0 output-price 0 max-context 0"},
-		"drain data-centre bilbao; undrain data-centre vitoria": {"drain data-centre bilbao", "undrain data-centre vitoria"},
+		"drain data-centre bilbao; undrain data-centre vitoria":        {"drain data-centre bilbao", "undrain data-centre vitoria"},
 		"drain endpoint e1; drain instance i1; set endpoint e2 role b": {"set endpoint e1 role prefill", "drain endpoint e1", "drain instance i1", "set endpoint e2 role b", "undrain endpoint e2"},
 	} {
 		t.Run(text, func(t *testing.T) {
