Limit the requests to cold endpoints over the whole fleet

Cause: check-ins say how long an endpoint stays cold, and declarations how many requests per second it tolerates then; both were decoded and dropped, so nothing bounded what all entries together send to an endpoint that has just come back.

Change: the registration keeps the time for which an endpoint stays cold. The leader commits only what differs from what it knows. A dispatcher grants a cold engine half of the declared rate in any second, and none in its own first second, so that two dispatchers that act at once stay within it. An entry without a dispatcher grants none; entries leave cold endpoints of plain services out.

--- a/controld/internal/cli/cli.go
+++ b/controld/internal/cli/cli.go
@@ -17,6 +17,10 @@
 
 func command() *cli.Command {
 	settingsFlag := &cli.StringFlag{Name: "settings", Usage: "path of the YAML settings", Required: true}
+	dataCentresFlag := &cli.StringSliceFlag{
+		Name: "data-centres", Usage: "data centres of the deployment, separated by commas, instead of those of the settings",
+		Sources: cli.EnvVars("DATA_CENTRES"),
+	}
 	return &cli.Command{
 		Name:  "controld",
 		Usage: "keep the configuration, claims and budgets of a dandelionpier deployment",
@@ -26,12 +30,15 @@
 			{
 				Name:  "run",
 				Usage: "run the daemon until SIGTERM",
-				Flags: []cli.Flag{settingsFlag},
+				Flags: []cli.Flag{settingsFlag, dataCentresFlag},
 				Action: func(ctx context.Context, c *cli.Command) error {
 					s, err := loadSettings(c.String("settings"))
 					if err != nil {
 						return err
 					}
+					if names := c.StringSlice("data-centres"); len(names) > 0 {
+						s.DataCentres = names
+					}
 					return run(ctx, c.String("settings"), s)
 				},
 			},
--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -319,7 +319,7 @@
 			return listenHTTP(ctx, d.settings.MetricsListen, handler, d.logger)
 		}))
 	}
-	d.logger.Info("Started", zap.String("peer", d.settings.peerAddress()))
+	d.logger.Info("Started", zap.String("peer", d.settings.peerAddress()), zap.Strings("data-centres", d.settings.DataCentres))
 	err = task.StopAfterFirst(ctx, stop, ends...)
 	d.logger.Info("Stopped", zap.Error(err))
 	return err
--- a/internal/control/declared.go
+++ b/internal/control/declared.go
@@ -215,6 +215,13 @@
 	return request.CheckIn != nil && m.endpoints.WouldChange(*request.CheckIn)
 }
 
+// StaysCold reports whether a check-in says of a cold endpoint only for how long it stays so.
+func (m *Machine) StaysCold(r registration.Record) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.endpoints.StaysCold(r)
+}
+
 // ContradictsEndpoint reports whether a check-in cannot be that of the endpoint with its id.
 func (m *Machine) ContradictsEndpoint(r registration.Record) bool {
 	m.mu.RLock()
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -24,6 +24,33 @@
 	mu           sync.Mutex
 	term         uint64
 	lastCheckIns map[string]time.Time
+	// coldUntil is when each cold endpoint is warm by its last check-in that was committed.
+	coldUntil map[string]time.Time
+}
+
+// coldTolerance is by how much later an endpoint may become warm without a commit: check-ins of one endpoint take
+// different times to arrive.
+const coldTolerance = 300 * time.Millisecond
+
+// warmsUpAsKnown reports whether a check-in of a cold endpoint agrees with those before.
+func (t *checkInTracker) warmsUpAsKnown(r registration.Record, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	until, ok := t.coldUntil[r.ID]
+	return ok && !now.Add(r.Cold).After(until.Add(coldTolerance))
+}
+
+// recordCommitted records a check-in that was committed.
+func (t *checkInTracker) recordCommitted(r registration.Record, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.coldUntil == nil {
+		t.coldUntil = make(map[string]time.Time)
+	}
+	delete(t.coldUntil, r.ID)
+	if r.Cold > 0 {
+		t.coldUntil[r.ID] = now.Add(r.Cold)
+	}
 }
 
 // record records the time of a check-in.
@@ -101,10 +128,17 @@
 	if !s.config.Machine.WouldChangeEndpoints(request) {
 		return nil
 	}
+	received := time.Now()
+	if r := request.CheckIn; r != nil && s.config.Machine.StaysCold(*r) && s.checkIns.warmsUpAsKnown(*r, received) {
+		return nil
+	}
 	if _, ok := propose[RegisterReply](s.Service, Command{Register: &request}); !ok {
 		reply.NotLeader, reply.Leader = true, s.leaderAddress()
 		return nil
 	}
+	if request.CheckIn != nil {
+		s.checkIns.recordCommitted(*request.CheckIn, received)
+	}
 	s.logRegistration(request)
 	return nil
 }
@@ -112,7 +146,7 @@
 func (s *Service) logRegistration(request RegisterRequest) {
 	if r := request.CheckIn; r != nil {
 		s.config.Logger.Info("Registered an endpoint", zap.String(logging.Endpoint, r.ID), zap.String("address", r.Address),
-			zap.String("service", r.Service), zap.String("state", string(r.State)), zap.Uint64("sequence", r.Sequence))
+			zap.String("service", r.Service), zap.String("state", string(r.State)), zap.Duration("cold", r.Cold), zap.Uint64("sequence", r.Sequence))
 	}
 	if d := request.Depart; d != nil {
 		s.config.Logger.Info("An endpoint departed", zap.String(logging.Endpoint, d.ID), zap.Bool("silent", d.Silent))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,7 +54,14 @@
 	}
 	now := time.Now()
 	records, _ := g.config.Fleet.Endpoints(x.service)
-	record, ok := g.balancer.pick(now, g.availableRecords(now, records), x.tried)
+	available := g.availableRecords(now, records)
+	if x.coldRate > 0 {
+		var untilWarm time.Duration
+		if available, untilWarm = g.balancer.warm(now, available); len(available) == 0 && untilWarm > 0 {
+			return pointer(notRun("all endpoints of the service are cold", untilWarm))
+		}
+	}
+	record, ok := g.balancer.pick(now, available, x.tried)
 	if !ok {
 		return pointer(notRun("no endpoint of the service takes work", g.pauseLeft(now, records, startupRetryAfter)))
 	}
--- a/internal/gateway/balance.go
+++ b/internal/gateway/balance.go
@@ -35,6 +35,9 @@
 	failureRate          float64
 	consecutiveUnreached int
 	avoidedUntil         time.Time
+	// record is the last known registration. The endpoint is cold until coldUntil.
+	record    registration.Record
+	coldUntil time.Time
 }
 
 func newBalancer() *balancer {
@@ -50,6 +53,32 @@
 	return s
 }
 
+// isCold reports whether an endpoint is cold by its registration. The time counts from when the entry first sees it.
+func (b *balancer) isCold(now time.Time, r registration.Record) bool {
+	s := b.endpointStats(r.ID)
+	if s.record != r {
+		s.record, s.coldUntil = r, now.Add(r.Cold)
+	}
+	return now.Before(s.coldUntil)
+}
+
+// warm returns the endpoints that are not cold, and the time until the first of the others is warm. Each entry decides for
+// itself, so together they could exceed any rate above 0 at a cold endpoint.
+func (b *balancer) warm(now time.Time, records []registration.Record) (warm []registration.Record, untilWarm time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range records {
+		if !b.isCold(now, r) {
+			warm = append(warm, r)
+			continue
+		}
+		if left := b.endpointStats(r.ID).coldUntil.Sub(now); untilWarm == 0 || left < untilWarm {
+			untilWarm = left
+		}
+	}
+	return warm, untilWarm
+}
+
 // pick selects an endpoint and counts a request in flight there; the caller must call done when the request ends. It
 // returns false if no endpoint accepts requests.
 func (b *balancer) pick(now time.Time, records []registration.Record, exclude []string) (registration.Record, bool) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -69,7 +69,9 @@
 	workspace routing.Workspace
 	service   string
 	engine    *routing.Engine
-	arrived   time.Time
+	// coldRate is the rate that a cold endpoint of the service tolerates, 0 for any.
+	coldRate float64
+	arrived  time.Time
 	// fingerprint is the same for repetitions of a request.
 	fingerprint uint64
 	// parts are the parts of the prompt of a request to an engine that other requests may hold.
@@ -199,7 +201,7 @@
 	}
 	x.service = x.route.Target(rand.Float64())
 	service, _ := x.table.Service(x.service)
-	x.engine = service.Engine
+	x.engine, x.coldRate = service.Engine, service.ColdRate
 	x.fingerprint = fingerprint(x)
 	if x.engine != nil {
 		x.parts = crash.SharedParts(x.call.Prompt.Parts)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -79,7 +79,7 @@
 func (s *Scheduler) reserveShort(now time.Time, j Job) ReserveReply {
 	usable := s.usable(now, &j)
 	if len(usable) == 0 {
-		return s.rejection(now, "no engine takes work")
+		return s.rejection(now, s.noEngineReason(now))
 	}
 	best, ok := s.bestAssignment(now, &j, s.unreserved(now, &j, usable), 1)
 	if !ok || delayPenalty(&j, best.timeToFirstEvent) >= missedObjectivePenalty {
@@ -94,6 +94,14 @@
 	return ReserveReply{Status: Granted, Grant: s.place(now, j, best)}
 }
 
+// noEngineReason explains that no engine is usable.
+func (s *Scheduler) noEngineReason(now time.Time) string {
+	if cold := s.countCold(now); cold > 0 {
+		return fmt.Sprintf("no engine takes work; %d of %d are cold", cold, len(s.sortedReplicas))
+	}
+	return "no engine takes work"
+}
+
 func tooLateReason(first, left time.Duration) string {
 	return fmt.Sprintf("the expected time of %v exceeds the time left of %v", first.Round(time.Millisecond), left.Round(time.Millisecond))
 }
@@ -102,7 +110,7 @@
 func (s *Scheduler) usable(now time.Time, j *Job) []*replica {
 	var usable []*replica
 	for _, r := range s.sortedReplicas {
-		if r.usable(now) && !slices.Contains(j.Exclude, r.record.ID) {
+		if r.usable(now) && s.allowsCold(now, r) && !slices.Contains(j.Exclude, r.record.ID) {
 			usable = append(usable, r)
 		}
 	}
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -106,7 +106,7 @@
 // NewClient returns a client. Events are reported only while Run is running.
 func NewClient(config ClientConfig) *Client {
 	return &Client{
-		config: config, fallback: newSchedulers(config.Fleet), running: make(map[string]*runningJob),
+		config: config, fallback: newSchedulers(config.Fleet, true), running: make(map[string]*runningJob),
 		backOffs: make(map[string]backOff), active: make(map[Cell]activeDispatcher), needsFullReport: make(map[Dispatcher]bool), syncedSince: make(map[cellDispatcher]time.Time), wake: make(chan struct{}, 1),
 	}
 }
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -51,7 +51,7 @@
 func (s *Scheduler) tryLong(now time.Time, w *waitingJob, usable []*replica) ReserveReply {
 	j := &w.job
 	if len(usable) == 0 {
-		return s.rejection(now, "no engine takes work")
+		return s.rejection(now, s.noEngineReason(now))
 	}
 	if s.reservation != nil && s.reservation.job == w {
 		return s.tryReserved(now, w, usable)
--- a/internal/placement/replica.go
+++ b/internal/placement/replica.go
@@ -38,6 +38,7 @@
 	// leaving says that the engine has announced in a response that it takes no more requests. Its registration may
 	// still say that it is ready.
 	leaving bool
+	cold    coldLimit
 }
 
 // jobPart is the part of a job at one engine.
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -27,6 +27,10 @@
 	// lastHeard is when each entry last made a call, lastQueried when it was last asked for its jobs.
 	lastHeard   map[string]time.Time
 	lastQueried map[string]time.Time
+	// ownJobsOnly says that the scheduler sees the requests of one entry only.
+	ownJobsOnly bool
+	// startedAt is the time of the first update.
+	startedAt time.Time
 }
 
 // NewScheduler returns a scheduler without engines.
@@ -41,6 +45,9 @@
 
 // Update replaces the registered endpoints of the service. Jobs on an endpoint that is gone or was restarted have ended.
 func (s *Scheduler) Update(now time.Time, records []registration.Record) {
+	if s.startedAt.IsZero() {
+		s.startedAt = now
+	}
 	known := make(map[string]bool, len(records))
 	for _, record := range records {
 		known[record.ID] = true
@@ -48,8 +55,10 @@
 		if r == nil || r.record.Started != record.Started {
 			s.removeReplica(now, record.ID)
 			r = &replica{slowdown: 1, backlogEnd: now}
+			r.cold.creditFrom = s.startedAt.Add(coldWindow)
 			s.replicas[record.ID] = r
 		}
+		r.cold.learn(now, r.record, record)
 		r.record = record
 	}
 	for id := range s.replicas {
@@ -112,6 +121,7 @@
 			prefillTime: s.prefillTimeAt(r, j.Prompt, parts),
 		}
 		r.add(now, part)
+		r.cold.record(now)
 		grant.Members = append(grant.Members, Member{Endpoint: r.record.ID, Started: r.record.Started, Address: r.record.Address, Hold: c.reserved[i]})
 	}
 	s.markMissedObjectives(now, c.replicas)
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -25,9 +25,11 @@
 
 // schedulers holds a scheduler for each cell. It is safe for concurrent use.
 type schedulers struct {
-	fleet  Fleet
-	mu     sync.Mutex
-	byCell map[Cell]*versionedScheduler
+	fleet Fleet
+	// ownJobsOnly says that the schedulers see the requests of this entry only.
+	ownJobsOnly bool
+	mu          sync.Mutex
+	byCell      map[Cell]*versionedScheduler
 }
 
 // versionedScheduler is a scheduler with the version of the fleet that it was last updated to.
@@ -41,8 +43,8 @@
 // cells. Its jobs have ended or are known to the new cells by then.
 const unusedSchedulerLife = 10 * time.Second
 
-func newSchedulers(fleet Fleet) *schedulers {
-	return &schedulers{fleet: fleet, byCell: make(map[Cell]*versionedScheduler)}
+func newSchedulers(fleet Fleet, ownJobsOnly bool) *schedulers {
+	return &schedulers{fleet: fleet, ownJobsOnly: ownJobsOnly, byCell: make(map[Cell]*versionedScheduler)}
 }
 
 // withScheduler updates the scheduler of a cell to the fleet and runs f on it. It returns false for a service without
@@ -59,6 +61,7 @@
 	if versioned == nil {
 		m.dropUnused(now)
 		versioned = &versionedScheduler{scheduler: NewScheduler(engine)}
+		versioned.scheduler.ownJobsOnly = m.ownJobsOnly
 		m.byCell[cell] = versioned
 	}
 	versioned.lastUse = now
@@ -110,7 +113,7 @@
 // NewService returns a dispatcher that knows of no running jobs. Silent entries are queried only while Run is running.
 func NewService(config ServiceConfig) *Service {
 	return &Service{
-		config: config, incarnation: rand.Uint64(), schedulers: newSchedulers(config.Fleet), queries: make(chan entryQuery, maxQueries),
+		config: config, incarnation: rand.Uint64(), schedulers: newSchedulers(config.Fleet, false), queries: make(chan entryQuery, maxQueries),
 	}
 }
 
--- a/internal/registration/check.go
+++ b/internal/registration/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 	"unicode"
 	"unicode/utf8"
 
@@ -26,6 +27,8 @@
 	maxStarted = 10_000_000_000_000
 	// maxSequence is far above any number of check-ins. With a larger one, later check-ins would look outdated.
 	maxSequence = 1 << 53
+	// maxCold is far above the time that any endpoint needs to warm up.
+	maxCold = time.Hour
 )
 
 // Check returns an error of kind Invalid unless the record describes an endpoint that can be used.
@@ -47,6 +50,8 @@
 		return fault.New(op, Invalid, "the start at %d ms is not from 0 to %d", r.Started, int64(maxStarted))
 	case r.Sequence > maxSequence:
 		return fault.New(op, Invalid, "the sequence number %d is above %d", r.Sequence, int64(maxSequence))
+	case r.Cold < 0 || r.Cold > maxCold:
+		return fault.New(op, Invalid, "the endpoint is cold for %v, not for 0 to %v", r.Cold, maxCold)
 	case r.State != Ready && r.State != Draining:
 		return fault.New(op, Invalid, "the state is %.64q", string(r.State))
 	}
--- a/internal/registration/registration.go
+++ b/internal/registration/registration.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // State says whether an endpoint accepts work.
@@ -30,14 +31,27 @@
 	Started int64 `cbor:"7,keyasint"`
 	// Sequence is the sequence number of the check-in that last changed the record.
 	Sequence uint64 `cbor:"8,keyasint"`
+	// Cold is how long the endpoint stays slow and sensitive to many requests, counted from that check-in; 0 if it is warm.
+	Cold time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
-// sameAs reports whether a later check-in of the same incarnation contains nothing new.
+// sameAs reports whether a later check-in of the same incarnation contains nothing new. The time for which an endpoint stays
+// cold counts from its check-in, so that a later one is new.
 func (r Record) sameAs(other Record) bool {
+	if r.Cold > 0 && r.Sequence != other.Sequence {
+		return false
+	}
 	other.Sequence = r.Sequence
 	return r == other
 }
 
+// staysCold reports whether a later check-in differs only in the time for which the endpoint stays cold.
+func (r Record) staysCold(other Record) bool {
+	stays := r.Cold > 0 && other.Cold > 0
+	other.Cold, other.Sequence = r.Cold, r.Sequence
+	return stays && r == other
+}
+
 // contradicts reports whether a check-in of the same incarnation names another service, data centre or address, so that it
 // is not the endpoint's own. Without a start, an endpoint that starts again under its id may have another address.
 func (r Record) contradicts(other Record) bool {
@@ -144,6 +158,12 @@
 	return g.isCurrent(r) && !g.isKnown(r)
 }
 
+// StaysCold reports whether a check-in says of a cold endpoint only for how long it stays so.
+func (g *Registry) StaysCold(r Record) bool {
+	old, ok := g.records[r.ID]
+	return ok && old.staysCold(r)
+}
+
 // Contradicts reports whether a check-in cannot be that of the endpoint with its id.
 func (g *Registry) Contradicts(r Record) bool {
 	old, ok := g.records[r.ID]
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -27,6 +27,8 @@
 	// UsualPrompt and UsualOutput are mean token counts of a request.
 	UsualPrompt int
 	UsualOutput int
+	// ColdRate is the number of requests per second that a cold engine tolerates, of all callers together; 0 means any.
+	ColdRate float64
 }
 
 const (
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -70,6 +70,8 @@
 	HealthPath string
 	// MaxConnections is the maximum number of connections to one endpoint, of all callers together.
 	MaxConnections int
+	// ColdRate is the number of requests per second that a cold endpoint tolerates, of all callers together; 0 means any.
+	ColdRate float64
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
