Report slow writes to the log; collect the results of streams without a bound

Its callers blocked on a channel of 1,024 results that was read only after they had ended: they had been refused thousands of times within a second. Trace of the refusals: from 21:25:37 to 45.8 s the leader of term 3 and the only other voter alive committed nothing ('Could not commit a command: wait for the commit' at 40.0 s), the leases of all entries ended at 40.1 s, and the entries refused (503 lease-expired, did not run), as the design says for a lost quorum. What held the commits up is not shown: no line tells a stalled disk from a stalled process.

Change: the test collects results while they come. A control instance logs a write to its log that takes longer than the longest election timeout, so that the next occurrence tells.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -238,6 +238,10 @@
 	}
 }
 
+// slowAppend is the time from which a write to the log is reported: the longest election timeout. While it lasts, this
+// instance acknowledges nothing.
+const slowAppend = 600 * time.Millisecond
+
 func (n *Node) store(out *output) error {
 	const op = "store log"
 	if out.snapshot != nil {
@@ -249,7 +253,12 @@
 	if !out.mustStore {
 		return nil
 	}
-	if err := n.journal.Append(out.state, out.entries); err != nil {
+	started := time.Now()
+	err := n.journal.Append(out.state, out.entries)
+	if took := time.Since(started); took > slowAppend {
+		n.config.Logger.Warn("Writing to the log took long", zap.Duration("took", took), zap.Int("entries", len(out.entries)), zap.Error(err))
+	}
+	if err != nil {
 		return wrapJournalError(err, op)
 	}
 	return nil
--- a/internal/fleet/failure_test.go
+++ b/internal/fleet/failure_test.go
@@ -65,12 +65,21 @@
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 	results chan string
+	// collected has all results once the channel is closed. Callers that are refused at once make thousands of them.
+	collected chan []string
 }
 
 func (d *deployment) startStreams(callers int) *streams {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.t.Cleanup(cancel)
-	s := &streams{t: d.t, cancel: cancel, results: make(chan string, 1024)}
+	s := &streams{t: d.t, cancel: cancel, results: make(chan string), collected: make(chan []string, 1)}
+	go func() {
+		var results []string
+		for result := range s.results {
+			results = append(results, result)
+		}
+		s.collected <- results
+	}()
 	for i := range callers {
 		s.group.Go(func() { stream(ctx, &caller{d: d}, i, s.results) })
 	}
@@ -82,13 +91,13 @@
 	s.cancel()
 	s.group.Wait()
 	close(s.results)
-	for result := range s.results {
-		count++
+	results := <-s.collected
+	for _, result := range results {
 		if result != "" {
 			s.t.Error(result)
 		}
 	}
-	return count
+	return len(results)
 }
 
 // stream sends completions one after another until ctx ends, and finishes the last one.
