Place short prompts by a forecast of the engines' passes

Long prompts started late on the few engines that were free, which kept these from others for up to 12 s, or were begun though their response could not end in time; streams that had missed their objective counted nothing, so that prefills cut them off.

Ruled out: packing constants alone (the mix decides), more advance reservations (all simulated mixes lose), a margin of the objective (0.55 to 0.92: no gain over both kinds).

Change: a model of the passes of each engine, corrected by first events; opposite orders of engines for short and long prompts; a wait for engines that make a prompt punctual; refusal of prompts whose response cannot end; late streams count with what is left of them; the loss of future streams counts once. docs/design/placement-by-forecast.md.

TestReservedEnginesAreFreeInTime asked for a response that could not end within its time limit, which is now refused; it asks for one event, and checks the same.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -24,6 +24,9 @@
 	nearlyFullGain         = 0.4
 	longStreamPenalty      = 0.05
 	crossDataCentrePenalty = 0.01
+	// positionPreference is how much short prompts prefer the first engine of the list to the last one, and long prompts the
+	// last one to the first. A burst of short prompts then leaves streams on few of the engines that long prompts need.
+	positionPreference = 1
 	// failureCost is the cost of an engine that fails all requests.
 	failureCost = 3
 	// minRetryAfter and maxRetryAfter bound the pause after which a rejected caller is asked to retry.
@@ -55,8 +58,8 @@
 }
 
 // delayPenalty returns the share of a request's value that is lost when its first event comes after a delay of first.
-func delayPenalty(j *Job, first time.Duration) float64 {
-	if first > j.Left {
+func (s *Scheduler) delayPenalty(j *Job, first time.Duration) float64 {
+	if first > s.latestFirstEvent(j) {
 		return missedLimitPenalty
 	}
 	if j.Objective <= 0 {
@@ -82,7 +85,7 @@
 		return s.rejection(now, s.noEngineReason(now))
 	}
 	best, ok := s.bestAssignment(now, &j, s.unreserved(now, &j, usable), 1)
-	if !ok || delayPenalty(&j, best.timeToFirstEvent) >= missedObjectivePenalty {
+	if !ok || s.delayPenalty(&j, best.timeToFirstEvent) >= missedObjectivePenalty {
 		best, ok = s.bestAssignment(now, &j, usable, 1)
 	}
 	switch {
@@ -120,8 +123,10 @@
 // candidate is a replica with the cost of placing a part of the request there.
 type candidate struct {
 	replica *replica
-	// timeToPrefilled is the time until the part is prefilled.
-	timeToPrefilled time.Duration
+	// timeToPrefilled is the time until the part is prefilled, timeToFirstEvent that to the first event if this is the only
+	// engine.
+	timeToPrefilled  time.Duration
+	timeToFirstEvent time.Duration
 	// interference is the value lost by the streams there, bias the cost of the replica apart from the delay.
 	interference float64
 	bias         float64
@@ -157,22 +162,33 @@
 
 func (s *Scheduler) candidate(now time.Time, j *Job, r *replica, parts int) candidate {
 	prefill := s.prefillTimeAt(r, j.Prompt, parts)
-	c := candidate{replica: r, timeToPrefilled: r.backlog(now) + prefill, interference: s.interference(now, r, prefill)}
-	c.bias = failureCost * r.failures * r.failures
-	if r.record.DataCentre != j.DataCentre {
-		c.bias += crossDataCentrePenalty
-	}
-	streams, _ := r.decoding()
+	c := candidate{replica: r, bias: s.bias(j, r), timeToPrefilled: r.backlog(now) + prefill}
 	if s.isLongPrompt(j) {
-		c.bias += longStreamPenalty * float64(streams)
+		c.interference = s.interference(now, r, prefill)
+		c.timeToFirstEvent = c.timeToPrefilled + s.firstPassTime(r)
 	} else {
-		occupancy := float64(r.primaryCount()) / float64(s.engine.Slots)
-		c.bias -= packingGain*occupancy + nearlyFullGain*occupancy*occupancy
+		f := s.forecastShort(now, r, prefill)
+		c.interference = s.interferenceOfShort(now, r, f)
+		c.timeToFirstEvent = f.first
 	}
-	c.cost = c.interference + c.bias + jobValue(j)*delayPenalty(j, c.timeToPrefilled+s.firstPassTime(r))
+	c.cost = c.interference + c.bias + jobValue(j)*s.delayPenalty(j, c.timeToFirstEvent)
 	return c
 }
 
+// bias returns the cost of a replica to a job apart from delays.
+func (s *Scheduler) bias(j *Job, r *replica) float64 {
+	bias := failureCost * r.failures * r.failures
+	if r.record.DataCentre != j.DataCentre {
+		bias += crossDataCentrePenalty
+	}
+	if s.isLongPrompt(j) {
+		streams, _ := r.decoding()
+		return bias + longStreamPenalty*float64(streams) + positionPreference*(1-r.position)
+	}
+	occupancy := float64(r.primaryCount()) / float64(s.engine.Slots)
+	return bias - packingGain*occupancy - nearlyFullGain*occupancy*occupancy + positionPreference*r.position
+}
+
 // prefillTimeAt returns the time for which a part of a prompt keeps a replica from starting the next prefill: the
 // prefill itself, and the decode pass of the streams beside it.
 func (s *Scheduler) prefillTimeAt(r *replica, prompt, parts int) time.Duration {
@@ -202,19 +218,23 @@
 }
 
 // interference returns the value lost by the streams of a replica when it takes on a further prefill. A request is
-// affected if its own prefill ends too late for its objective, or a pause in its stream becomes too long.
+// affected if its own prefill ends too late for its objective, or a pause in its stream becomes too long. A stream that has
+// missed its objective still has the rest of its value, until a pause ends it.
 func (s *Scheduler) interference(now time.Time, r *replica, prefill time.Duration) float64 {
 	pause := s.expectedPause(now, r, prefill)
 	sum := 0.0
 	for _, part := range r.jobParts {
-		if part.job.objectiveMissed || !part.primary {
+		if !part.primary {
 			continue
 		}
 		delayed := part.prefilling && part.prefillEnd.Add(prefill).After(part.job.firstEventDue)
 		paused := !part.prefilling && part.job.MaxPause > 0 && pause > part.job.MaxPause
-		if delayed || paused {
+		if !part.job.objectiveMissed && (delayed || paused) {
 			sum += jobValue(&part.job.Job) * missedObjectivePenalty
 		}
+		if !part.prefilling && s.endsStream(now, part.job, pause) {
+			sum += jobValue(&part.job.Job) * (1 - missedObjectivePenalty)
+		}
 	}
 	return sum
 }
@@ -246,7 +266,10 @@
 		ready = max(ready, candidate.timeToPrefilled)
 	}
 	c.timeToFirstEvent = ready + s.firstPassTime(c.replicas[0])
-	c.cost += c.interference + jobValue(j)*delayPenalty(j, c.timeToFirstEvent)
+	if parts == 1 {
+		c.timeToFirstEvent = candidates[0].timeToFirstEvent
+	}
+	c.cost += c.interference + jobValue(j)*s.delayPenalty(j, c.timeToFirstEvent)
 	return c
 }
 
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -58,8 +58,8 @@
 	}
 	// Reserved engines count: they are free again in the time of most prompts.
 	soonest := s.soonestFirstEvent(now, j, usable)
-	if soonest > j.Left {
-		return s.rejection(now, tooLateReason(soonest, j.Left))
+	if latest := s.latestFirstEvent(j); soonest > latest {
+		return s.rejection(now, tooLateReason(soonest, latest))
 	}
 	usable = s.unreserved(now, j, usable)
 	ideal, untilAllIdle := s.idealFirstEvent(now, j, usable)
@@ -74,7 +74,7 @@
 	switch {
 	case ok && s.costExceedsValue(j, best):
 		return s.postpone(now, j, soonest, usable)
-	case ok && betterWhenAllIdle(j, best, untilAllIdle, untilAllIdle+ideal):
+	case ok && s.betterLater(j, best, min(soonest+maxPollInterval, untilAllIdle+ideal)):
 		return s.waitReply(now, usable, "more engines are free soon")
 	case ok:
 		return ReserveReply{Status: Granted, Grant: s.place(now, *j, best)}
@@ -90,8 +90,9 @@
 func (s *Scheduler) tryReserved(now time.Time, w *waitingJob, usable []*replica) ReserveReply {
 	j := &w.job
 	reservation := s.reservation
-	if soonest := s.soonestFirstEvent(now, j, usable); soonest > j.Left {
-		return s.rejection(now, tooLateReason(soonest, j.Left))
+	soonest, latest := s.soonestFirstEvent(now, j, usable), s.latestFirstEvent(j)
+	if soonest > latest {
+		return s.rejection(now, tooLateReason(soonest, latest))
 	}
 	if reservation.start.Sub(now) > idleThreshold {
 		return s.waitReply(now, usable, "the reserved engines are not free yet")
@@ -103,10 +104,10 @@
 	return ReserveReply{Status: Granted, Grant: s.place(now, *j, best)}
 }
 
-// betterWhenAllIdle reports whether a job should wait until all engines are free: if it is late with the best assignment
-// now, and in time with its first event at firstEventThen.
-func betterWhenAllIdle(j *Job, best assignment, untilAllIdle, firstEventThen time.Duration) bool {
-	return untilAllIdle > 0 && delayPenalty(j, best.timeToFirstEvent) >= missedObjectivePenalty && delayPenalty(j, firstEventThen) < missedObjectivePenalty
+// betterLater reports whether a job should wait for more engines: if it is late with the best assignment now, and in time
+// with its first event at firstEventThen. A prompt that is late on few engines would keep them from others for long.
+func (s *Scheduler) betterLater(j *Job, best assignment, firstEventThen time.Duration) bool {
+	return s.delayPenalty(j, best.timeToFirstEvent) >= missedObjectivePenalty && s.delayPenalty(j, firstEventThen) < missedObjectivePenalty
 }
 
 // postpone defers a job that costs more than its value. It waits here as long as it can be in time; after that its
@@ -130,13 +131,13 @@
 
 // futureStreamPenalty is the loss of streams that start during prefill, for each second of it, as a multiple of the
 // loss of the running streams.
-const futureStreamPenalty = 2
+const futureStreamPenalty = 1
 
 // costExceedsValue reports whether an assignment costs the streams beside it, and those that start during its prefill,
 // more than the request is worth.
 func (s *Scheduler) costExceedsValue(j *Job, c assignment) bool {
 	prefill := s.engine.PrefillTime(j.Prompt, len(c.replicas))
-	return c.interference*(1+futureStreamPenalty*prefill.Seconds()) >= jobValue(j)*(1-min(1, delayPenalty(j, c.timeToFirstEvent)))
+	return c.interference*(1+futureStreamPenalty*prefill.Seconds()) >= jobValue(j)*(1-min(1, s.delayPenalty(j, c.timeToFirstEvent)))
 }
 
 // idealFirstEvent returns the time to the first event with all engines that can prefill long prompts, and the time until
@@ -199,7 +200,10 @@
 
 // permitsOnly reports whether a part is a stream that permits no longer pause than the given one.
 func (p *jobPart) permitsOnly(pause time.Duration) bool {
-	return p.primary && !p.job.objectiveMissed && p.job.MaxPause > 0 && p.job.MaxPause <= pause
+	if p.job.objectiveMissed {
+		return p.primary && p.job.MaxPause > 0 && maxSilence(&p.job.Job) <= pause
+	}
+	return p.primary && p.job.MaxPause > 0 && p.job.MaxPause <= pause
 }
 
 // idleReplicas returns the engines that have no prefill backlog.
--- a/internal/placement/replica.go
+++ b/internal/placement/replica.go
@@ -39,6 +39,9 @@
 	// still say that it is ready.
 	leaving bool
 	cold    coldLimit
+	pass    passModel
+	// position is the place in the sorted list of engines, from 0 to 1.
+	position float64
 }
 
 // jobPart is the part of a job at one engine.
@@ -54,6 +57,7 @@
 	prefilling bool
 	// divided says that other engines prefill parts of the same prompt.
 	divided bool
+	reading reading
 }
 
 // job is a placed job.
@@ -147,6 +151,7 @@
 // endPrefill ends the prefill of a part. The expected end of what is queued behind it shifts by the difference between
 // the actual and the expected end.
 func (r *replica) endPrefill(now time.Time, part *jobPart) {
+	part.reading = reading{done: true}
 	if !part.prefilling {
 		return
 	}
--- a/internal/placement/reservation_test.go
+++ b/internal/placement/reservation_test.go
@@ -215,6 +215,7 @@
 	// 26 s on one engine: 16 engines need 1.6 s, the eight that are not reserved over 3 s.
 	other := long("other", 700_000)
 	other.Left = 2500 * time.Millisecond
+	other.Output = s.engine.EventTokens // the response ends with its first event, within the time limit
 	for _, r := range s.sortedReplicas {
 		if !slices.Contains(reserved, r.record.ID) && len(other.Exclude) < 8 {
 			other.Exclude = append(other.Exclude, r.record.ID)
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -71,6 +71,9 @@
 		s.sortedReplicas = append(s.sortedReplicas, r)
 	}
 	slices.SortFunc(s.sortedReplicas, func(a, b *replica) int { return cmp.Compare(a.record.ID, b.record.ID) })
+	for i, r := range s.sortedReplicas {
+		r.position = float64(i) / float64(len(s.sortedReplicas))
+	}
 }
 
 func (s *Scheduler) removeReplica(now time.Time, id string) {
@@ -119,7 +122,9 @@
 		part := &jobPart{
 			job: placed, primary: i == 0, divided: parts > 1, memory: c.memory[i], context: j.Prompt/parts + j.Output/2,
 			prefillTime: s.prefillTimeAt(r, j.Prompt, parts),
+			reading:     reading{unread: j.Prompt / parts, perToken: s.engine.PrefillTimePerToken(j.Prompt)},
 		}
+		s.advancePasses(now, r)
 		r.add(now, part)
 		r.cold.record(now)
 		grant.Members = append(grant.Members, Member{Endpoint: r.record.ID, Started: r.record.Started, Address: r.record.Address, Hold: c.reserved[i]})
@@ -229,6 +234,7 @@
 	}
 	if r := s.replicas[e.Endpoint]; r != nil {
 		r.recordSuccess()
+		s.syncPass(now, r)
 	}
 }
 
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dandelionpier/dandelionpier/internal/placement"
+	"github.com/dandelionpier/dandelionpier/internal/routing"
 )
 
 // meanCreditShare simulates the days of some seeds and returns the mean share of the credit that was earned.
@@ -129,3 +130,52 @@
 		is.True(reflect.DeepEqual(a, b))
 	}
 }
+
+// bidEngine and bidKinds are a cell of a deployment with slower engines, on which prompts of 260,000 tokens need several of
+// them to be in time.
+func bidEngine() routing.Engine {
+	return routing.Engine{
+		Slots: 12, Memory: 344_250, EventTokens: 38, Step: 1310 * time.Microsecond, StepPerRequest: 917 * time.Nanosecond,
+		StepPerKiloToken: 2130 * time.Nanosecond, PrefillRate: 154_000, PrefillPerMegaPair: 162 * time.Microsecond, ChunkTokens: 2048,
+	}
+}
+
+func bidKinds() []Kind {
+	return []Kind{
+		{Name: "short", Rate: 54, Prompt: 5000, Output: 1368, Spread: 0.7, Objective: 300 * time.Millisecond, MaxPause: 250 * time.Millisecond, Limit: 10 * time.Second, Credit: 1.3, LateCredit: 0.34},
+		{Name: "middle", Rate: 3.8, Prompt: 45_000, Output: 798, Spread: 0.5, Objective: 1500 * time.Millisecond, MaxPause: 600 * time.Millisecond, Limit: 10 * time.Second, Credit: 3.3, LateCredit: 0.82},
+		{Name: "long", Rate: 1.24, Prompt: 260_000, Output: 684, Spread: 0.5, MaxPrompt: 1_000_000, Objective: 4 * time.Second, MaxPause: time.Second, Limit: 15 * time.Second, Credit: 34, LateCredit: 8.6},
+	}
+}
+
+// Guards against short prompts that are late in a phase of short prompts, because they are packed on few engines beyond what
+// these can read in time to keep others for long prompts, of which there are hardly any then. Nine tenths of their credit is
+// what callers need there; while long prompts are far above what the engines can read, both kinds give way.
+func TestPlacementFollowsTheMix(t *testing.T) {
+	shortPhase := []Burst{{Kind: "short", To: testLength, Factor: 2.4}, {Kind: "middle", To: testLength, Factor: 0.5}, {Kind: "long", To: testLength, Factor: 0.05}}
+	longPhase := []Burst{{Kind: "short", To: testLength, Factor: 0.34}, {Kind: "middle", To: testLength, Factor: 1.3}, {Kind: "long", To: testLength, Factor: 2.7}}
+	cases := map[string]struct {
+		bursts []Burst
+		// least is the share of the credit of short prompts that callers need.
+		least float64
+	}{
+		"short prompts": {shortPhase, 0.9},
+		"long prompts":  {longPhase, 0.75},
+		"both in turn":  {shortsThenLongs(), 0.9},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var short, all, base Tally
+			for seed := range uint64(2) {
+				day := Day{Engine: bidEngine(), Engines: 39, Arrivals: Draw(seed, testLength, bidKinds(), c.bursts)}
+				result := Evaluate(Run(day, placement.NewScheduler(bidEngine())))
+				short, all = short.Plus(result.Kinds["short"]), all.Plus(result.All)
+				base = base.Plus(Evaluate(Run(day, NewLeastRequests())).All)
+			}
+			t.Logf("short %.3f, all %.3f, least requests %.3f", short.CreditShare(), all.CreditShare(), base.CreditShare())
+			is.True(short.CreditShare() >= c.least)
+			is.True(all.CreditShare() > base.CreditShare())
+		})
+	}
+}
