Order requests under shortage by their rank, deadline and work

Cause: the declared priority ordered the queue of an engine only.

Change: a request has a rank among those to its service, workspace before route, counted from the most urgent one declared, so that declarations with one priority are served as before. Its value is weighed by the rank, 0.2 at least; the last slots of a cell are kept from less urgent requests, which are refused at once with a time to return. Refusals log the rank. Plain services keep their order of arrival: not covered.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -111,7 +111,7 @@
 	a.job = &placement.Job{
 		ID: g.newAttemptID(), Service: x.service, Prompt: x.call.Prompt.Tokens, Output: x.expectedOutput(),
 		Bound: x.call.Prompt.MaxOutput, Objective: x.route.Objective, MaxPause: x.route.MaxPause,
-		Waited: now.Sub(x.arrived), Left: x.timeLeft(now), Priority: x.workspace.Priority,
+		Waited: now.Sub(x.arrived), Left: x.timeLeft(now), Priority: x.workspace.Priority, Rank: x.rank,
 		DataCentre: g.config.DataCentre, Exclude: slices.Concat(x.tried, unavailable, a.declined),
 	}
 	x.attemptID = a.job.ID
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -72,6 +72,8 @@
 	// coldRate is the rate that a cold endpoint of the service tolerates, 0 for any.
 	coldRate float64
 	arrived  time.Time
+	// rank is the place of the request among those to its service by priority.
+	rank routing.Rank
 	// fingerprint is the same for repetitions of a request.
 	fingerprint uint64
 	// parts are the parts of the prompt of a request to an engine that other requests may hold.
@@ -202,6 +204,7 @@
 	x.service = x.route.Target(rand.Float64())
 	service, _ := x.table.Service(x.service)
 	x.engine, x.coldRate = service.Engine, service.ColdRate
+	x.rank = x.table.Rank(x.service, x.route, x.workspace)
 	x.fingerprint = fingerprint(x)
 	if x.engine != nil {
 		x.parts = crash.SharedParts(x.call.Prompt.Parts)
@@ -267,7 +270,7 @@
 	x.log.Info("Refused a request", zap.String(logging.AttemptID, x.attemptID), zap.Int("status", refusal.Status), zap.String("reason", refusal.Message),
 		zap.Duration("retry-after", refusal.RetryAfter), zap.String("route", x.route.Name), zap.Uint64("declaration", versionOf(x.table)),
 		zap.Int("sent", x.possibleRuns), zap.Strings("tried", x.tried), zap.Duration("after", time.Since(x.arrived)),
-		zap.Int("prompt", x.promptTokens()), zap.Stringer("engines", x.engineCounts))
+		zap.Int("prompt", x.promptTokens()), zap.Any("rank", x.rank), zap.Stringer("engines", x.engineCounts))
 	if refusal.Status == 0 {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -51,10 +51,10 @@
 }
 
 // jobValue returns the relative value of a request. It grows with the prompt, because more waiting is lost with a long
-// one than with a short one.
+// one than with a short one, and falls with its rank.
 func jobValue(j *Job) float64 {
 	const perToken = 1.0 / 10_000
-	return 1 + float64(j.Prompt)*perToken
+	return (1 + float64(j.Prompt)*perToken) * rankWeight(j)
 }
 
 // delayPenalty returns the share of a request's value that is lost when its first event comes after a delay of first.
@@ -84,6 +84,9 @@
 	if len(usable) == 0 {
 		return s.rejection(now, s.noEngineReason(now))
 	}
+	if s.yields(now, &j, usable) {
+		return s.yieldRejection(&j)
+	}
 	best, ok := s.bestAssignment(now, &j, s.unreserved(now, &j, usable), 1)
 	if !ok || s.delayPenalty(&j, best.timeToFirstEvent) >= missedObjectivePenalty {
 		best, ok = s.bestAssignment(now, &j, usable, 1)
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -56,6 +56,9 @@
 	if s.reservation != nil && s.reservation.job == w {
 		return s.tryReserved(now, w, usable)
 	}
+	if s.yields(now, j, usable) {
+		return s.yieldRejection(j)
+	}
 	// Reserved engines count: they are free again in the time of most prompts.
 	soonest := s.soonestFirstEvent(now, j, usable)
 	if latest := s.latestFirstEvent(j); soonest > latest {
--- a/internal/placement/wire.go
+++ b/internal/placement/wire.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/dandelionpier/dandelionpier/internal/fault"
+	"github.com/dandelionpier/dandelionpier/internal/routing"
 )
 
 // Kind classifies an Error.
@@ -44,8 +45,10 @@
 	// Waited is the time since the arrival of the request, Left the remainder of its time limit.
 	Waited time.Duration
 	Left   time.Duration
-	// Priority is the rank of the request; 0 is served first.
+	// Priority is the declared priority of the request; 0 is served first. Rank is its place among the requests to the
+	// service by priority.
 	Priority   int
+	Rank       routing.Rank
 	DataCentre string
 	// Exclude has the IDs of endpoints that have already failed the request.
 	Exclude []string
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -29,6 +29,9 @@
 	keys map[string]Workspace
 	// keysRequired says that workspaces are declared, so that routes that are not public need a key.
 	keysRequired bool
+	// urgentRoute has the lowest priority number of the routes of each service, urgentWorkspace that of the workspaces.
+	urgentRoute     map[string]int
+	urgentWorkspace int
 }
 
 // New returns the table of a declaration. An error of kind Invalid says why it must not be accepted.
@@ -55,6 +58,7 @@
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	t.findUrgent(config)
 	return t, t.addWorkspaces(config.Workspaces)
 }
 
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -119,3 +119,23 @@
 	fmt.Println(r.Target(0), r.Target(0.89), r.Target(0.95))
 	// Output: stable stable next
 }
+
+// Guards against ranks that depend on the numbers that a declaration happens to use, and against workspaces that do not go
+// before routes.
+func TestRanks(t *testing.T) {
+	is := is.New(t)
+	route := func(name string, priority int, service string) routing.Route {
+		return routing.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Timeout: time.Second, Priority: priority, Targets: []routing.Target{{Service: service, Weight: 1}}}
+	}
+	chat, digest, file := route("chat", 3, "model"), route("digest", 5, "model"), route("file", 7, "desk")
+	shop, other := routing.Workspace{Name: "shop", Priority: 2}, routing.Workspace{Name: "other", Priority: 3}
+	table, err := routing.New(routing.Config{
+		Routes: []routing.Route{chat, digest, file}, Services: []routing.Service{{Name: "model"}, {Name: "desk"}}, Workspaces: []routing.Workspace{shop, other},
+	})
+	is.NoErr(err)
+	is.Equal(table.Rank("model", chat, shop), routing.Rank{})
+	is.Equal(table.Rank("model", digest, shop), routing.Rank{Route: 2})
+	is.Equal(table.Rank("model", chat, other), routing.Rank{Workspace: 1})
+	is.Equal(table.Rank("desk", file, shop), routing.Rank{})
+	is.Equal(table.Rank("model", digest, routing.Workspace{Priority: digest.Priority}), routing.Rank{Route: 2}) // without a key
+}
--- a/internal/simulation/day.go
+++ b/internal/simulation/day.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/dandelionpier/dandelionpier/internal/routing"
 )
 
 // Kind describes one class of requests in a simulated load.
@@ -26,6 +28,7 @@
 	// Credit and LateCredit are the credits of a request of mean length that is served within its objective, and later.
 	Credit     float64
 	LateCredit float64
+	Rank       routing.Rank
 }
 
 // Burst multiplies the rate of a kind for a time.
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -174,7 +174,7 @@
 	r.attemptStart = s.now
 	r.job = placement.Job{
 		ID: id, Service: "model", Prompt: r.Prompt, Output: r.ExpectedOutput, Bound: 2 * r.ExpectedOutput, Objective: k.Objective,
-		MaxPause: k.MaxPause, Left: k.Limit - (s.now - arrived),
+		Rank: k.Rank, MaxPause: k.MaxPause, Left: k.Limit - (s.now - arrived),
 	}
 	s.byAttempt[id] = r
 	s.schedule(messageDelay, func() { s.reserve(r, id) })
