An entry learns the configuration before the declaration

Change: news is applied only with the configuration that belongs to it; the next heartbeat brings both. The number of drained data centres is a metric of the entry.

--- a/entryd/internal/cli/gateway.go
+++ b/entryd/internal/cli/gateway.go
@@ -94,6 +94,7 @@
 	})
 	metrics.RegisterProcess(e.metrics)
 	e.metrics.GaugeFunc("log_lines_dropped_total", logging.Dropped)
+	e.metrics.GaugeFunc("drained_data_centres", func() int64 { return int64(len(e.fleet.DrainedDataCentres())) })
 	e.metrics.GaugeFunc("peer_bytes_total", func() int64 { return e.pool.Traffic() + e.peers.Traffic() })
 	if err := e.peers.Register(placement.EntryServiceName, placement.NewEntryService(e.placer)); err != nil {
 		return err
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -218,7 +218,10 @@
 	c.view.Term = reply.Term
 	c.acceptedRevision = reply.Revision
 	membersChanged := c.applyMembers(reply)
-	c.applyUpdate(reply.News)
+	if !reply.FetchSnapshot || c.view.Configuration.Revision >= reply.Revision {
+		// Without the configuration, an entry that has just started would serve declared routes and not know what is drained.
+		c.applyUpdate(reply.News)
+	}
 	if membersChanged || !sameCells(c.assignedFor, c.view.Configuration) {
 		c.assignedFor = c.view.Configuration
 		c.view = c.view.WithDispatchers()
