--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -8,7 +8,7 @@
 	"github.com/dandelionpier/dandelionpier/internal/registration"
 )
 
-// BenchmarkReserveShort measures the placement of short prompts short prompts in a cell of 40 engines with 6 streams each.
+// BenchmarkReserveShort measures the placement of short prompts in a cell of 40 engines with 6 streams each.
 func BenchmarkReserveShort(b *testing.B) {
 	s := NewScheduler(passEngine())
 	var records []registration.Record
