--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -81,6 +82,7 @@
 		}
 	}
 	t.term, t.lastCheckIns = term, seen
+	maps.DeleteFunc(t.coldUntil, func(id string, _ time.Time) bool { _, listed := seen[id]; return !listed })
 	return silent
 }
 
