--- /dev/null
+++ b/review/rig-2/main.go
@@ -0,0 +1,104 @@
+// Command rig-2 plays the cases of the second review: it starts the programs of the deploy file as processes on loopback
+// addresses, with stand-ins for replicas, requesters and the operator, and checks one rule.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// timeLimit is the time after which a case that has not ended could not run.
+const timeLimit = 110 * time.Second
+
+// Exit codes of a case.
+const (
+	held = iota
+	broken
+	failed
+)
+
+// play is a running case.
+type play struct {
+	*system
+	record *record
+	// trouble is false if the case is played without its disruption.
+	trouble bool
+}
+
+// cases returns an error if a case could not run, and whether the rule was broken.
+var cases = map[string]struct {
+	zones []string
+	run   func(*play) (bool, error)
+}{
+	"late-withdrawal":  {[]string{"atl-a", "atl-b", "atl-c"}, lateWithdrawal},
+	"late-departure":   {[]string{"mcallen", "mission", "harlingen"}, lateDeparture},
+	"earlier-start":    {[]string{"mcallen", "mission", "harlingen"}, earlierStart},
+	"spaced-event-ids": {[]string{"mcallen", "mission", "harlingen"}, spacedEventIDs},
+	"late-reading":     {[]string{"mcallen", "mission", "harlingen"}, lateReading},
+	"early-answer":     {[]string{"mcallen", "mission", "harlingen"}, earlyAnswer},
+}
+
+// play runs a case until it ends, its time is over or the process is told to stop.
+func (p *play) play(run func(*play) (bool, error)) (bool, error) {
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	var isBroken bool
+	var err error
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		isBroken, err = run(p)
+	}()
+	select {
+	case <-ended:
+		return isBroken, err
+	case <-stopped:
+		return false, fmt.Errorf("stopped")
+	case <-time.After(timeLimit):
+		return false, fmt.Errorf("not ended after %v", timeLimit)
+	}
+}
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: rig-2 CASE REPOSITORY RECORD")
+		return failed
+	}
+	c, ok := cases[os.Args[1]]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
+		return failed
+	}
+	out, err := os.Create(os.Args[3])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return failed
+	}
+	defer out.Close()
+	p := &play{record: &record{started: time.Now(), out: out}, trouble: os.Getenv("TROUBLE") != "0"}
+	p.record.printf("case %s, with the disruption: %t", os.Args[1], p.trouble)
+	if p.system, err = newSystem(os.Args[2], c.zones, p.record); err != nil {
+		p.record.printf("could not run: %v", err)
+		return failed
+	}
+	defer p.stop()
+	isBroken, err := p.play(c.run)
+	switch {
+	case err != nil:
+		p.record.printf("could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return failed
+	case isBroken:
+		p.record.printf("the rule was broken")
+		return broken
+	}
+	p.record.printf("the rule held")
+	return held
+}
--- /dev/null
+++ b/review/rig-2/replica.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// heartbeat is the time between two check-ins of a replica.
+const heartbeat = 1200 * time.Millisecond
+
+// execution is a request that a replica has begun to work on.
+type execution struct {
+	id, path string
+	at       time.Time
+}
+
+// replica is a server of a plain service that behaves as PROTOCOL.md says.
+type replica struct {
+	id, service, zone, address string
+	// born is the start of the lifetime in Unix milliseconds, by the clock of the replica.
+	born   int64
+	record *record
+	// nodes are those that serve control, in the order in which this replica calls them. node is the current one.
+	nodes []*machine
+	node  int
+	seq   int
+	// streamStep is the distance between the ids of two events of a stream.
+	streamStep int
+
+	state  atomic.Value
+	server *http.Server
+	cancel context.CancelFunc
+	ended  chan struct{}
+
+	mu   sync.Mutex
+	runs []execution
+}
+
+// start starts a lifetime of a replica at an address, or at any free port of ip if the address is empty.
+func (p *replica) start(ip string) error {
+	if p.address == "" {
+		p.address = net.JoinHostPort(ip, "0")
+	}
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.address = listener.Addr().String()
+	p.state.Store("ready")
+	p.server = &http.Server{Handler: p}
+	go func() { _ = p.server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel, p.ended, p.seq = cancel, make(chan struct{}), 0
+	p.record.printf("%s of %s starts at %s, born %d", p.id, p.service, p.address, p.born)
+	go p.checkInLoop(ctx)
+	return nil
+}
+
+// stop ends the lifetime at once, as a crash does.
+func (p *replica) stop() {
+	p.cancel()
+	<-p.ended
+	_ = p.server.Close()
+	p.record.printf("%s ends", p.id)
+}
+
+func (p *replica) checkInLoop(ctx context.Context) {
+	defer close(p.ended)
+	for ctx.Err() == nil {
+		p.checkIn()
+		select {
+		case <-ctx.Done():
+		case <-time.After(heartbeat):
+		}
+	}
+}
+
+// checkIn sends a check-in to the current node, and to the next ones until it is acknowledged. It returns false if none
+// has acknowledged it.
+func (p *replica) checkIn() bool {
+	for range 2 * len(p.nodes) {
+		p.mu.Lock()
+		p.seq++
+		body := fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","slots":6,"state":%q,"coldLeftMs":0,"seq":%d,"born":%d}`,
+			p.service, p.address, p.zone, p.state.Load(), p.seq, p.born)
+		node := p.nodes[p.node%len(p.nodes)]
+		p.mu.Unlock()
+		if status := callControl(node, http.MethodPut, "/dandelionpier/replicas/"+p.id, body); status/100 == 2 {
+			return true
+		}
+		p.mu.Lock()
+		p.node++
+		p.mu.Unlock()
+	}
+	return false
+}
+
+// drain reports that the replica is draining, and returns the time of the confirmation.
+func (p *replica) drain() (time.Time, error) {
+	p.state.Store("draining")
+	if !p.checkIn() {
+		return time.Time{}, fmt.Errorf("%s got no confirmation that it drains", p.id)
+	}
+	at := time.Now()
+	p.record.printf("%s says that it is draining, confirmed with 200", p.id)
+	return at, nil
+}
+
+// depart ends the check-ins and sends DELETE to the nodes in turn until one acknowledges it.
+func (p *replica) depart() error {
+	p.cancel()
+	<-p.ended
+	nodes := append(append([]*machine(nil), p.nodes[p.node%len(p.nodes):]...), p.nodes[:p.node%len(p.nodes)]...)
+	return order(p.record, nodes, http.MethodDelete, "/dandelionpier/replicas/"+p.id, "")
+}
+
+func (p *replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		w.Header().Set("Replica-Id", p.id)
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != p.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if id == "" {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	p.mu.Lock()
+	p.runs = append(p.runs, execution{id: id, path: r.URL.Path, at: time.Now()})
+	p.mu.Unlock()
+	p.record.printf("%s runs %s", p.id, id)
+	w.Header().Set("Response-Seal", "3e1b.07.5a2.600.0.c9f2a4d1")
+	if p.streamStep > 0 {
+		p.stream(w, r)
+		return
+	}
+	time.Sleep(15 * time.Millisecond)
+	_, _ = fmt.Fprintf(w, "%s ran %s", p.id, id)
+}
+
+// runsAfter returns the requests that the replica has run since a time.
+func (p *replica) runsAfter(t time.Time) []execution {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var later []execution
+	for _, r := range p.runs {
+		if r.at.After(t) {
+			later = append(later, r)
+		}
+	}
+	return later
+}
