Review case 7: a request that crashes replicas after its first event

Cause: a crash during the response is no evidence against a request, so that one which crashes replicas at their first tokens is never refused.

Nothing is fixed.

--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -85,12 +85,24 @@
 	if err := p.awaitServed(c, "pufi791"); err != nil {
 		return false, err
 	}
-	still, others, err := p.follower()
-	if err != nil {
+	if err := order(p.record, p.machines, http.MethodPost, path, ""); err != nil {
 		return false, err
 	}
-	withdrawAt := append([]*machine{still}, others...)
-	if err := order(p.record, others, http.MethodPost, path, ""); err != nil {
+	for range rounds {
+		if isBroken, err := p.withdrawLate(path, replicas[1], c); isBroken || err != nil {
+			return isBroken, err
+		}
+	}
+	return false, nil
+}
+
+// rounds is the number of times that a race is run. The next one begins long after the disruption of the one before.
+const rounds = 3
+
+// withdrawLate takes an evacuation back, evacuates the zone again, and checks whether requests reach its replica.
+func (p *play) withdrawLate(path string, evacuated *replica, c *requester) (bool, error) {
+	still, others, err := p.follower()
+	if err != nil {
 		return false, err
 	}
 	time.Sleep(evacuateTime)
@@ -98,14 +110,14 @@
 		still.freeze()
 	}
 	thawAt := time.Now().Add(freezeTime)
-	if err := order(p.record, withdrawAt, http.MethodDelete, path, ""); err != nil {
+	if err := order(p.record, append([]*machine{still}, others...), http.MethodDelete, path, ""); err != nil {
 		return false, err
 	}
 	time.Sleep(500 * time.Millisecond)
 	if err := order(p.record, others, http.MethodPost, path, ""); err != nil {
 		return false, err
 	}
-	p.record.printf("the second evacuation is acknowledged")
+	p.record.printf("the evacuation is acknowledged again")
 	time.Sleep(time.Until(thawAt))
 	if p.trouble {
 		still.thaw()
@@ -114,12 +126,13 @@
 	time.Sleep(stableWindow + outer + evacuateTime)
 	judgedFrom := time.Now()
 	p.record.printf("requests to atl-b count from here on")
-	for range 60 {
+	const requests = 40
+	for range requests {
 		c.send("pufi791", http.MethodGet, time.Second, nil)
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
 	}
-	reached := replicas[1].runsAfter(judgedFrom)
-	p.record.printf("%d of 60 requests reached the replica in atl-b", len(reached))
+	reached := evacuated.runsAfter(judgedFrom)
+	p.record.printf("%d of %d requests reached the replica in atl-b", len(reached), requests)
 	return len(reached) > 0, nil
 }
 
@@ -153,7 +166,18 @@
 			return false, err
 		}
 	}
+	for range rounds {
+		if isBroken, err := p.departLate(still, feed, firstRoute, laterRoute); isBroken || err != nil {
+			return isBroken, err
+		}
+	}
+	return false, nil
+}
+
+// departLate starts drained replicas anew while an instance stands still, and checks whether their route is served afterwards.
+func (p *play) departLate(still *machine, feed []*replica, firstRoute, laterRoute route) (bool, error) {
 	for _, r := range feed {
+		r.returnToNearest()
 		if _, err := r.drain(); err != nil {
 			return false, err
 		}
@@ -179,18 +203,24 @@
 	// Steady state: no disturbance for far longer than stableWindowMs.
 	time.Sleep(2*stableWindow + applyTime)
 	p.record.printf("steady state")
-	served := map[string]int{}
+	return p.servesLess(firstRoute, laterRoute), nil
+}
+
+// servesLess reports whether a later route is served less than a quarter as often as a first one.
+func (p *play) servesLess(first, later route) bool {
 	const requests = 40
+	c := newRequester(p.system, p.record)
+	served := make(map[string]int)
 	for range requests {
-		for _, r := range []route{firstRoute, laterRoute} {
+		for _, r := range []route{first, later} {
 			if c.sendPatiently(r.name, http.MethodGet, time.Second).served() {
 				served[r.name]++
 			}
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	p.record.printf("served of %d requests each: %d on the first route, %d on the route that was added later", requests, served[firstRoute.name], served[laterRoute.name])
-	return 4*served[laterRoute.name] < served[firstRoute.name], nil
+	p.record.printf("served of %d requests each: %d on the first route, %d on the route that was added later", requests, served[first.name], served[later.name])
+	return 4*served[later.name] < served[first.name]
 }
 
 // restart ends a drained replica and starts it again under its id and at its address.
--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -54,7 +54,7 @@
 	return "", fmt.Errorf("no directory names an address")
 }
 
-// send sends one request with its own id.
+// send sends one request with its own id to one of the addresses that the directory names.
 func (c *requester) send(routeName, method string, deadline time.Duration, header map[string]string) answer {
 	var body []byte
 	if method == http.MethodPost {
@@ -63,17 +63,28 @@
 	return c.sendBody(routeName, method, deadline, header, body)
 }
 
-// sendBody sends one request with its own id and the given body.
+// sendBody is send with the given body.
 func (c *requester) sendBody(routeName, method string, deadline time.Duration, header map[string]string, body []byte) answer {
-	c.count++
-	id := fmt.Sprintf("%08x%08x", rand.Uint32(), c.count)
 	address, err := c.resolve()
 	if err != nil {
 		return answer{err: err}
 	}
+	return c.sendTo(address, "/"+routeName+"/2f", method, deadline, header, body)
+}
+
+// randomAddress returns the front address of any machine.
+func (c *requester) randomAddress() string {
+	m := c.system.machines[rand.IntN(len(c.system.machines))]
+	return m.address(c.system.ports.front)
+}
+
+// sendTo sends one request with its own id to an address.
+func (c *requester) sendTo(address, path, method string, deadline time.Duration, header map[string]string, body []byte) answer {
+	c.count++
+	id := fmt.Sprintf("%08x%08x", rand.Uint32(), c.count)
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/"+routeName+"/2f", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
@@ -85,7 +96,7 @@
 		request.Header.Set(name, value)
 	}
 	a := c.do(request)
-	c.record.printf("%s /%s/2f, request %s, sent to %s: %s", method, routeName, id, address, a)
+	c.record.printf("%s %s, request %s, sent to %s: %s", method, path, id, address, a)
 	return a
 }
 
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -31,14 +31,20 @@
 // cases returns an error if a case could not run, and whether the rule was broken.
 var cases = map[string]struct {
 	zones []string
-	run   func(*play) (bool, error)
+	// withoutDisk is the number of machines without a disk in each zone.
+	withoutDisk int
+	run         func(*play) (bool, error)
 }{
-	"late-withdrawal":  {[]string{"atl-a", "atl-b", "atl-c"}, lateWithdrawal},
-	"late-departure":   {[]string{"mcallen", "mission", "harlingen"}, lateDeparture},
-	"earlier-start":    {[]string{"mcallen", "mission", "harlingen"}, earlierStart},
-	"spaced-event-ids": {[]string{"mcallen", "mission", "harlingen"}, spacedEventIDs},
-	"late-reading":     {[]string{"mcallen", "mission", "harlingen"}, lateReading},
-	"early-answer":     {[]string{"mcallen", "mission", "harlingen"}, earlyAnswer},
+	"late-withdrawal":  {[]string{"atl-a", "atl-b", "atl-c"}, 0, lateWithdrawal},
+	"late-departure":   {[]string{"mcallen", "mission", "harlingen"}, 0, lateDeparture},
+	"earlier-start":    {[]string{"mcallen", "mission", "harlingen"}, 0, earlierStart},
+	"spaced-event-ids": {[]string{"mcallen", "mission", "harlingen"}, 0, spacedEventIDs},
+	"deadly-later":     {[]string{"mcallen", "mission", "harlingen"}, 0, deadlyAfterFirstEvent},
+	"cold-unknown":     {[]string{"atl-a", "atl-b", "atl-c"}, 2, coldUnknown},
+	"joint-crash":      {[]string{"mcallen", "mission", "harlingen"}, 0, jointCrash},
+	"full-replica":     {[]string{"mcallen", "mission", "harlingen"}, 0, fullReplica},
+	"late-reading":     {[]string{"mcallen", "mission", "harlingen"}, 0, lateReading},
+	"early-answer":     {[]string{"mcallen", "mission", "harlingen"}, 0, earlyAnswer},
 }
 
 // play runs a case until it ends, its time is over or the process is told to stop.
@@ -84,7 +90,7 @@
 	defer out.Close()
 	p := &play{record: &record{started: time.Now(), out: out}, trouble: os.Getenv("TROUBLE") != "0"}
 	p.record.printf("case %s, with the disruption: %t", os.Args[1], p.trouble)
-	if p.system, err = newSystem(os.Args[2], c.zones, p.record); err != nil {
+	if p.system, err = newSystem(os.Args[2], c.zones, c.withoutDisk, p.record); err != nil {
 		p.record.printf("could not run: %v", err)
 		return failed
 	}
--- a/review/rig-2/replica.go
+++ b/review/rig-2/replica.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -14,6 +15,9 @@
 // heartbeat is the time between two check-ins of a replica.
 const heartbeat = 1200 * time.Millisecond
 
+// usualWork is the time that a request takes.
+const usualWork = 15 * time.Millisecond
+
 // execution is a request that a replica has begun to work on.
 type execution struct {
 	id, path string
@@ -32,11 +36,21 @@
 	seq   int
 	// streamStep is the distance between the ids of two events of a stream.
 	streamStep int
+	// streamLength is the number of events of a stream, eventPause the time between two of them, if they are not 0.
+	streamLength int
+	eventPause   time.Duration
+	// coldUntil is the time until which the replica is cold.
+	coldUntil time.Time
+	// work is the time that a request without a stream takes, usualWork if it is 0.
+	work time.Duration
+	// handle, if set, may answer a request instead of the replica.
+	handle func(w http.ResponseWriter, r *http.Request) bool
 
-	state  atomic.Value
-	server *http.Server
-	cancel context.CancelFunc
-	ended  chan struct{}
+	state    atomic.Value
+	server   *http.Server
+	listener net.Listener
+	cancel   context.CancelFunc
+	ended    chan struct{}
 
 	mu   sync.Mutex
 	runs []execution
@@ -51,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	p.address = listener.Addr().String()
+	p.listener, p.address = listener, listener.Addr().String()
 	p.state.Store("ready")
 	p.server = &http.Server{Handler: p}
 	go func() { _ = p.server.Serve(listener) }()
@@ -87,8 +101,8 @@
 	for range 2 * len(p.nodes) {
 		p.mu.Lock()
 		p.seq++
-		body := fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","slots":6,"state":%q,"coldLeftMs":0,"seq":%d,"born":%d}`,
-			p.service, p.address, p.zone, p.state.Load(), p.seq, p.born)
+		body := fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","slots":6,"state":%q,"coldLeftMs":%d,"seq":%d,"born":%d}`,
+			p.service, p.address, p.zone, p.state.Load(), max(0, time.Until(p.coldUntil).Milliseconds()), p.seq, p.born)
 		node := p.nodes[p.node%len(p.nodes)]
 		p.mu.Unlock()
 		if status := callControl(node, http.MethodPut, "/dandelionpier/replicas/"+p.id, body); status/100 == 2 {
@@ -101,6 +115,42 @@
 	return false
 }
 
+// refuse makes the replica refuse new channels, and accept makes it take them again. Those that are open go on.
+func (p *replica) refuse() {
+	p.record.printf("%s refuses new channels", p.id)
+	_ = p.listener.Close()
+}
+
+func (p *replica) accept() error {
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.record.printf("%s accepts new channels", p.id)
+	p.listener = listener
+	go func() { _ = p.server.Serve(listener) }()
+	return nil
+}
+
+// returnToNearest makes the replica call the nearest node again.
+func (p *replica) returnToNearest() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.node = 0
+}
+
+// turnCold makes the replica cold for a time, and tells so.
+func (p *replica) turnCold(d time.Duration) error {
+	p.mu.Lock()
+	p.coldUntil = time.Now().Add(d)
+	p.mu.Unlock()
+	if !p.checkIn() {
+		return fmt.Errorf("%s got no confirmation that it is cold", p.id)
+	}
+	p.record.printf("%s says that it is cold for %v, confirmed with 200", p.id, d)
+	return nil
+}
+
 // drain reports that the replica is draining, and returns the time of the confirmation.
 func (p *replica) drain() (time.Time, error) {
 	p.state.Store("draining")
@@ -142,23 +192,31 @@
 	p.mu.Unlock()
 	p.record.printf("%s runs %s", p.id, id)
 	w.Header().Set("Response-Seal", "3e1b.07.5a2.600.0.c9f2a4d1")
+	if p.handle != nil && p.handle(w, r) {
+		return
+	}
 	if p.streamStep > 0 {
 		p.stream(w, r)
 		return
 	}
-	time.Sleep(15 * time.Millisecond)
+	time.Sleep(cmp.Or(p.work, usualWork))
 	_, _ = fmt.Fprintf(w, "%s ran %s", p.id, id)
 }
 
-// runsAfter returns the requests that the replica has run since a time.
-func (p *replica) runsAfter(t time.Time) []execution {
+// runsBetween returns the requests that the replica has begun to run in a span of time.
+func (p *replica) runsBetween(from, to time.Time) []execution {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var later []execution
+	var within []execution
 	for _, r := range p.runs {
-		if r.at.After(t) {
-			later = append(later, r)
+		if r.at.After(from) && r.at.Before(to) {
+			within = append(within, r)
 		}
 	}
-	return later
+	return within
+}
+
+// runsAfter returns the requests that the replica has run since a time.
+func (p *replica) runsAfter(t time.Time) []execution {
+	return p.runsBetween(t, time.Now())
 }
--- a/review/rig-2/stream.go
+++ b/review/rig-2/stream.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -8,7 +9,7 @@
 )
 
 const (
-	// streamEvents is the number of events of a stream, eventPause the time between two of them.
+	// streamEvents is the usual number of events of a stream, eventPause the usual time between two of them.
 	streamEvents = 8
 	eventPause   = 40 * time.Millisecond
 )
@@ -18,7 +19,7 @@
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
-	for event := 1; event <= streamEvents; event++ {
+	for event := 1; event <= cmp.Or(p.streamLength, streamEvents); event++ {
 		id := event * p.streamStep
 		if id <= last {
 			continue
@@ -29,6 +30,6 @@
 		if err := controller.Flush(); err != nil {
 			return
 		}
-		time.Sleep(eventPause)
+		time.Sleep(cmp.Or(p.eventPause, eventPause))
 	}
 }
--- a/review/rig-2/system.go
+++ b/review/rig-2/system.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,29 +21,34 @@
 
 // Ports of a machine. They are the same on all machines.
 type ports struct {
-	front, ready, control, directory, controlPeer, entryPeer int
+	front, ready, control, directory, controlPeer, entryPeer, behindCut int
 }
 
-// machine runs the roles control and entry, as the front machines with a disk do.
+// machine runs the role entry, and control if it has a disk.
 type machine struct {
 	name, zone, ip string
+	hasDisk        bool
 	system         *system
 	control, entry *exec.Cmd
 }
 
-// system is a small deployment: one machine for each zone.
+// system is a small deployment: one machine with a disk for each zone, and others without.
 type system struct {
 	root, directory string
 	ports           ports
-	machines        []*machine
-	record          *record
+	// machines are those with a disk, others those without.
+	machines, others []*machine
+	record           *record
+	// cut, if set, stands before the peer ports of the control instances.
+	cut *cut
 }
 
 // metricsPorts are those of the templates in deploy/.
 var metricsPorts = []int{9101, 9102}
 
-// newSystem prepares machines in the given zones, with free ports on addresses in 127.0.0.0/8.
-func newSystem(root string, zones []string, r *record) (*system, error) {
+// newSystem prepares machines in the given zones, with free ports on addresses in 127.0.0.0/8. withoutDisk is the number of
+// machines without a disk in each zone.
+func newSystem(root string, zones []string, withoutDisk int, r *record) (*system, error) {
 	directory, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
@@ -50,10 +56,14 @@
 	for range 50 {
 		s := &system{root: root, directory: directory, record: r}
 		base := 20_000 + rand.IntN(9_000)
-		s.ports = ports{base, base + 1, base + 2, base + 3, base + 4, base + 5}
+		s.ports = ports{base, base + 1, base + 2, base + 3, base + 4, base + 5, base + 6}
 		subnet := fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), rand.IntN(250))
 		for i, zone := range zones {
-			s.machines = append(s.machines, &machine{name: fmt.Sprintf("front-%s-1", zone), zone: zone, ip: fmt.Sprintf("%s.%d", subnet, i+1), system: s})
+			s.machines = append(s.machines, &machine{name: fmt.Sprintf("front-%s-1", zone), zone: zone, ip: fmt.Sprintf("%s.%d", subnet, i+1), hasDisk: true, system: s})
+			for n := range withoutDisk {
+				ip := fmt.Sprintf("%s.%d", subnet, 1+len(zones)+i*withoutDisk+n)
+				s.others = append(s.others, &machine{name: fmt.Sprintf("front-%s-%d", zone, n+2), zone: zone, ip: ip, system: s})
+			}
 		}
 		if s.portsFree() {
 			return s, nil
@@ -62,10 +72,15 @@
 	return nil, fmt.Errorf("no free ports")
 }
 
+// all returns all machines.
+func (s *system) all() []*machine {
+	return slices.Concat(s.machines, s.others)
+}
+
 func (s *system) portsFree() bool {
 	p := s.ports
-	for _, m := range s.machines {
-		for _, port := range append([]int{p.front, p.ready, p.control, p.directory, p.controlPeer, p.entryPeer}, metricsPorts...) {
+	for _, m := range s.all() {
+		for _, port := range append([]int{p.front, p.ready, p.control, p.directory, p.controlPeer, p.entryPeer, p.behindCut}, metricsPorts...) {
 			listener, err := net.Listen("tcp", net.JoinHostPort(m.ip, strconv.Itoa(port)))
 			if err != nil {
 				return false
@@ -78,7 +93,12 @@
 
 // start starts all processes and waits until each entry answers readiness checks.
 func (s *system) start() error {
-	for _, m := range s.machines {
+	for _, m := range s.all() {
+		if s.cut != nil && m.hasDisk {
+			if err := s.cut.listen(m.address(s.ports.controlPeer), m.address(s.ports.behindCut)); err != nil {
+				return err
+			}
+		}
 		if err := m.start(true); err != nil {
 			return err
 		}
@@ -86,9 +106,31 @@
 	return nil
 }
 
+var dispatcherLine = regexp.MustCompile(`"msg":"Using a dispatcher".*"dispatcher":"([^"]*)"`)
+
+// dispatcher returns the machine whose entry dispatches for the model service, by the logs of the others.
+func (s *system) dispatcher() (*machine, error) {
+	names := make(map[string]int)
+	for _, m := range s.all() {
+		log, err := os.ReadFile(filepath.Join(s.directory, m.name+"-entry.log"))
+		if err != nil {
+			return nil, err
+		}
+		if lines := dispatcherLine.FindAllStringSubmatch(string(log), -1); len(lines) > 0 {
+			names[lines[len(lines)-1][1]]++
+		}
+	}
+	for _, m := range s.all() {
+		if names[m.name] == len(s.all()) {
+			return m, nil
+		}
+	}
+	return nil, fmt.Errorf("the entries use different dispatchers: %v", names)
+}
+
 // stop ends all processes and removes their files.
 func (s *system) stop() {
-	for _, m := range s.machines {
+	for _, m := range s.all() {
 		for _, command := range []*exec.Cmd{m.control, m.entry} {
 			if command != nil {
 				_ = command.Process.Signal(syscall.SIGCONT)
@@ -104,8 +146,10 @@
 
 // start starts the two processes of a machine with the commands and templates of deploy/.
 func (m *machine) start(bootstrap bool) (err error) {
-	if m.control, err = m.run("controld", "run", "control", bootstrap); err != nil {
-		return err
+	if m.hasDisk {
+		if m.control, err = m.run("controld", "run", "control", bootstrap); err != nil {
+			return err
+		}
 	}
 	m.entry, err = m.run("entryd", "gateway", "entry", bootstrap)
 	return err
@@ -148,6 +192,11 @@
 	for _, other := range s.machines {
 		seeds = append(seeds, strconv.Quote(other.address(s.ports.control)))
 	}
+	if s.cut != nil {
+		// The only line that the template lacks.
+		template = strings.Replace(template, `peer-listen: "{{ip}}:{{internalPorts.0}}"`,
+			fmt.Sprintf("peer-listen: %q\nadvertise-peer: %q", m.address(s.ports.behindCut), m.address(s.ports.controlPeer)), 1)
+	}
 	template = seedList.ReplaceAllString(template, strings.Join(seeds, ","))
 	return strings.NewReplacer(
 		"{{nodeName}}", m.name, "{{zone}}", m.zone, "{{region}}", "r", "{{ip}}", m.ip,
@@ -155,11 +204,19 @@
 		"{{listen.control}}", m.address(s.ports.control), "{{listen.directory}}", m.address(s.ports.directory),
 		"{{internalPorts.0}}", strconv.Itoa(s.ports.controlPeer), "{{internalPorts.1}}", strconv.Itoa(s.ports.entryPeer),
 		"{{dataDir}}", filepath.Join(s.directory, "data-"+m.name), "{{bootstrap}}", strconv.FormatBool(bootstrap),
-		"{{limits.cpuShare}}", "0.72", "{{bounds.retryRatio}}", "0.2", "{{bounds.retrySlack}}", "261",
+		"{{limits.cpuShare}}", m.cpuShare(), "{{bounds.retryRatio}}", "0.2", "{{bounds.retrySlack}}", "261",
 		"{{bounds.retryWindowS}}", "10", "{{bounds.graceS}}", "8",
 	).Replace(template)
 }
 
+// cpuShare is that of the machines of palmclimb-tx.
+func (m *machine) cpuShare() string {
+	if m.hasDisk {
+		return "0.72"
+	}
+	return "0.272"
+}
+
 func (m *machine) address(port int) string {
 	return net.JoinHostPort(m.ip, strconv.Itoa(port))
 }
@@ -215,7 +272,7 @@
 // awaitReady waits until all entries say that they are ready.
 func (s *system) awaitReady() error {
 	deadline := time.Now().Add(20 * time.Second)
-	for _, m := range s.machines {
+	for _, m := range s.all() {
 		for !m.ready() {
 			if time.Now().After(deadline) {
 				return fmt.Errorf("%s is not ready", m.name)
