--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 for program in target/controld target/entryd target/review/rig-2; do
 	[ -x "$program" ] || { echo "$program is missing" >&2; exit 2; }
 done
-exec target/review/rig-2 "late-withdrawal" . review/8/record.txt
+exec target/review/rig-2 "late-departure" . review/8/record.txt
