Chunked HTTP/1.0 responses count as broken

What callers saw: the chunks of such a response, with their lengths, as its body, framed as whole.

Cause: net/http ignores Transfer-Encoding in an HTTP/1.0 response and removes the field, so that no reader could see it. HTTP/1.0 has no chunks; a client must treat such a response as one with faulty framing (RFC 9112, section 6.1). Found while looking for other places where a head says another length than the one that is used.

Change: transport fails for such a head.

Measured: gateway.TestChunkedResponseOfHTTP10 fails on on all four routes and passes now; HTTP/1.0 responses with and without a length still pass (gateway.TestSoundResponses).

--- a/internal/gateway/malformed_response_test.go
+++ b/internal/gateway/malformed_response_test.go
@@ -118,6 +118,11 @@
 	})
 }
 
+// Guards against chunks of an HTTP/1.0 response, which has none, that are passed on with their lengths as its body.
+func TestChunkedResponseOfHTTP10(t *testing.T) {
+	expectBadGateway(t, "HTTP/1.0 200 OK\r\n"+rawHead+"transfer-encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n0\r\n\r\n")
+}
+
 // Guards against sound responses that are refused.
 func TestSoundResponses(t *testing.T) {
 	const events = "data: x\n\n"
--- a/internal/transport/head.go
+++ b/internal/transport/head.go
@@ -30,6 +30,8 @@
 	line []byte
 	// interim is set in the head of an interim response (1xx), after which another response follows.
 	interim bool
+	// http10 is set in the head of an HTTP/1.0 response.
+	http10 bool
 }
 
 // maxScannedLine is the part of a line that is kept, in bytes. The status line is checked up to its status.
@@ -77,6 +79,7 @@
 		h.state = inEmptyLine
 	case b == ':' && h.state == inFieldName:
 		h.state = inFieldValue
+		return h.checkField(h.line[:len(h.line)-1])
 	case isTokenByte(b) && h.state != inEmptyLine:
 		h.state = inFieldName
 	default:
@@ -85,6 +88,15 @@
 	return nil
 }
 
+// checkField checks the name of a field. HTTP/1.0 has no chunks, so that a chunked response has no known length
+// (RFC 9112, section 6.1); net/http ignores the field and returns the chunks as the body.
+func (h *head) checkField(name []byte) error {
+	if h.http10 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		return fault.New("read field", Malformed, "an HTTP/1.0 response has the field %s", name)
+	}
+	return nil
+}
+
 // isTokenByte reports whether a byte may stand in the name of a field (RFC 9110, section 5.6.2).
 func isTokenByte(b byte) bool {
 	return b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
@@ -124,7 +136,7 @@
 	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return fault.New(op, Malformed, "the status is %s", text)
 	}
-	h.interim = status < http.StatusOK
+	h.interim, h.http10 = status < http.StatusOK, string(version) == "HTTP/1.0"
 	return nil
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -69,6 +69,8 @@
 		"CR before a name":    {strings.Replace(sound, "\r\n", "\r\n\rA: c\r\n", 1), false},
 		"CR before the end":   {strings.Replace(sound, "\r\n\r\n", "\r\n\r\r\n", 1), false},
 		"no colon":            {strings.Replace(sound, "\r\n", "\r\nA\r\n", 1), false},
+		"chunks of HTTP/1.0":  {"HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false},
+		"chunks of HTTP/1.1":  {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true},
 		"interim, folded":     {"HTTP/1.1 100 Continue\r\nA: b\r\n c\r\n\r\n" + sound, false},
 		"interim, status 000": {"HTTP/1.1 100 Continue\r\n\r\n" + strings.Replace(sound, "200", "000", 1), false},
 	} {
