A response that ends with a reset during the upload counts as incomplete

What callers saw: an endpoint answered a long request at once with a 200 without a length, sent a part of its body and reset the connection while the request was still being written.

Cause: the kernel reports a reset once. If the write that waits gets the error, the read beside it finds the end of the connection, which is the end of a response without a length. Nobody compared the two. Requests that fit into the buffers of the kernel did not show it, because no write waits for them.

Change: at the end of a connection transport waits until the request has been written, and fails the read if that failed. A sound endpoint that responds early reads the request to its end, so a response whose request could not be sent in full is not known to be whole. It covers all users of transport: buffered responses, streams, services and completions.

Ruled out: to wait only for a write that has begun. An endpoint that dies between two reads of the request ends its side with a FIN, and the reset follows; the part before it would still count as whole.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 
 	"github.com/dandelionpier/dandelionpier/internal/fault"
 )
@@ -16,6 +17,8 @@
 const (
 	// Malformed means that the head of a response is not valid HTTP/1.1 (RFC 9112).
 	Malformed Kind = "malformed"
+	// Incomplete means that the connection failed before the end of a response.
+	Incomplete Kind = "incomplete"
 	// Unsupported means that a connection cannot be made in the way that is asked for.
 	Unsupported Kind = "unsupported"
 )
@@ -64,11 +67,20 @@
 
 // RoundTrip sends a request and reads the head of its response.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*conn); ok {
-			c.expectResponse()
-		}
-	}}
+	var current atomic.Pointer[conn]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*conn); ok {
+				c.expectResponse()
+				current.Store(c)
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if c := current.Load(); c != nil {
+				c.requestWritten(info.Err)
+			}
+		},
+	}
 	return t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 }
 
