A sound endpoint may read a long request late

What callers saw: an endpoint began to answer a long request and read on 2.5 s later.

Cause: TCP_USER_TIMEOUT (1.2 s), which finds endpoints that have vanished, also counts the time in which the endpoint does not read. The connection ended on our side, and the response with it.

Change: the gateway lifts it with the first byte of the response to a request of more than 16 KiB. Smaller ones fit into the buffer of an endpoint that does not read. The deadline of the request remains, for streams also the watchdog, which connects to a silent endpoint. An endpoint that vanishes in the middle of such a response is noticed later on a route without a stream.

Not changed: an endpoint that reads nothing for 1.2 s before it begins to respond still counts as lost.

--- a/internal/gateway/endpoint_request.go
+++ b/internal/gateway/endpoint_request.go
@@ -21,8 +21,11 @@
 	// connectTimeout is the timeout of a connection attempt. The round trip to an endpoint takes a millisecond or
 	// two; an endpoint that is down may not respond at all.
 	connectTimeout = 350 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection is closed.
+	// unackedTimeout is how long bytes may stay unsent or unacknowledged before the connection is closed. It ends with the first
+	// byte of a response, see allowLateReading.
 	unackedTimeout = 1200 * time.Millisecond
+	// maxUnreadBody is the size up to which a request body fits into the receive buffer of an endpoint that does not read.
+	maxUnreadBody = 16 << 10
 	// maxResponseHeaderBytes and maxResponseBytes limit the header and the buffered body of an endpoint's response.
 	maxResponseHeaderBytes = 64 << 10
 	maxResponseBytes       = 8 << 20
@@ -59,6 +62,20 @@
 	return result
 }
 
+// allowLateReading lifts unackedTimeout. An endpoint may begin to respond before it reads a long request and then read on at its
+// own pace, and the kernel counts the time in which it does not read like that of a lost connection. The deadline of the request
+// still applies, and for streams the watchdog.
+func allowLateReading(connection any) {
+	c, ok := connection.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := c.SyscallConn(); err == nil {
+		// An error means that the connection has ended.
+		_ = setUnackedTimeout(raw, 0)
+	}
+}
+
 // endpointResponse is a response of an endpoint whose header has been read and decoded.
 type endpointResponse struct {
 	*http.Response
@@ -69,12 +86,15 @@
 // BadResponse.
 func (g *Gateway) send(ctx context.Context, outgoing EndpointRequest) (*endpointResponse, error) {
 	const op = "send request"
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connection atomic.Value
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connection.Store(info.Conn) }}
+	if len(outgoing.Call.Body) > maxUnreadBody {
+		trace.GotFirstResponseByte = func() { allowLateReading(connection.Load()) }
+	}
 	request := g.newHTTPRequest(httptrace.WithClientTrace(ctx, trace), outgoing)
 	response, err := g.transport.RoundTrip(request)
 	if err != nil {
-		if !connected.Load() {
+		if connection.Load() == nil {
 			return nil, fault.Wrap(err, op, Unreached, outgoing.Endpoint)
 		}
 		return nil, fault.Wrap(err, op, BadResponse, outgoing.Endpoint)
