Tests of responses that are cut in their heads

Reported by another operator: a replica stopped in the middle of the head of its answer, and callers got a 200 with an empty or short body, framed as whole.

It does not happen here: http.Transport fails for a head without its end, and every reader passes that on as a failure. Nothing but tests has changed.

gateway.TestResponseCutAnywhere cuts five responses (length, chunked, trailer, interim, head only) after each byte on each route; a part is never a complete response.

--- a/entryd/internal/cli/failure_test.go
+++ b/entryd/internal/cli/failure_test.go
@@ -46,6 +46,15 @@
 		w.Header().Set(endpoint.HeaderRequestID, "other")
 		e.finish(0, 1)
 	}, dispatch.Failed},
+	"cut head": {func(w http.ResponseWriter, _ *http.Request, e eventWriter) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\n",
+			endpoint.HeaderRequestID, e.request, endpoint.HeaderAttemptID, e.attempt)
+	}, dispatch.ConnectionLost},
 	"blank in a field name": {func(w http.ResponseWriter, _ *http.Request, e eventWriter) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
--- a/entryd/internal/cli/service_test.go
+++ b/entryd/internal/cli/service_test.go
@@ -68,6 +68,16 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nbooked")
 			_ = c.Close()
 		}, "60", 502, refusal.MayHaveRun, claim.Unknown},
+		"cut head": {func(c net.Conn) {
+			readRequest(c)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Le")
+			_ = c.Close()
+		}, "60", 502, refusal.MayHaveRun, claim.Unknown},
+		"cut before the end of the head": {func(c net.Conn) {
+			readRequest(c)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n")
+			_ = c.Close()
+		}, "60", 502, refusal.MayHaveRun, claim.Unknown},
 		"status 000": {func(c net.Conn) {
 			readRequest(c)
 			_, _ = io.WriteString(c, "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok")
--- a/internal/gateway/malformed_response_test.go
+++ b/internal/gateway/malformed_response_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -154,3 +155,47 @@
 		}
 	}
 }
+
+// Guards against a response that counts as complete although it was cut: in its head, in its body, or in the chunk or trailer
+// that ends it. The response is cut after each byte.
+func TestResponseCutAnywhere(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\n" + rawHead
+	for name, raw := range map[string]string{
+		"length":  start + "Content-Length: 9\r\n\r\ndata: x\n\n",
+		"chunked": start + "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n0\r\n\r\n",
+		"trailer": start + "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n0\r\nX-T: t\r\n\r\n",
+		"interim": "HTTP/1.1 100 Continue\r\n\r\n" + start + "Content-Length: 9\r\n\r\ndata: x\n\n",
+		// The body ends with the connection, so that only the head can be seen to be cut.
+		"head only": start + "\r\n",
+	} {
+		for _, path := range forwardingPaths {
+			t.Run(name+path, func(t *testing.T) {
+				is := is.New(t)
+				length := len(raw) - 1
+				cut := 0
+				d := deploy(t, map[string]endpointBehaviour{"cut": func(w http.ResponseWriter, r *http.Request) {
+					respondRaw(raw[:cut])(w, r)
+				}})
+				for cut = 0; cut <= length; cut++ {
+					expectNoCompleteResponse(is, d, path, fmt.Sprintf("%d of %d bytes", cut, len(raw)))
+				}
+			})
+		}
+	}
+}
+
+// expectNoCompleteResponse sends a request whose response must be a failure, or a stream that the caller sees break off.
+func expectNoCompleteResponse(is *is.I, d *deployment, path, when string) {
+	is.Helper()
+	r, err := http.NewRequest(http.MethodPost, d.server.URL+path, strings.NewReader("body"))
+	is.NoErr(err)
+	r.Header.Set("Id", "request-1")
+	r.Header.Set("Key", "k")
+	response, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if response.StatusCode < http.StatusMultipleChoices && err == nil {
+		is.Equal(string(body), "a response that is not complete, "+when)
+	}
+}
