--- a/entryd/internal/cli/service_test.go
+++ b/entryd/internal/cli/service_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -119,6 +120,30 @@
 	}
 }
 
+// Guards against a part of a service's response that counts as the whole, because the service reset the connection while a long
+// request was still being written to it. It would be kept as the outcome of the call.
+func TestServiceResetsDuringUpload(t *testing.T) {
+	is := is.New(t)
+	const size = 8 << 20
+	address := startListener(t, func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		// The upload fills the buffers meanwhile, so that the reset meets a write that waits.
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	})
+	s := newTestEntry(address, address)
+	s.options.MaxBody = 2 * size
+	s.run(t)
+	for _, key := range []string{"k1", "k2", "k3", "k4", "k5"} {
+		response := s.send(t, "POST", "/v1/services/counter/charge", strings.Repeat("x", size), "Idempotency-Key", key)
+		is.Equal(response.status, http.StatusBadGateway)
+		is.Equal(decodeError(t, response).Error.Outcome, refusal.MayHaveRun)
+		is.Equal(s.claims.status(key), claim.Unknown)
+	}
+}
+
 // Guards against a claim that stays open, and blocks the caller's next try, although nothing was sent.
 func TestUnrepeatableNotSent(t *testing.T) {
 	closed := startListener(t, func(net.Conn) {})
