--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -146,6 +146,13 @@
 
 func (c *cluster) start(id string) {
 	c.t.Helper()
+	if err := c.tryStart(id); err != nil {
+		c.t.Fatalf("start %s: %v", id, err)
+	}
+}
+
+// tryStart starts a node, or returns the error with which it could not be opened.
+func (c *cluster) tryStart(id string) error {
 	if c.directories[id] == "" {
 		c.directories[id] = c.t.TempDir()
 	}
@@ -157,7 +164,7 @@
 	c.adjustConfig(&config)
 	node, err := consensus.New(config)
 	if err != nil {
-		c.t.Fatalf("start %s: %v", id, err)
+		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -167,6 +174,7 @@
 	c.machines[id] = state
 	c.network.mu.Unlock()
 	go func() { ended <- node.Run(ctx) }()
+	return nil
 }
 
 func (c *cluster) stop(id string) error {
