--- a/internal/transport/upload_test.go
+++ b/internal/transport/upload_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -24,8 +25,11 @@
 	// written counts the bytes of the request. The write of the last ones returns writeErr.
 	written, size int
 	writeErr      error
+	// stalled keeps that write waiting until the connection is closed.
+	stalled bool
 	// headWritten is closed with the first bytes of the request, ended when the response has been read, closed by Close.
 	headWritten, ended, closed chan struct{}
+	endOnce, closeOnce         sync.Once
 }
 
 func newEarlyConn(response string, size int, writeErr error) *earlyConn {
@@ -39,11 +43,7 @@
 	<-c.headWritten
 	n, err := c.response.Read(p)
 	if err != nil {
-		select {
-		case <-c.ended:
-		default:
-			close(c.ended)
-		}
+		c.endOnce.Do(func() { close(c.ended) })
 	}
 	return n, err
 }
@@ -55,8 +55,12 @@
 	if c.written += len(p); c.written < c.size {
 		return len(p), nil
 	}
+	ended := c.ended
+	if c.stalled {
+		ended = nil
+	}
 	select {
-	case <-c.ended:
+	case <-ended:
 	case <-c.closed:
 		return 0, net.ErrClosed
 	}
@@ -67,18 +71,30 @@
 }
 
 func (c *earlyConn) Close() error {
-	select {
-	case <-c.closed:
-	default:
-		close(c.closed)
-	}
+	c.closeOnce.Do(func() { close(c.closed) })
 	return nil
 }
 
+// uploadBytes is the length of the body that send sends.
+const uploadBytes = 1 << 20
+
+// send sends a request on the connection.
+func (c *earlyConn) send(ctx context.Context) (*http.Response, error) {
+	client := transport.New(&http.Transport{
+		DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) { return c, nil },
+	})
+	body := io.NopCloser(strings.NewReader(strings.Repeat("x", uploadBytes)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://endpoint/", body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = uploadBytes
+	return client.RoundTrip(request)
+}
+
 // Guards against a response without a length that counts as complete although the connection was reset while the request was
 // being written, and against one that fails although the request was written in the end.
 func TestResponseDuringUpload(t *testing.T) {
-	const upload = 1 << 20
 	for name, test := range map[string]struct {
 		response string
 		writeErr error
@@ -93,15 +109,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			conn := newEarlyConn(test.response, upload, test.writeErr)
-			client := transport.New(&http.Transport{
-				DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, nil },
-			})
-			body := io.NopCloser(strings.NewReader(strings.Repeat("x", upload)))
-			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://endpoint/", body)
-			is.NoErr(err)
-			request.ContentLength = upload
-			response, err := client.RoundTrip(request)
+			response, err := newEarlyConn(test.response, uploadBytes, test.writeErr).send(t.Context())
 			is.NoErr(err)
 			defer response.Body.Close()
 			got, err := io.ReadAll(response.Body)
@@ -114,3 +122,21 @@
 		})
 	}
 }
+
+// Guards against a read that goes on waiting for the end of the upload after the request was cancelled.
+func TestCancelWhileResponseAwaitsUpload(t *testing.T) {
+	is := is.New(t)
+	conn := newEarlyConn("HTTP/1.1 200 OK\r\n\r\npart", uploadBytes, nil)
+	conn.stalled = true
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	response, err := conn.send(ctx)
+	is.NoErr(err)
+	defer response.Body.Close()
+	go func() {
+		<-conn.ended
+		cancel()
+	}()
+	_, err = io.ReadAll(response.Body)
+	is.True(err != nil)
+}
