--- a/internal/gateway/malformed_response_test.go
+++ b/internal/gateway/malformed_response_test.go
@@ -101,6 +101,49 @@
 	}
 }
 
+// Guards against a response that is passed on although the value of a field holds a control byte, or although the fields that say
+// how long the body is cannot be read.
+func TestResponseWithMalformedValue(t *testing.T) {
+	for name, fields := range map[string]string{
+		"NUL":                         "X-A: a\x00b\r\n",
+		"carriage return":             "X-A: a\rX-B: b\r\n",
+		"DEL":                         "X-A: \x7f\r\n",
+		"length with a sign":          "Content-Length: +9\r\n",
+		"negative length":             "Content-Length: -9\r\n",
+		"hexadecimal length":          "Content-Length: 0x9\r\n",
+		"list of lengths":             "Content-Length: 9, 9\r\n",
+		"two lengths":                 "Content-Length: 9\r\nContent-Length: 8\r\n",
+		"empty length":                "Content-Length: \r\n",
+		"length over 64 bits":         "Content-Length: 99999999999999999999\r\n",
+		"other coding":                "Transfer-Encoding: gzip\r\n",
+		"chunked twice":               "Transfer-Encoding: chunked, chunked\r\n",
+		"chunked in two fields":       "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+		"chunked, body not in chunks": "Transfer-Encoding: chunked\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			expectBadGateway(t, "HTTP/1.1 200 OK\r\n"+rawHead+fields+"\r\ndata: x\n\n")
+		})
+	}
+}
+
+// Guards against a malformed trailer that reaches callers, or that changes the body.
+func TestMalformedTrailer(t *testing.T) {
+	const events = "data: x\n\n"
+	for name, trailer := range map[string]string{"blank in a name": "X T: t\r\n", "NUL in a name": "X\x00T: t\r\n", "length": "Content-Length: 3\r\n"} {
+		for _, path := range forwardingPaths {
+			t.Run(name+path, func(t *testing.T) {
+				is := is.New(t)
+				d := deploy(t, map[string]endpointBehaviour{"odd": respondRaw("HTTP/1.1 200 OK\r\n" + rawHead +
+					"Transfer-Encoding: chunked\r\n\r\n9\r\n" + events + "\r\n0\r\n" + trailer + "\r\n")})
+				response := d.call(t, http.MethodPost, path, "body", nil)
+				body, err := io.ReadAll(response.Body)
+				is.Equal(len(response.Trailer), 0)
+				is.True(response.StatusCode == http.StatusBadGateway || err != nil || string(body) == events)
+			})
+		}
+	}
+}
+
 // Guards against malformed fields that go unnoticed in an interim response in front of the final one.
 func TestInterimResponse(t *testing.T) {
 	const final = "HTTP/1.1 200 OK\r\n" + rawHead + "Content-Length: 9\r\n\r\ndata: x\n\n"
