--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -32,6 +32,10 @@
 		"connection closed":         abortConnection,
 		"response to another call":  respondToAnotherRequest,
 		"response without a proof":  respondWithoutProof,
+		"status 000":                respondRaw("HTTP/1.1 000 Odd\r\n" + rawHead + "\r\n" + encodeEvents(2, 2)),
+		"status 000, not run":       respondRaw("HTTP/1.1 000 Odd\r\n" + rawHead + "Not-Run: 1\r\n\r\n"),
+		"blank in a field name":     respondRaw("HTTP/1.1 200 OK\r\n" + rawHead + "X Y: z\r\n\r\n" + encodeEvents(2, 2)),
+		"cut head":                  respondRaw("HTTP/1.1 200 OK\r\n" + rawHead),
 		"partial content, as event": respond(http.StatusPartialContent, "text/event-stream", "data: "+errorText+"\n\n"),
 	} {
 		t.Run(name, func(t *testing.T) {
