A failed control instance ends within a second

What could be seen: the disk of a counted instance is full and its node ends. A caller that had stopped in the middle of a request kept the process for 10 s more, in which it neither worked nor was started again; the disk of the next instance may fill meanwhile, and changes stay unanswered without a quorum.

Cause: serveHTTP gave requests in flight the time of a planned stop, whatever the reason of the end.

Change: after a failure of the node it is 1 s, longer than a call to the quorum (900 ms), so that requests in flight get their responses. Planned stops are unchanged, and so is the order in which the parts report their errors, from which a new identity is decided.

Measured: cli.TestStalledRequestDelaysShutdown takes 10 s of its fake clock without the change and 1 s with it. The packages of controld, internal/fleet and platform pass with the race detector.

--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -298,6 +300,9 @@
 	}
 }
 
+// errNodeFailed is the cause with which the parts of a daemon end whose node has failed.
+var errNodeFailed = errors.New("the node of the replicated log has failed")
+
 // serve runs all parts of the daemon until ctx is done or one of them fails.
 func (d *daemon) serve(ctx context.Context) error {
 	peerListener, err := net.Listen("tcp", d.settings.PeerListen)
@@ -305,11 +310,22 @@
 		return err
 	}
 	stopping := ctx
-	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	var nodeFailed atomic.Bool
+	stop := func() {
+		if nodeFailed.Load() {
+			cancel(errNodeFailed)
+		}
+		cancel(nil)
+	}
 	defer stop()
 	ends := append(d.startInterfaces(ctx),
 		task.Start(ctx, func(ctx context.Context) error { return d.peerServer.Serve(ctx, peerListener) }),
-		task.Start(ctx, d.node.Run),
+		task.Start(ctx, func(ctx context.Context) error {
+			err := d.node.Run(ctx)
+			nodeFailed.Store(err != nil)
+			return err
+		}),
 		task.Start(ctx, d.controlService.Run),
 		task.Start(ctx, func(ctx context.Context) error { return d.prepareStop(stopping, ctx) }),
 	)
@@ -353,6 +369,9 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	shutdownTimeout   = 10 * time.Second
+	// failureShutdownTimeout replaces shutdownTimeout on an instance that has failed. It is longer than a call to the quorum,
+	// so that requests in flight get their responses.
+	failureShutdownTimeout = time.Second
 )
 
 // listenHTTP listens on an address and serves until ctx is done.
@@ -364,7 +383,8 @@
 	return serveHTTP(ctx, listener, handler, logger)
 }
 
-// serveHTTP serves until ctx is done and then completes the requests in flight.
+// serveHTTP serves until ctx is done and then completes the requests in flight. If the cause of ctx is a failure, they have less
+// time: the instance can serve nothing and should start again soon.
 func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, logger *zap.Logger) error {
 	errorLog, _ := zap.NewStdLogAt(logger, zap.DebugLevel)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: errorLog}
@@ -375,7 +395,11 @@
 		return err
 	case <-ctx.Done():
 	}
-	shutdown, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	timeout := shutdownTimeout
+	if !errors.Is(context.Cause(ctx), context.Canceled) {
+		timeout = failureShutdownTimeout
+	}
+	shutdown, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
 	err := server.Shutdown(shutdown)
 	<-serveErr
