An order to drain that its caller gave up does not undo a newer one

Cause: the withdrawal was first sent to an instance that stood still. The caller gave up after a second and sent it to another instance. On waking, the first one read it from its socket and passed it on at once, often before the HTTP server had found the end of the connection. The order had nothing by which the leader could tell a late one from a new one.

Ruled out: a lost or reordered log entry; the leader commits the late withdrawal as the last one.

Orders in logs written before have no revision and are applied as before.

Why it works: a caller sends a newer order only after it has left.

--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -15,6 +16,9 @@
 	Drain      bool   `cbor:"2,keyasint"`
 	// Author is named in the history.
 	Author string `cbor:"3,keyasint"`
+	// Since, if set, is the revision of the configuration when the order was accepted. If the drain of the data centre has
+	// changed after it, the order changes nothing.
+	Since *uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // DrainReply is the reply to a DrainRequest. It is sent after the change has been committed.
@@ -25,21 +29,40 @@
 	Revision uint64
 	// Changed is false if the state was as requested before.
 	Changed bool
+	// Superseded means that a later order has set another state, which stays.
+	Superseded bool
 }
 
 func (r DrainReply) redirect() (bool, string) { return r.NotLeader, r.Leader }
 
 // drainDataCentre sets whether a data centre is drained, as a revision of the configuration. Unlike an operator's
-// transaction it names no expected revision: the order in the log decides. The caller holds m.mu.
+// transaction it does not depend on changes of anything else. The caller holds m.mu.
 func (m *Machine) drainDataCentre(request DrainRequest) DrainReply {
 	if m.configuration.DataCentres[request.DataCentre].Drain == request.Drain {
 		return DrainReply{Revision: m.configuration.Revision}
 	}
+	if request.Since != nil && m.dataCentreChangedAfter(*request.Since, request.DataCentre) {
+		return DrainReply{Revision: m.configuration.Revision, Superseded: true}
+	}
 	setting := configuration.DataCentreSetting{Name: request.DataCentre, Drain: request.Drain}
 	reply := m.acceptChanges(request.Author, []configuration.Change{{DataCentre: &setting}})
 	return DrainReply{Revision: reply.Revision, Changed: reply.Status == Accepted}
 }
 
+// dataCentreChangedAfter reports whether a revision after the given one may have changed the settings of a data centre.
+// The caller holds m.mu.
+func (m *Machine) dataCentreChangedAfter(revision uint64, name string) bool {
+	later := m.since(revision)
+	if uint64(len(later)) != m.configuration.Revision-min(revision, m.configuration.Revision) {
+		return true // some revisions are no longer kept
+	}
+	return slices.ContainsFunc(later, func(r configuration.Revision) bool {
+		return slices.ContainsFunc(r.Changes, func(c configuration.Change) bool {
+			return c.DataCentre != nil && c.DataCentre.Name == name
+		})
+	})
+}
+
 // DrainDataCentre commits whether a data centre is drained.
 func (s *commandService) DrainDataCentre(request DrainRequest, reply *DrainReply) error {
 	result, ok := propose[DrainReply](s.Service, Command{DrainDataCentre: &request})
@@ -49,7 +72,7 @@
 	}
 	*reply = result
 	s.config.Logger.Info("Committed the state of a data centre", zap.String("data-centre", request.DataCentre),
-		zap.Bool("drain", request.Drain), zap.Bool("changed", result.Changed), zap.Uint64("revision", result.Revision))
+		zap.Bool("drain", request.Drain), zap.Bool("changed", result.Changed), zap.Bool("superseded", result.Superseded), zap.Uint64("revision", result.Revision))
 	return nil
 }
 
--- a/internal/control/drain_test.go
+++ b/internal/control/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,6 +62,46 @@
 	}
 }
 
+// Guards against a withdrawal that an instance accepted before the data centre was drained once more, and that arrives
+// after it: it undid the newer order, which was acknowledged. Orders about anything else do not hold it up.
+func TestLateDrainOrder(t *testing.T) {
+	since := func(revision uint64) *uint64 { return &revision }
+	drain := control.DrainRequest{DataCentre: "a", Drain: true}
+	end := control.DrainRequest{DataCentre: "a"}
+	other := control.DrainRequest{DataCentre: "b", Drain: true}
+	again := slices.Repeat([]control.DrainRequest{drain, end}, 1024)
+	cases := map[string]struct {
+		before     []control.DrainRequest
+		late       control.DrainRequest
+		superseded bool
+		drained    bool
+	}{
+		"accepted before a newer drain":       {[]control.DrainRequest{drain, end, drain}, control.DrainRequest{DataCentre: "a", Since: since(1)}, true, true},
+		"accepted after it":                   {[]control.DrainRequest{drain, end, drain}, control.DrainRequest{DataCentre: "a", Since: since(3)}, false, false},
+		"before one of another":               {[]control.DrainRequest{drain, other}, control.DrainRequest{DataCentre: "a", Since: since(1)}, false, false},
+		"nothing to undo":                     {[]control.DrainRequest{drain, end}, control.DrainRequest{DataCentre: "a", Since: since(0)}, false, false},
+		"a drain before a newer withdrawal":   {[]control.DrainRequest{drain, end}, control.DrainRequest{DataCentre: "a", Drain: true, Since: since(0)}, true, false},
+		"revisions after it no longer known":  {append(again, drain), control.DrainRequest{DataCentre: "a", Since: since(1)}, true, true},
+		"written before orders had revisions": {[]control.DrainRequest{drain}, end, false, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := control.NewMachine()
+			apply := func(order control.DrainRequest) control.DrainReply {
+				data, err := control.Command{DrainDataCentre: &order}.Encode()
+				is.NoErr(err)
+				return m.Apply(0, data).(control.DrainReply)
+			}
+			for _, order := range c.before {
+				apply(order)
+			}
+			is.Equal(apply(c.late).Superseded, c.superseded)
+			is.Equal(m.Configuration().Drained("e", "a"), c.drained)
+		})
+	}
+}
+
 // Guards against a drain that is confirmed without a quorum, that an entry does not learn, and that an entry forgets
 // when it starts again or when the leader changes.
 func TestDrainReachesAllEntries(t *testing.T) {
