A request that crashes engines behind its first event is refused

Cause: entries noticed the crashes and reported none of them. A crash after the first event counted as no evidence. That is right for the parts of a prompt, which the engine has survived, but the request as a whole was left out too. A resumption did not look at what had been found since the request arrived.

Evidence: the logs of the entries had 34 such crashes with the same fingerprint, and the quorum convicted nothing. Ruled out: different fingerprints, crashes that are not noticed.

Change: these crashes are reported, without parts, with the times at which the request was sent and the stream was cut off. The quorum counts the first one, and later ones if the request was sent after the death before, with a tolerance of 250 ms for the times that reports take. Each attempt asks whether the request has been convicted.

Why it works: a request that crashes endpoints crashes the next one that gets it. Endpoints that fail together cut many sound streams, but these were sent before the first death.

Tests: gateway.TestCrashBeforeFirstEventIsReported asked that a crash after the first event is not reported. TestCrashesAreReported replaces it: the parts must still not be blamed, and the crash must be reported. It and TestConvictedStreamIsNotResumed fail without the change; four cases of control.TestRequestsThatCrashEndpointsDuringTheStream fail if all streams count.

--- a/internal/control/declared.go
+++ b/internal/control/declared.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -61,6 +62,16 @@
 	Parts []string `cbor:"3,keyasint,omitempty"`
 	// Started is the start of the incarnation that died in Unix milliseconds, or 0 if it is not known.
 	Started int64 `cbor:"4,keyasint,omitempty"`
+	// Stream is set if the response to the request had begun.
+	Stream *CutStream `cbor:"5,keyasint,omitempty"`
+}
+
+// CutStream tells the times of a response that a crash cut off.
+type CutStream struct {
+	// SentAgo is the time since the request was sent to the endpoint, EndedAgo the time since the response was cut off,
+	// both when the report is sent.
+	SentAgo  time.Duration `cbor:"1,keyasint"`
+	EndedAgo time.Duration `cbor:"2,keyasint"`
 }
 
 // ClearPartRequest says that an engine has written on a part of prompts since the first crash that it is blamed for.
@@ -76,6 +87,14 @@
 	Cleared bool
 }
 
+// diedAt returns the time of the death in Unix milliseconds.
+func (r SuspectRequest) diedAt(now int64) int64 {
+	if r.Stream == nil {
+		return now
+	}
+	return now - r.Stream.EndedAgo.Milliseconds()
+}
+
 // SuspectReply is the reply to a SuspectRequest.
 type SuspectReply struct {
 	NotLeader   bool
@@ -98,14 +117,29 @@
 	quarantineThreshold = 3
 	// maxSuspects bounds the number of suspect requests that are tracked.
 	maxSuspects = 4096
+	// reportTimeTolerance bounds by how much the times that two reports take may differ for their order in time to be told.
+	reportTimeTolerance = 250 * time.Millisecond
 )
 
 // suspect records the deaths of endpoints that ran one request.
 type suspect struct {
-	// Last is the time of the last death in Unix milliseconds.
+	// Last is the time of the last report in Unix milliseconds.
 	Last int64 `cbor:"2,keyasint"`
 	// Deaths are the incarnations of endpoints that died.
 	Deaths []death `cbor:"3,keyasint"`
+	// LastDeath is the time of the last death in Unix milliseconds.
+	LastDeath int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// wasRunning reports whether a stream had begun before the last death. Endpoints that fail together cut all their streams,
+// which says little of a request that ran at several of them. One that crashes endpoints also crashes those that get it
+// after a death.
+func (s suspect) wasRunning(stream *CutStream, now int64) bool {
+	if stream == nil || len(s.Deaths) == 0 {
+		return false
+	}
+	sent := now - stream.SentAgo.Milliseconds()
+	return sent < s.LastDeath-reportTimeTolerance.Milliseconds()
 }
 
 // death is the death of one incarnation of an endpoint.
@@ -153,7 +187,11 @@
 		return reply
 	}
 	s := m.suspects[request.Fingerprint]
+	if s.wasRunning(request.Stream, m.logTime) {
+		return reply
+	}
 	s.Last = m.logTime
+	s.LastDeath = max(s.LastDeath, request.diedAt(m.logTime))
 	if died := (death{request.Endpoint, request.Started}); !slices.Contains(s.Deaths, died) {
 		s.Deaths = append(slices.Clone(s.Deaths), died)
 	}
--- a/internal/control/declared_test.go
+++ b/internal/control/declared_test.go
@@ -101,6 +101,43 @@
 	}
 }
 
+// Guards against a request that crashes endpoints behind the first event of its stream and is never refused, and against a
+// sound one that is refused because endpoints that ran it failed together.
+func TestRequestsThatCrashEndpointsDuringTheStream(t *testing.T) {
+	// stream is one that ran at an endpoint of its own, in the time since the first event.
+	type stream struct{ sent, ended time.Duration }
+	const s, ms = time.Second, time.Millisecond
+	tests := map[string]struct {
+		streams     []stream
+		quarantined bool
+	}{
+		"resumed twice":                 {[]stream{{0, 5 * s}, {5 * s, 9 * s}, {9 * s, 15 * s}}, true},
+		"resumed once, then sent again": {[]stream{{0, 40 * ms}, {41 * ms, 80 * ms}, {s, s + 40*ms}}, true},
+		"sent by three callers at once": {[]stream{{0, 40 * ms}, {0, 42 * ms}, {0, 44 * ms}}, true},
+		"long streams cut together":     {[]stream{{0, 9 * s}, {4 * s, 9*s + 10*ms}, {8 * s, 9*s + 20*ms}}, false},
+		"cut together, one resumed":     {[]stream{{0, 9 * s}, {4 * s, 9*s + 10*ms}, {9*s + 1*ms, 12 * s}}, false},
+		"two endpoints":                 {[]stream{{0, 5 * s}, {5 * s, 9 * s}}, false},
+	}
+	for name, test := range tests {
+		for _, delay := range []time.Duration{0, 200 * ms} {
+			t.Run(fmt.Sprint(name, ", the first report committed after ", delay), func(t *testing.T) {
+				m := NewMachine()
+				start := time.UnixMilli(1_800_000_000_000)
+				var now time.Time
+				for i, r := range test.streams {
+					now = start.Add(r.ended + 50*ms)
+					cut := CutStream{SentAgo: now.Sub(start.Add(r.sent)), EndedAgo: now.Sub(start.Add(r.ended))}
+					if i == 0 {
+						now = now.Add(delay)
+					}
+					apply(t, m, Command{Time: now.UnixMilli(), Suspect: &SuspectRequest{Fingerprint: 7, Endpoint: fmt.Sprint("e", i), Stream: &cut}})
+				}
+				is.New(t).Equal(len(m.Quarantined(now.UnixMilli())) == 1, test.quarantined)
+			})
+		}
+	}
+}
+
 // Guards against reports on parts alone that together count against a request.
 func TestReportsWithoutARequest(t *testing.T) {
 	m := NewMachine()
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -225,6 +225,9 @@
 // to write.
 func (c *Client) ReportCrash(ctx context.Context, report crash.Report, fingerprint uint64) error {
 	request := SuspectRequest{Fingerprint: fingerprint, Endpoint: report.Endpoint, Started: report.Started, Parts: report.Parts}
+	if s := report.Stream; s != nil {
+		request.Stream = &CutStream{SentAgo: time.Since(s.Sent), EndedAgo: time.Since(s.Ended)}
+	}
 	_, err := call[SuspectReply](ctx, c, "Registrations.Suspect", request, attemptTimeout)
 	return err
 }
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -12,15 +12,23 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Report describes what a crashed engine had not begun to write on. Requests whose response had begun are no suspects:
-// an engine that a part crashes ends when it begins to write.
+// Report describes a request that an endpoint ran when it crashed.
 type Report struct {
 	// Endpoint is the engine's id. An engine may start again under the id that it had.
 	Endpoint string `cbor:"1,keyasint"`
-	// Parts are the ids of the parts of one request that other requests may hold, in the order of its prompt.
+	// Parts are the ids of the parts of the request that other requests may hold, in the order of its prompt. There are none
+	// if the response had begun: an engine that a part crashes ends when it begins to write.
 	Parts []string `cbor:"2,keyasint"`
 	// Started is the start of the engine's incarnation in Unix milliseconds, or 0 if it is not known.
 	Started int64 `cbor:"3,keyasint,omitempty"`
+	// Stream is set if the response had begun.
+	Stream *Stream `cbor:"-"`
+}
+
+// Stream is a response that a crash cut off, in the time of the entry that received it.
+type Stream struct {
+	// Sent is when the request was sent to the endpoint, Ended when the response was cut off.
+	Sent, Ended time.Time
 }
 
 // NoFingerprint in a report means that no whole request is a suspect.
--- a/internal/crash/witness.go
+++ b/internal/crash/witness.go
@@ -12,7 +12,7 @@
 
 // Quorum records evidence. control.Client implements it.
 type Quorum interface {
-	// ReportCrash records that an engine crashed before it began to write on a request.
+	// ReportCrash records that an endpoint crashed while it ran a request.
 	ReportCrash(ctx context.Context, report Report, fingerprint uint64) error
 	// ClearPart records that an engine has written on a part since the first crash that it is blamed for.
 	ClearPart(ctx context.Context, part string) error
@@ -127,7 +127,7 @@
 	return now.Sub(w.served.last(fingerprint)) < innocenceTime
 }
 
-// ReportCrash tells the quorum that an endpoint crashed before it began to answer a request. fingerprint is that of the
+// ReportCrash tells the quorum that an endpoint crashed while it ran a request. fingerprint is that of the
 // whole request, which is no suspect if it was served shortly before: one that crashes endpoints crashes each that runs it.
 func (w *Witness) ReportCrash(report Report, fingerprint uint64) {
 	if w.wasServed(fingerprint, time.Now()) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,7 +32,7 @@
 // nextAttempt selects an endpoint for the next attempt. It returns a refusal if there is none.
 func (g *Gateway) nextAttempt(ctx context.Context, x *exchange, lastEventID string) (*attempt, *Refusal) {
 	a := &attempt{outgoing: EndpointRequest{Call: x.call, Workspace: x.workspace.Name, Urgency: -1, LastEventID: lastEventID}}
-	if refusal := g.refuseBlamed(x, time.Now()); refusal != nil {
+	if refusal := g.refuseCrashing(x, time.Now()); refusal != nil {
 		return nil, refusal
 	}
 	if refusal := g.refuseStopping(time.Now(), x, a.grant); refusal != nil {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -35,28 +35,63 @@
 	return response
 }
 
-// Guards against blaming a prompt for the crash of an engine that had begun to write on it, against blaming its own
-// part, and against evidence that is not reported.
-func TestCrashBeforeFirstEventIsReported(t *testing.T) {
+// Guards against blaming the parts of a prompt for the crash of an engine that had begun to write on them, against blaming
+// the own part of a prompt, and against evidence that is not reported: a request that crashed engines behind its first event
+// was never refused.
+func TestCrashesAreReported(t *testing.T) {
 	is := is.New(t)
 	d := deploy(t, map[string]endpointBehaviour{"a": crashAfterEvents, "b": crashAfterEvents})
+	before := time.Now()
 	// The first engine crashes during the stream, the other one before it.
 	d.askParts(t, "tell", 2)
+	during := d.witness.nextReport(t)
+	stream := during.Stream
+	during.Stream = nil
+	is.Equal(during, crash.Report{Endpoint: d.placer.members[0].Endpoint, Started: endpointStarted})
+	is.True(!stream.Sent.Before(before) && stream.Ended.After(stream.Sent) && stream.Ended.Before(time.Now()))
 	d.askParts(t, "tell", 0)
-	report := <-d.witness.reports
+	report := d.witness.nextReport(t)
 	is.Equal(report, crash.Report{Endpoint: d.placer.members[1].Endpoint, Started: endpointStarted, Parts: []string{"system", "deadly"}})
 	d.witness.mu.Lock()
 	defer d.witness.mu.Unlock()
 	is.Equal(d.witness.written, []string{"system", "deadly"}) // by the first stream
 }
 
+// Guards against a stream that is resumed at a further engine after its request has been convicted of crashing engines.
+func TestConvictedStreamIsNotResumed(t *testing.T) {
+	is := is.New(t)
+	var d *deployment
+	convict := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Events") == "" {
+			respondOneEvent(w, r)
+			return
+		}
+		d.witness.mu.Lock()
+		d.session.view.Quarantined = map[uint64]bool{d.witness.served[0]: true}
+		d.witness.mu.Unlock()
+		d.updateFleet(t)
+		crashAfterEvents(w, r)
+	}
+	d = deploy(t, map[string]endpointBehaviour{"a": convict, "b": convict})
+	ask := func(events string) error {
+		response := d.call(t, http.MethodPost, "/ask/x", "prompt", map[string]string{"Events": events})
+		_, err := io.ReadAll(response.Body)
+		return err
+	}
+	is.NoErr(ask("")) // tells the witness the fingerprint of the request
+	is.True(ask("2") != nil)
+	is.Equal(d.requestCount(), 2)
+	is.Equal(d.call(t, http.MethodPost, "/ask/x", "prompt", nil).StatusCode, http.StatusServiceUnavailable)
+	is.Equal(d.requestCount(), 2)
+}
+
 // Guards against the crash of a plain endpoint that is reported without its incarnation: one that starts again under its id
 // would count once.
 func TestCrashOfPlainEndpointIsReported(t *testing.T) {
 	is := is.New(t)
 	d := deploy(t, map[string]endpointBehaviour{"a": crashAfterEvents})
 	is.Equal(d.call(t, http.MethodPost, "/file/x", "book", map[string]string{"Events": "0"}).StatusCode, http.StatusBadGateway)
-	is.Equal(<-d.witness.reports, crash.Report{Endpoint: "a", Started: endpointStarted})
+	is.Equal(d.witness.nextReport(t), crash.Report{Endpoint: "a", Started: endpointStarted})
 }
 
 // Guards against sound requests that are suspects of crashes because nothing says that they were served, and against ones
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -146,6 +146,21 @@
 
 func (w *fakeWitness) ReportCrash(report crash.Report, _ uint64) { w.reports <- report }
 
+// maxReportTime is the time without a report after which a test fails.
+const maxReportTime = 10 * time.Second
+
+// nextReport returns the next report of a crash.
+func (w *fakeWitness) nextReport(t *testing.T) crash.Report {
+	t.Helper()
+	select {
+	case report := <-w.reports:
+		return report
+	case <-time.After(maxReportTime):
+		t.Fatal("no crash was reported")
+		return crash.Report{}
+	}
+}
+
 func (w *fakeWitness) RecordWritten(parts []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,7 +135,7 @@
 
 // Witness is told which requests endpoints crash on and which they do not. crash.Witness implements it.
 type Witness interface {
-	// ReportCrash is called for each request whose endpoint crashed before it had begun to answer.
+	// ReportCrash is called for each request whose endpoint crashed while it ran the request.
 	ReportCrash(report crash.Report, fingerprint uint64)
 	// RecordServed is called when an endpoint has served a request with success.
 	RecordServed(fingerprint uint64)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -209,18 +209,12 @@
 	if x.engine != nil {
 		x.parts = crash.SharedParts(x.call.Prompt.Parts)
 	}
-	switch {
-	case g.shutdown.hasStopped():
+	if g.shutdown.hasStopped() {
 		return pointer(stopping())
-	case g.config.Fleet.Quarantined(x.fingerprint):
-		return pointer(notRun("the request crashes endpoints", quarantineRetryAfter))
 	}
-	return g.refuseBlamed(x, time.Now())
+	return g.refuseCrashing(x, time.Now())
 }
 
-// quarantineRetryAfter is for requests that are quarantined because they crash endpoints.
-const quarantineRetryAfter = time.Minute
-
 // fingerprint returns a hash of the workspace, method, host, target and body of a request.
 func fingerprint(x *exchange) uint64 {
 	var digest xxhash.Digest
