An order whose caller has left is dropped before the HTTP server notices

Cause: the check relied on the HTTP server, which cancels a request when the goroutine that reads on the connection finds its end. An instance that wakes up has hundreds of goroutines to run, and got the quorum's reply first. Ruled out: a departure that the quorum should have refused (it named the incarnation that was registered), a change of the leader.

Change: package connection asks the socket whether the end of the connection has arrived, without reading from it. controld stores the connection in the context of each request.

Why it works: the end has been in the socket since before the instance woke up.

--- a/controld/internal/cli/run.go
+++ b/controld/internal/cli/run.go
@@ -17,6 +17,7 @@
 	"github.com/dandelionpier/dandelionpier/controld/internal/formation"
 	"github.com/dandelionpier/dandelionpier/controld/internal/operator"
 	"github.com/dandelionpier/dandelionpier/internal/certificate"
+	"github.com/dandelionpier/dandelionpier/internal/connection"
 	"github.com/dandelionpier/dandelionpier/internal/consensus"
 	"github.com/dandelionpier/dandelionpier/internal/control"
 	"github.com/dandelionpier/dandelionpier/internal/endpoint"
@@ -387,7 +388,9 @@
 // time: the instance can serve nothing and should start again soon.
 func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, logger *zap.Logger) error {
 	errorLog, _ := zap.NewStdLogAt(logger, zap.DebugLevel)
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: errorLog}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: errorLog, ConnContext: connection.NewContext,
+	}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(listener) }()
 	select {
