A departure that its replica gave up does not end a later incarnation

Cause: as with drains, an instance that had stood still read the departures when their callers had given up, and passed them on. A departure without a start ends the incarnation that is registered when it is committed. That was the new one by then; it was recorded as ended, so that its check-ins counted as late ones.

If none is registered, the departure says so and changes nothing if there is one when it is committed. The log line of a departure says whether a later incarnation superseded it.

Why it works: the new incarnation starts after the departure has been confirmed elsewhere, so after its caller has left the first instance.

--- a/internal/control/declared.go
+++ b/internal/control/declared.go
@@ -50,6 +50,8 @@
 	// Refused means that the check-in names another service, data centre or address than the endpoint with its id has, so
 	// that it changed nothing.
 	Refused bool
+	// Superseded means that the departure changed nothing, because a later incarnation of the endpoint is registered.
+	Superseded bool
 }
 
 // SuspectRequest reports that an endpoint died while it ran a request.
@@ -160,16 +162,17 @@
 // register applies a check-in or a departure to the list of endpoints. The caller holds m.mu.
 func (m *Machine) register(request RegisterRequest) RegisterReply {
 	before := m.endpoints.Version()
+	var reply RegisterReply
 	if request.CheckIn != nil {
 		m.endpoints.CheckIn(*request.CheckIn)
 	}
 	if request.Depart != nil {
-		m.endpoints.Depart(*request.Depart)
+		reply.Superseded = !m.endpoints.Depart(*request.Depart)
 	}
 	if m.endpoints.Version() != before {
 		m.notify()
 	}
-	return RegisterReply{}
+	return reply
 }
 
 // recordDeath records that an endpoint died while it ran a request, and quarantines the request after the deaths of
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -134,24 +134,27 @@
 	if r := request.CheckIn; r != nil && s.config.Machine.StaysCold(*r) && s.checkIns.warmsUpAsKnown(*r, received) {
 		return nil
 	}
-	if _, ok := propose[RegisterReply](s.Service, Command{Register: &request}); !ok {
+	result, ok := propose[RegisterReply](s.Service, Command{Register: &request})
+	if !ok {
 		reply.NotLeader, reply.Leader = true, s.leaderAddress()
 		return nil
 	}
+	*reply = result
 	if request.CheckIn != nil {
 		s.checkIns.recordCommitted(*request.CheckIn, received)
 	}
-	s.logRegistration(request)
+	s.logRegistration(request, result)
 	return nil
 }
 
-func (s *Service) logRegistration(request RegisterRequest) {
+func (s *Service) logRegistration(request RegisterRequest, result RegisterReply) {
 	if r := request.CheckIn; r != nil {
 		s.config.Logger.Info("Registered an endpoint", zap.String(logging.Endpoint, r.ID), zap.String("address", r.Address),
 			zap.String("service", r.Service), zap.String("state", string(r.State)), zap.Duration("cold", r.Cold), zap.Uint64("sequence", r.Sequence))
 	}
 	if d := request.Depart; d != nil {
-		s.config.Logger.Info("An endpoint departed", zap.String(logging.Endpoint, d.ID), zap.Bool("silent", d.Silent))
+		s.config.Logger.Info("An endpoint departed", zap.String(logging.Endpoint, d.ID), zap.Bool("silent", d.Silent),
+			zap.Bool("superseded", result.Superseded))
 	}
 }
 
@@ -200,8 +203,8 @@
 func (s *Service) removeSilent(term uint64, now time.Time) {
 	for _, r := range s.checkIns.silent(term, s.config.Machine.Endpoints(), now) {
 		request := RegisterRequest{Depart: &registration.Departure{ID: r.ID, Started: r.Started, Silent: true}}
-		if _, ok := propose[RegisterReply](s, Command{Register: &request}); ok {
-			s.logRegistration(request)
+		if result, ok := propose[RegisterReply](s, Command{Register: &request}); ok {
+			s.logRegistration(request, result)
 		}
 	}
 }
--- a/internal/registration/registration.go
+++ b/internal/registration/registration.go
@@ -78,6 +78,14 @@
 	Started int64 `cbor:"2,keyasint"`
 	// Silent says that the endpoint has sent no check-ins for too long. The same incarnation may check in again.
 	Silent bool `cbor:"3,keyasint"`
+	// Unregistered says that the endpoint was not registered when the departure was accepted. If it is by now, the departure
+	// changes nothing.
+	Unregistered bool `cbor:"4,keyasint,omitempty"`
+}
+
+// precedes reports whether the departure is that of an earlier incarnation than the registered one.
+func (d Departure) precedes(registered Record) bool {
+	return d.Unregistered || d.Started != 0 && d.Started < registered.Started
 }
 
 // endedIncarnation is an incarnation that announced its departure. It is kept so that a late check-in of it is ignored.
@@ -219,11 +227,12 @@
 	return found
 }
 
-// Depart removes an endpoint.
-func (g *Registry) Depart(d Departure) {
+// Depart removes an endpoint. It returns false, and changes nothing, if a later incarnation than the one that ended is
+// registered.
+func (g *Registry) Depart(d Departure) bool {
 	old, ok := g.records[d.ID]
-	if ok && d.Started != 0 && d.Started < old.Started {
-		return
+	if ok && d.precedes(old) {
+		return false
 	}
 	if !d.Silent {
 		g.recordEnded(endedIncarnation{ID: d.ID, Started: max(d.Started, old.Started)})
@@ -231,6 +240,7 @@
 	if ok {
 		g.remove(old)
 	}
+	return true
 }
 
 func (g *Registry) recordEnded(e endedIncarnation) {
--- a/internal/registration/registration_test.go
+++ b/internal/registration/registration_test.go
@@ -81,6 +81,34 @@
 	is.Equal(r.Started, int64(30))
 }
 
+// Guards against a late departure that ends a later incarnation than its own.
+func TestLateDeparture(t *testing.T) {
+	tests := map[string]struct {
+		departure registration.Departure
+		departs   bool
+	}{
+		"of the registered incarnation":  {registration.Departure{ID: "e", Started: 20}, true},
+		"of an earlier one":              {registration.Departure{ID: "e", Started: 10}, false},
+		"accepted when there was none":   {registration.Departure{ID: "e", Unregistered: true}, false},
+		"of an unknown incarnation":      {registration.Departure{ID: "e"}, true},
+		"of another endpoint":            {registration.Departure{ID: "other", Unregistered: true}, true},
+		"of one that has been silent":    {registration.Departure{ID: "e", Started: 20, Silent: true}, true},
+		"of an earlier one, now silent":  {registration.Departure{ID: "e", Started: 10, Silent: true}, false},
+		"of one that the list lacks yet": {registration.Departure{ID: "e", Started: 30}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			registry := registration.NewRegistry(registration.Snapshot{})
+			registry.CheckIn(record("e", "a:1", 20, 1, registration.Ready))
+			is.Equal(registry.Depart(test.departure), test.departs)
+			_, known := registry.Find("e")
+			is.Equal(known, !test.departs || test.departure.ID != "e")
+			is.Equal(registry.WouldChange(record("e", "a:1", 20, 2, registration.Draining)), known || test.departure.Silent)
+		})
+	}
+}
+
 // Guards against an endpoint that was only silent and is ignored when it checks in again.
 func TestSilentEndpointMayReturn(t *testing.T) {
 	is := is.New(t)
