The end of a leaving endpoint is no evidence against its streams

What could be seen, by reading, since streams that had begun count as evidence: three endpoints that are replaced one after another cut a long, sound stream each time, and its request is refused for ten minutes.

Cause: an endpoint that has ended as planned refuses connections as a crashed one does.

Change: a stream that had begun at an endpoint that was draining, had left the list, or had said so in its response is not reported when the endpoint ends. Requests that had not begun are reported as before.

Why it works: an endpoint leaves the list before it ends as planned; one that crashes stays listed until it starts again or has been silent for 15 s.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -15,15 +15,21 @@
 const crashCheckDelay = 50 * time.Millisecond
 
 // reportIfCrashed checks whether the endpoint of a failed request has crashed. If the endpoint still runs, the failed
-// connection is no evidence against the request.
+// connection is no evidence against the request. Neither is the end of an endpoint that was leaving: it cuts the streams
+// that take longer than it stays.
 func (g *Gateway) reportIfCrashed(x *exchange, a *attempt) {
 	ended := time.Now()
+	withdrawn, _ := g.config.Fleet.Withdrawn(a.outgoing.Endpoint, a.outgoing.Started)
+	wasLeaving := withdrawn || a.leaving
 	time.AfterFunc(crashCheckDelay, func() {
 		if acceptsConnections(a.outgoing.Address) {
 			return
 		}
 		x.log.Info("An endpoint died while it ran a request", zap.String(logging.Endpoint, a.outgoing.Endpoint),
-			zap.Uint64("fingerprint", x.fingerprint), zap.Bool("begun", a.begun), zap.Strings("parts", x.parts))
+			zap.Uint64("fingerprint", x.fingerprint), zap.Bool("begun", a.begun), zap.Bool("leaving", wasLeaving), zap.Strings("parts", x.parts))
+		if a.begun && wasLeaving {
+			return
+		}
 		report := crash.Report{Endpoint: a.outgoing.Endpoint, Started: a.outgoing.Started, Parts: x.parts}
 		if a.begun {
 			// The engine has written on the parts of the prompt, so that they are no suspects.
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -57,6 +57,24 @@
 	is.Equal(d.witness.written, []string{"system", "deadly"}) // by the first stream
 }
 
+// Guards against a sound request that is convicted because endpoints that were replaced one after another cut its streams.
+func TestEndOfLeavingEndpointIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	var d *deployment
+	leave := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Events") != "0" {
+			d.changeRecord(t, d.placer.members[0].Endpoint, drain)
+		}
+		crashAfterEvents(w, r)
+	}
+	d = deploy(t, map[string]endpointBehaviour{"a": leave, "b": leave})
+	first, second := d.placer.members[0].Endpoint, d.placer.members[1].Endpoint
+	d.askParts(t, "tell", 2)
+	d.askParts(t, "tell", 0)
+	is.True(first != second)
+	is.Equal(d.witness.nextReport(t).Endpoint, second)
+}
+
 // Guards against a stream that is resumed at a further engine after its request has been convicted of crashing engines.
 func TestConvictedStreamIsNotResumed(t *testing.T) {
 	is := is.New(t)
