--- a/internal/gateway/endpoint_request.go
+++ b/internal/gateway/endpoint_request.go
@@ -62,9 +62,9 @@
 	return result
 }
 
-// allowLateReading lifts unackedTimeout once the response to a long request has begun. An endpoint may begin to respond before it reads a long request and then read on at its
-// own pace, and the kernel counts the time in which it does not read like that of a lost connection. The deadline of the request
-// still applies, and for streams the watchdog.
+// allowLateReading lifts unackedTimeout once the response to a long request has begun. An endpoint may begin to respond before
+// it reads a long request and then read on at its own pace, and the kernel counts the time in which it does not read like that
+// of a lost connection. The deadline of the request still applies, and for streams the watchdog.
 func allowLateReading(connection any) {
 	c, ok := connection.(syscall.Conn)
 	if !ok {
